--- /dev/null
+++ b/internal/ports/platform.go
@@ -0,0 +1,102 @@
+// Package ports names what the system needs from outside: the platform's
+// table service, object store, weight store and VM list, the upstreams, and
+// the other daemons. Decision packages depend on these interfaces only;
+// adapters and stand-ins implement them.
+package ports
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+)
+
+var (
+	// ErrUnavailable means that the call had no effect: it was refused or
+	// never sent.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrUnknownOutcome means that a write may or may not have taken effect.
+	// The caller reads again to find out.
+	ErrUnknownOutcome = errors.New("outcome of platform call unknown")
+	// ErrNotFound means that the named object does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrThrottled means that a rate limit refused the call.
+	ErrThrottled = errors.New("rate limit exceeded")
+)
+
+// ConflictError reports the keys whose precondition failed. Nothing of the
+// transaction took effect.
+type ConflictError struct {
+	Keys []string
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("precondition failed for %s", strings.Join(e.Keys, ", "))
+}
+
+// Version is the table service's version of a row. It grows with each write
+// to any row. Zero means that the row does not exist.
+type Version uint64
+
+// Row is one row of the table service.
+type Row struct {
+	Key     string  `json:"key"`
+	Value   []byte  `json:"value"`
+	Version Version `json:"version"`
+}
+
+// Write is one conditional write of a transaction.
+type Write struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+	// Expect is the version that the row must have. Zero means that the row
+	// must not exist.
+	Expect Version `json:"expect"`
+	// Unconditional skips the check of Expect.
+	Unconditional bool `json:"unconditional,omitempty"`
+}
+
+// Table is the platform's transactional table service.
+type Table interface {
+	// Get returns the rows that exist among keys, in the order of keys.
+	Get(ctx context.Context, keys ...string) ([]Row, error)
+	// Scan returns up to limit rows whose key starts with prefix and comes
+	// after the key after, in key order. Rows with a version of since or
+	// lower are left out.
+	Scan(ctx context.Context, prefix, after string, limit int, since Version) ([]Row, error)
+	// Commit applies all writes or none and returns the new version, which
+	// all written rows share. It fails with *ConflictError, ErrUnavailable,
+	// ErrThrottled or ErrUnknownOutcome.
+	Commit(ctx context.Context, writes ...Write) (Version, error)
+}
+
+// Objects is the platform's object store.
+type Objects interface {
+	// Put stores an object under a name that is never reused for other content.
+	Put(ctx context.Context, name string, data []byte) error
+	// Read returns an object or ErrNotFound.
+	Read(ctx context.Context, name string) ([]byte, error)
+}
+
+// VMList is the platform's list of live and leaving VMs. It lags.
+type VMList interface {
+	VMs(ctx context.Context) ([]domain.VM, error)
+}
+
+// WeightStore is the rate-limited store of model weights. Engines load from
+// it; the system only asks what exists and how large it is.
+type WeightStore interface {
+	// Size returns the size of an artefact in bytes.
+	Size(ctx context.Context, artefact string) (int64, error)
+}
+
+// Platform groups the platform's services.
+type Platform interface {
+	Table
+	Objects
+	VMList
+	WeightStore
+}
