--- /dev/null
+++ b/internal/adapters/telemetry/events.go
@@ -0,0 +1,105 @@
+package telemetry
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// Event is one numbered kind of log line.
+type Event struct {
+	Code    string // ADnnnn, never reused
+	Name    string // short name, snake_case
+	Level   zerolog.Level
+	Meaning string
+}
+
+// The events by area: 1 process, 2 requests, 3 configuration, 4 peers and
+// membership, 5 drain, 6 leases and placement, 7 administration, 8 platform
+// and upstreams.
+var (
+	DaemonStarting   = Event{"AD1001", "daemon_starting", zerolog.InfoLevel, "The daemon has read its settings and starts its listeners."}
+	DaemonReady      = Event{"AD1002", "daemon_ready", zerolog.InfoLevel, "A configuration is in force and the daemon accepts requests."}
+	DaemonUnready    = Event{"AD1003", "daemon_unready", zerolog.WarnLevel, "The daemon does not accept requests; reason says why."}
+	ShutdownStarted  = Event{"AD1004", "shutdown_started", zerolog.InfoLevel, "A planned stop began; requests in progress continue."}
+	ShutdownComplete = Event{"AD1005", "shutdown_complete", zerolog.InfoLevel, "The daemon stopped; cut is the number of requests that the bound interrupted."}
+
+	AdmissionDecision = Event{"AD2001", "admission_decision", zerolog.InfoLevel, "A request was queued, dispatched or refused; reason says why."}
+	RoutingDecision   = Event{"AD2002", "routing_decision", zerolog.InfoLevel, "An upstream was picked; candidates, scores and exclusions are listed."}
+	AttemptFailed     = Event{"AD2003", "attempt_failed", zerolog.WarnLevel, "An attempt at an upstream failed; error says how."}
+	StreamResumed     = Event{"AD2004", "stream_resumed", zerolog.InfoLevel, "A broken or silent stream was resumed on the same upstream."}
+	StreamContinued   = Event{"AD2005", "stream_continued", zerolog.InfoLevel, "A generation was continued on another upstream."}
+	RequestHedged     = Event{"AD2006", "request_hedged", zerolog.InfoLevel, "A second attempt was started before the first token."}
+	RequestPreempted  = Event{"AD2007", "request_preempted", zerolog.InfoLevel, "A running request gave way to a higher tier."}
+	RequestFinished   = Event{"AD2008", "request_finished", zerolog.InfoLevel, "A request ended; outcome, latencies and waste are listed."}
+	RequestShed       = Event{"AD2009", "request_shed", zerolog.WarnLevel, "A request was refused by admission control or removed from its queue."}
+	ClaimSettled      = Event{"AD2010", "claim_settled", zerolog.InfoLevel, "A call that must not be repeated was claimed, replayed or refused."}
+
+	ConfigurationInForce  = Event{"AD3001", "configuration_in_force", zerolog.InfoLevel, "A revision was compiled and is in force on this daemon."}
+	ConfigurationRejected = Event{"AD3002", "configuration_rejected", zerolog.ErrorLevel, "A revision could not be compiled; the earlier one stays in force."}
+	ConfigurationPoll     = Event{"AD3003", "configuration_poll_failed", zerolog.WarnLevel, "The configuration head could not be read."}
+	ConfigurationProposed = Event{"AD3004", "configuration_proposed", zerolog.InfoLevel, "A change was accepted, merged or found in conflict."}
+
+	PeerConnected   = Event{"AD4001", "peer_connected", zerolog.InfoLevel, "A connection to another daemon is open."}
+	PeerLost        = Event{"AD4002", "peer_lost", zerolog.WarnLevel, "A connection to another daemon ended or went silent."}
+	MemberChanged   = Event{"AD4003", "member_changed", zerolog.InfoLevel, "A daemon joined, is suspected, or is gone."}
+	RosterRenewal   = Event{"AD4004", "roster_renewal_failed", zerolog.WarnLevel, "The daemon's roster row could not be renewed."}
+	SubsetChanged   = Event{"AD4005", "subset_changed", zerolog.InfoLevel, "The set of upstreams that this daemon sends to changed."}
+	PeerFrameRefuse = Event{"AD4006", "peer_frame_rejected", zerolog.WarnLevel, "A frame from another daemon was malformed or too large."}
+
+	DrainStep    = Event{"AD5001", "drain_step", zerolog.InfoLevel, "An upstream moved to another drain phase; reason says why."}
+	DrainWarning = Event{"AD5002", "drain_warning", zerolog.WarnLevel, "A drain needs attention, for example the last upstream of a class."}
+
+	LeaseChanged      = Event{"AD6001", "lease_changed", zerolog.InfoLevel, "A lease was taken, renewed late, or lost."}
+	PlacementDecision = Event{"AD6002", "placement_decision", zerolog.InfoLevel, "An order to an engine was decided; reason says why."}
+	OrderFailed       = Event{"AD6003", "order_failed", zerolog.WarnLevel, "An engine did not accept an order."}
+
+	AdminChange  = Event{"AD7001", "admin_change", zerolog.InfoLevel, "An operator changed something through the administration API."}
+	AdminRefused = Event{"AD7002", "admin_refused", zerolog.WarnLevel, "An administration call was refused: not authenticated or out of scope."}
+
+	PlatformError   = Event{"AD8001", "platform_error", zerolog.WarnLevel, "A call to the platform failed."}
+	UpstreamHealth  = Event{"AD8002", "upstream_health", zerolog.InfoLevel, "An upstream was ejected, is on probation, or returned."}
+	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
+)
+
+// Catalogue lists every event in code order.
+var Catalogue = []Event{
+	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
+	AdmissionDecision, RoutingDecision, AttemptFailed, StreamResumed, StreamContinued,
+	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
+	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
+	PeerConnected, PeerLost, MemberChanged, RosterRenewal, SubsetChanged, PeerFrameRefuse,
+	DrainStep, DrainWarning,
+	LeaseChanged, PlacementDecision, OrderFailed,
+	AdminChange, AdminRefused,
+	PlatformError, UpstreamHealth, LoadReportError,
+}
+
+// Log writes numbered events as JSON lines.
+type Log struct {
+	logger zerolog.Logger
+}
+
+// NewLog returns a Log that writes events of at least level to w.
+func NewLog(w io.Writer, level zerolog.Level, daemon string) *Log {
+	return &Log{logger: zerolog.New(w).Level(level).With().Timestamp().Str("daemon", daemon).Logger()}
+}
+
+// NopLog returns a Log that discards everything.
+func NopLog() *Log { return &Log{logger: zerolog.Nop()} }
+
+// Event starts a line for e. It returns nil, on which all zerolog methods do
+// nothing, when the level is disabled.
+func (l *Log) Event(e Event) *zerolog.Event {
+	line := l.logger.WithLevel(e.Level)
+	if l.logger.GetLevel() > e.Level {
+		return nil
+	}
+	return line.Str("event", e.Code).Str("name", e.Name)
+}
+
+// Enabled reports whether events like e are written, so that a caller can
+// skip gathering their fields.
+func (l *Log) Enabled(e Event) bool {
+	return l.logger.GetLevel() <= e.Level
+}
