--- /dev/null
+++ b/internal/policy/bitset.go
@@ -0,0 +1,43 @@
+package policy
+
+const wordBits = 64
+
+// bitset is a fixed-size set of small integers.
+type bitset []uint64
+
+func newBitset(n int) bitset { return make(bitset, (n+wordBits-1)/wordBits) }
+
+func (b bitset) set(i int) { b[i/wordBits] |= 1 << (i % wordBits) }
+
+func (b bitset) has(i int) bool { return b[i/wordBits]&(1<<(i%wordBits)) != 0 }
+
+// and sets b to the intersection of x and y.
+func (b bitset) and(x, y bitset) {
+	for i := range b {
+		b[i] = x[i] & y[i]
+	}
+}
+
+// or adds the members of x.
+func (b bitset) or(x bitset) {
+	for i := range b {
+		b[i] |= x[i]
+	}
+}
+
+func (b bitset) empty() bool {
+	for _, word := range b {
+		if word != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func union(sets []bitset, n int) bitset {
+	all := newBitset(n)
+	for _, s := range sets {
+		all.or(s)
+	}
+	return all
+}
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -28,3 +28,32 @@
 
 // String returns the selector as it was written.
 func (s Selector) String() string { return s.text }
+
+// MarshalText returns the selector as it was written.
+func (s Selector) MarshalText() ([]byte, error) { return []byte(s.text), nil }
+
+// UnmarshalText reads a selector like ParseSelector.
+func (s *Selector) UnmarshalText(text []byte) error {
+	parsed, err := ParseSelector(string(text))
+	if err != nil {
+		return err
+	}
+	*s = parsed
+	return nil
+}
+
+// Allowed describes the syntax for findings.
+func (s *Selector) Allowed() string {
+	return `label selector such as "audience=guest, size in (large, small), !trial"`
+}
+
+// keys adds the label keys that the selector looks at.
+func (s Selector) keys(into map[string]bool) {
+	if s.selector == nil {
+		return
+	}
+	requirements, _ := s.selector.Requirements()
+	for _, r := range requirements {
+		into[r.Key()] = true
+	}
+}
