Add the exchange of one request and its runner

Cause: a request needs attempts, resumption, continuation, hedging and an accurate outcome, decided apart from goroutines and sockets. Change: Exchange is the state machine; Budget bounds retries and hedges by a share of traffic; Runner executes the actions for engines, RunCall for plain services. Before and after: no code; go test -race ./internal/exchange passes under virtual time for broken, silent, refused, hedged and preempted requests. Conclusion: the daemon can be wired with this interface.

--- /dev/null
+++ b/internal/exchange/action.go
@@ -0,0 +1,189 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// ActionKind tells what an Action asks for.
+type ActionKind uint8
+
+const (
+	// ActionStart starts attempt Number on Upstream with Suffix and Skip.
+	ActionStart ActionKind = iota + 1
+	// ActionResume reads attempt Number again over new connection Conn,
+	// behind event index Last. The previous connection is closed.
+	ActionResume
+	// ActionCancel closes the connection of attempt Number and cancels it at
+	// its upstream.
+	ActionCancel
+	// ActionProbe checks over a new connection that Upstream answers and
+	// reports the result with Exchange.Probed.
+	ActionProbe
+	// ActionPick asks for an upstream for Purpose outside Exclude. The answer
+	// is Exchange.Picked or Exchange.NotPicked.
+	ActionPick
+	// ActionEmit sends Event to the caller.
+	ActionEmit
+	// ActionFirstToken reports that attempt Number gave its first event after
+	// Duration.
+	ActionFirstToken
+	// ActionInterval reports that Tokens tokens of attempt Number arrived
+	// Duration after the event before.
+	ActionInterval
+	// ActionEnd reports that attempt Number ended with Result after Duration
+	// and Tokens tokens. Each started attempt ends exactly once.
+	ActionEnd
+	// ActionWaste reports Tokens wasted tokens for Cause.
+	ActionWaste
+	// ActionYield gives the upstream back after a preemption. The text
+	// generated so far is kept; Exchange.Admitted continues it.
+	ActionYield
+	// ActionTimer asks for Exchange.Tick at time At. It replaces the timer
+	// before.
+	ActionTimer
+	// ActionComplete ends the request: the caller has the whole answer.
+	ActionComplete
+	// ActionFail ends the request with Outcome, Reason and Err.
+	ActionFail
+)
+
+// Purpose tells why an upstream is needed.
+type Purpose uint8
+
+const (
+	// PurposeFirst is the first attempt after admission.
+	PurposeFirst Purpose = iota
+	// PurposeRetry replaces an attempt that gave the caller nothing.
+	PurposeRetry
+	// PurposeContinue continues an answer that the caller has in part.
+	PurposeContinue
+	// PurposeHedge races the running attempt to the first token.
+	PurposeHedge
+	// PurposeMove continues an answer away from a draining upstream.
+	PurposeMove
+)
+
+// Result tells how one attempt ended.
+type Result uint8
+
+const (
+	ResultFinished Result = iota + 1
+	ResultNotSent
+	ResultRefused
+	ResultBroken
+	ResultSilent
+	ResultMismatch
+	// ResultCancelled is an attempt that was abandoned for a reason that does
+	// not lie with its upstream.
+	ResultCancelled
+)
+
+// Reason tells why a request failed. It is empty for a complete one.
+type Reason string
+
+const (
+	ReasonRefused    Reason = "refused"
+	ReasonNotSent    Reason = "not_sent"
+	ReasonBroken     Reason = "stream_broken"
+	ReasonSilent     Reason = "stream_silent"
+	ReasonMismatch   Reason = "answer_mismatched"
+	ReasonIncomplete Reason = "answer_incomplete"
+	ReasonDeadline   Reason = "deadline"
+	ReasonCallerGone Reason = "caller_gone"
+	ReasonWithdrawn  Reason = "withdrawn"
+)
+
+// Action is one step that the owner of an Exchange executes. Only the fields
+// named at its kind are set.
+type Action struct {
+	Kind     ActionKind
+	Purpose  Purpose
+	Result   Result
+	Number   int // attempt, from 0
+	Conn     int // connection of the attempt, from 0
+	Last     int // event index to resume behind; -1 for the beginning
+	Skip     int // tokens in Suffix
+	Tokens   int
+	ID       domain.AttemptID
+	Upstream domain.UpstreamID
+	Suffix   string
+	// Exclude is valid until the next call of a method of the Exchange.
+	Exclude []domain.UpstreamID
+	// Event is valid until the next call of a method of the Exchange. Its
+	// CompletionTokens counts the whole answer; its Data is as the upstream
+	// sent it.
+	Event    *ports.Event
+	Duration time.Duration
+	At       time.Time
+	Cause    domain.WasteCause
+	Outcome  domain.Outcome
+	Reason   Reason
+	Err      error
+}
+
+const (
+	defaultMaxRetries        = 4
+	defaultMaxResumes        = 2
+	defaultMinSilence        = time.Second
+	defaultFirstTokenSilence = 15 * time.Second
+	defaultProbeTimeout      = time.Second
+	defaultRetryWait         = 25 * time.Millisecond
+	defaultRetryPatience     = 10 * time.Second
+	defaultMoveMargin        = 3 * time.Second
+	maxRetryWait             = time.Second
+)
+
+// Config describes one request to an Exchange. Zero means the default.
+type Config struct {
+	Request domain.RequestID
+	// Repeatable allows a second attempt after one that may have run.
+	Repeatable bool
+	// Resumable allows reading an attempt again over a new connection.
+	Resumable bool
+	// HedgeDelay is how long the first token may take before a second attempt
+	// races the first; it is derived from a quantile of first-token times.
+	// Zero means no hedging.
+	HedgeDelay time.Duration
+	// Deadline is when the answer is given up. Zero means never.
+	Deadline time.Time
+	// MaxRetries bounds the attempts that follow failed ones. Default 4.
+	MaxRetries int
+	// MaxResumes bounds resumptions without progress. Default 2.
+	MaxResumes int
+	// FirstTokenSilence is how long the first event may take before the
+	// upstream is probed. Default 15 s.
+	FirstTokenSilence time.Duration
+	// TokenInterval is the expected interval between events; it stands in for
+	// the stream's own distribution at the beginning. Zero means unknown.
+	TokenInterval time.Duration
+	// MinSilence is the shortest interval that counts as silence. Default 1 s.
+	MinSilence time.Duration
+	// ProbeTimeout bounds a probe. Default 1 s.
+	ProbeTimeout time.Duration
+	// RetryPatience is how long a request without a running attempt waits for
+	// an upstream or the retry budget. Default 10 s.
+	RetryPatience time.Duration
+	// MoveMargin is how long before a draining upstream's deadline a stream
+	// moves away. Default 3 s.
+	MoveMargin time.Duration
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.MaxRetries, defaultMaxRetries)
+	setDefault(&c.MaxResumes, defaultMaxResumes)
+	setDefault(&c.MinSilence, defaultMinSilence)
+	setDefault(&c.FirstTokenSilence, defaultFirstTokenSilence)
+	setDefault(&c.ProbeTimeout, defaultProbeTimeout)
+	setDefault(&c.RetryPatience, defaultRetryPatience)
+	setDefault(&c.MoveMargin, defaultMoveMargin)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/exchange/call.go
@@ -0,0 +1,163 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// Call is the state machine of one call to a plain service: one answer that
+// cannot be resumed. A call that must not be repeated is claimed before its
+// first attempt; that step is not part of this package.
+type Call struct {
+	Exchange
+}
+
+// NewCall returns the state machine of one call.
+func NewCall(cfg Config, budget *Budget) *Call {
+	cfg.Resumable = false
+	c := &Call{Exchange: *New(cfg, budget)}
+	c.attempts = c.store[:0]
+	return c
+}
+
+// Answered handles the whole answer of attempt n.
+func (c *Call) Answered(now time.Time, n int) []Action {
+	ev := ports.Event{Attempt: c.attempts[n].id, Index: c.attempts[n].next, Final: true}
+	return c.Event(now, n, 0, &ev)
+}
+
+// ServiceAssignment is a place for one attempt at a plain service.
+type ServiceAssignment struct {
+	Upstream domain.UpstreamID
+	Service  ports.Service
+	Release  func()
+}
+
+// ServicePicker chooses a service replica for a further attempt.
+type ServicePicker interface {
+	Pick(purpose Purpose, exclude []domain.UpstreamID) (ServiceAssignment, bool)
+}
+
+// CallConfig is what RunCall needs. Picker, Observer and Budget are optional.
+type CallConfig struct {
+	Config   Config
+	Request  ports.ServiceRequest // Attempt is set for each attempt
+	Picker   ServicePicker
+	Observer Observer
+	Budget   *Budget
+}
+
+// RunCall executes one call on the admitted place until it has ended. The
+// response is nil unless the outcome is complete. When ctx ends, the caller is
+// taken to be gone.
+func RunCall(ctx context.Context, cfg CallConfig, admitted ServiceAssignment) (*ports.ServiceResponse, Outcome) {
+	cfg.Config.Resumable = false
+	answer := &answerEmitter{}
+	rc := RunnerConfig{
+		Config:   cfg.Config,
+		Emitter:  answer,
+		Observer: cfg.Observer,
+		Budget:   cfg.Budget,
+	}
+	if cfg.Picker != nil {
+		rc.Picker = servicePicker{cfg: &cfg, answer: answer}
+	}
+	outcome := NewRunner(rc).Run(ctx, serviceAssignment(&cfg, answer, admitted))
+	if !outcome.Complete {
+		return nil, outcome
+	}
+	return answer.response, outcome
+}
+
+func serviceAssignment(cfg *CallConfig, answer *answerEmitter, a ServiceAssignment) Assignment {
+	return Assignment{
+		Upstream: a.Upstream,
+		Engine:   &serviceEngine{service: a.Service, request: &cfg.Request, answer: answer},
+		Release:  a.Release,
+	}
+}
+
+type servicePicker struct {
+	cfg    *CallConfig
+	answer *answerEmitter
+}
+
+func (p servicePicker) Pick(purpose Purpose, exclude []domain.UpstreamID) (Assignment, bool) {
+	a, ok := p.cfg.Picker.Pick(purpose, exclude)
+	if !ok {
+		return Assignment{}, false
+	}
+	return serviceAssignment(p.cfg, p.answer, a), true
+}
+
+// serviceEngine presents calls to a plain service as streams of one event.
+type serviceEngine struct {
+	service ports.Service
+	request *ports.ServiceRequest
+	answer  *answerEmitter
+}
+
+func (e *serviceEngine) Generate(ctx context.Context, req *ports.GenerateRequest) (ports.Stream, error) {
+	call := *e.request
+	call.Attempt = req.Attempt
+	response, err := e.service.Call(ctx, &call)
+	if err != nil {
+		return nil, err
+	}
+	e.answer.store(req.Attempt, response)
+	return &serviceStream{attempt: req.Attempt}, nil
+}
+
+func (e *serviceEngine) Resume(context.Context, domain.AttemptID, int) (ports.Stream, error) {
+	return nil, ports.ErrStreamGone
+}
+
+// Cancel does nothing: closing the connection is all that a plain service
+// offers.
+func (e *serviceEngine) Cancel(context.Context, domain.AttemptID) error { return nil }
+
+func (e *serviceEngine) Probe(ctx context.Context) error { return e.service.Probe(ctx) }
+
+type serviceStream struct {
+	attempt domain.AttemptID
+	sent    bool
+}
+
+func (s *serviceStream) Recv() (ports.Event, error) {
+	if s.sent {
+		return ports.Event{}, io.EOF
+	}
+	s.sent = true
+	return ports.Event{Attempt: s.attempt, Final: true}, nil
+}
+
+func (s *serviceStream) Close() error { return nil }
+
+// answerEmitter keeps the responses of the attempts until one is accepted.
+type answerEmitter struct {
+	mu        sync.Mutex
+	responses map[domain.AttemptID]*ports.ServiceResponse
+	response  *ports.ServiceResponse
+}
+
+func (a *answerEmitter) store(id domain.AttemptID, response *ports.ServiceResponse) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.responses == nil {
+		a.responses = make(map[domain.AttemptID]*ports.ServiceResponse, 1)
+	}
+	a.responses[id] = response
+}
+
+// Emit accepts the response of the event's attempt.
+func (a *answerEmitter) Emit(ev *ports.Event) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.response = a.responses[ev.Attempt]
+	return nil
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,337 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+type phase uint8
+
+const (
+	phaseWaiting phase = iota // for admission
+	phaseRunning
+	phaseDone
+)
+
+// Exchange is the state machine of one request. It is not safe for concurrent
+// use. The actions that a method returns are valid until the next call.
+type Exchange struct {
+	cfg    Config
+	budget *Budget
+	phase  phase
+
+	attempts []attempt
+	store    [2]attempt // backs attempts until a third one
+	// answering is the attempt whose events reach the caller; -1 means none.
+	answering int
+
+	text    []byte // sent to the caller
+	emitted int    // tokens sent to the caller
+	events  int    // events sent to the caller
+
+	retries  int
+	hedged   bool
+	hedgeAt  time.Time
+	recovery recovery
+	exclude  []domain.UpstreamID
+
+	armed   time.Time
+	actions []Action
+	out     ports.Event
+}
+
+// New returns the state machine of one request. The budget is shared by all
+// requests of a daemon; nil means unlimited retries.
+func New(cfg Config, budget *Budget) *Exchange {
+	cfg.setDefaults()
+	e := &Exchange{cfg: cfg, budget: budget, answering: -1}
+	e.attempts = e.store[:0]
+	return e
+}
+
+// Admitted starts the request, or continues it after a preemption, on
+// upstream.
+func (e *Exchange) Admitted(now time.Time, upstream domain.UpstreamID) []Action {
+	e.begin()
+	if e.phase != phaseWaiting {
+		return e.finish(now)
+	}
+	e.phase = phaseRunning
+	if len(e.attempts) == 0 && e.budget != nil {
+		e.budget.Deposit(now)
+	}
+	purpose := PurposeFirst
+	if e.emitted > 0 {
+		purpose = PurposeContinue
+	}
+	e.start(now, upstream, purpose)
+	if e.cfg.Repeatable && e.cfg.HedgeDelay > 0 && e.events == 0 {
+		e.hedgeAt = now.Add(e.cfg.HedgeDelay)
+	}
+	return e.finish(now)
+}
+
+// Withdrawn ends a request that was not admitted again after a preemption.
+func (e *Exchange) Withdrawn(now time.Time, err error) []Action {
+	e.begin()
+	if e.phase == phaseWaiting {
+		e.fail(now, ReasonWithdrawn, domain.WastePreempted, err)
+	}
+	return e.finish(now)
+}
+
+// Event handles one event that arrived on connection conn of attempt n.
+func (e *Exchange) Event(now time.Time, n, conn int, ev *ports.Event) []Action {
+	e.begin()
+	a := &e.attempts[n]
+	switch {
+	case ev.Attempt != a.id:
+		e.connFailed(now, n, conn, ports.ErrMismatch)
+	case a.over:
+		e.late(a, ev)
+	case ev.Index < a.next:
+		// A resumed stream repeats events that the caller has.
+	case ev.Index > a.next:
+		e.connFailed(now, n, conn, ports.ErrMismatch)
+	default:
+		e.accept(now, n, ev)
+	}
+	return e.finish(now)
+}
+
+// Failed handles the failure of connection conn of attempt n.
+func (e *Exchange) Failed(now time.Time, n, conn int, err error) []Action {
+	e.begin()
+	e.connFailed(now, n, conn, err)
+	return e.finish(now)
+}
+
+// Stalled tells that the caller did not take events until now, so that the
+// time since the last event is no silence of the upstream.
+func (e *Exchange) Stalled(now time.Time) {
+	for i := range e.attempts {
+		if a := &e.attempts[i]; !a.over && a.next > 0 {
+			a.last = now
+		}
+	}
+}
+
+// CallerGone ends the request because nobody waits for the answer.
+func (e *Exchange) CallerGone(now time.Time) []Action {
+	e.begin()
+	if e.phase != phaseDone {
+		e.fail(now, ReasonCallerGone, domain.WasteCallerGone, nil)
+	}
+	return e.finish(now)
+}
+
+// Preemptable reports whether Preempted would take effect: an attempt runs,
+// and a second one is allowed.
+func (e *Exchange) Preemptable() bool {
+	return e.phase == phaseRunning && e.cfg.Repeatable
+}
+
+// Preempted cancels the running attempts and keeps the text for a later
+// continuation.
+func (e *Exchange) Preempted(now time.Time) []Action {
+	e.begin()
+	if e.Preemptable() {
+		e.abandonAll(now, domain.WastePreempted)
+		e.recovery = recovery{}
+		e.hedgeAt = time.Time{}
+		e.exclude = e.exclude[:0]
+		e.phase = phaseWaiting
+		e.push(Action{Kind: ActionYield, Tokens: e.emitted})
+	}
+	return e.finish(now)
+}
+
+// Draining tells that upstream leaves at deadline. Repeatable streams that
+// still run shortly before continue elsewhere; a zero deadline moves none.
+func (e *Exchange) Draining(now time.Time, upstream domain.UpstreamID, deadline time.Time) []Action {
+	e.begin()
+	if e.cfg.Repeatable && !deadline.IsZero() {
+		for i := range e.attempts {
+			a := &e.attempts[i]
+			if !a.over && a.upstream == upstream {
+				a.moveAt = deadline.Add(-e.cfg.MoveMargin)
+				a.moveBy = deadline
+			}
+		}
+	}
+	e.due(now)
+	return e.finish(now)
+}
+
+// Tick handles everything that is due at now.
+func (e *Exchange) Tick(now time.Time) []Action {
+	e.begin()
+	e.due(now)
+	return e.finish(now)
+}
+
+// Done reports whether the request has ended.
+func (e *Exchange) Done() bool { return e.phase == phaseDone }
+
+// Emitted returns the number of tokens sent to the caller.
+func (e *Exchange) Emitted() int { return e.emitted }
+
+// Attempts returns the number of attempts started.
+func (e *Exchange) Attempts() int { return len(e.attempts) }
+
+func (e *Exchange) begin() { e.actions = e.actions[:0] }
+
+func (e *Exchange) push(a Action) { e.actions = append(e.actions, a) }
+
+// finish appends the timer when it has to fire earlier than the armed one.
+// A timer that fires too early is harmless and re-armed by Tick.
+func (e *Exchange) finish(now time.Time) []Action {
+	if e.phase == phaseDone {
+		return e.actions
+	}
+	if !e.armed.IsZero() && !e.armed.After(now) {
+		e.armed = time.Time{}
+	}
+	at := e.wake()
+	if !at.IsZero() && (e.armed.IsZero() || at.Before(e.armed)) {
+		e.armed = at
+		e.push(Action{Kind: ActionTimer, At: at})
+	}
+	return e.actions
+}
+
+func (e *Exchange) start(now time.Time, upstream domain.UpstreamID, purpose Purpose) {
+	n := len(e.attempts)
+	e.attempts = append(e.attempts, attempt{
+		id:         domain.NewAttemptID(e.cfg.Request, n),
+		upstream:   upstream,
+		hedge:      purpose == PurposeHedge,
+		mayHaveRun: true,
+		started:    now,
+		last:       now,
+	})
+	e.push(Action{
+		Kind:     ActionStart,
+		Purpose:  purpose,
+		Number:   n,
+		ID:       e.attempts[n].id,
+		Upstream: upstream,
+		Suffix:   string(e.text),
+		Skip:     e.emitted,
+	})
+}
+
+// accept handles the next event of a live attempt.
+func (e *Exchange) accept(now time.Time, n int, ev *ports.Event) {
+	a := &e.attempts[n]
+	first := a.next == 0
+	d := a.progress(now, ev.Tokens)
+	if e.answering < 0 {
+		e.answer(now, n)
+	}
+	if first {
+		e.push(Action{Kind: ActionFirstToken, Number: n, Upstream: a.upstream, Duration: now.Sub(a.started)})
+	} else {
+		e.push(Action{Kind: ActionInterval, Number: n, Upstream: a.upstream, Duration: d, Tokens: ev.Tokens})
+	}
+	if ev.Final && ev.CompletionTokens != a.tokens {
+		// The caller has every event, so reading again would not help.
+		e.emitted += ev.Tokens
+		e.end(now, n, ResultMismatch)
+		e.fail(now, ReasonIncomplete, domain.WasteMismatch, ports.ErrMismatch)
+		return
+	}
+	e.emit(ev)
+	if ev.Final {
+		e.end(now, n, ResultFinished)
+		e.phase = phaseDone
+		e.push(Action{Kind: ActionComplete, Tokens: e.emitted, Number: n, Upstream: a.upstream, Outcome: domain.OutcomeRan})
+	}
+}
+
+// answer makes attempt n the one that the caller hears and cancels the rest.
+func (e *Exchange) answer(now time.Time, n int) {
+	e.answering = n
+	e.hedgeAt = time.Time{}
+	e.recovery = recovery{}
+	for i := range e.attempts {
+		if i != n && !e.attempts[i].over {
+			e.abandon(now, i, ResultCancelled, domain.WasteHedge)
+		}
+	}
+}
+
+func (e *Exchange) emit(ev *ports.Event) {
+	e.text = append(e.text, ev.Text...)
+	e.emitted += ev.Tokens
+	e.events++
+	e.out = *ev
+	if ev.Final {
+		e.out.CompletionTokens = e.emitted
+	}
+	e.push(Action{Kind: ActionEmit, Number: e.answering, Event: &e.out, Tokens: ev.Tokens})
+}
+
+// late counts the tokens of an event that came after its attempt's end.
+func (e *Exchange) late(a *attempt, ev *ports.Event) {
+	if ev.Index < a.next {
+		return
+	}
+	a.next = ev.Index + 1
+	a.tokens += ev.Tokens
+	if ev.Tokens > 0 && a.cause != "" {
+		e.push(Action{Kind: ActionWaste, Cause: a.cause, Tokens: ev.Tokens})
+	}
+}
+
+// end records how attempt n ended.
+func (e *Exchange) end(now time.Time, n int, result Result) {
+	a := &e.attempts[n]
+	a.over = true
+	a.probing = false
+	if e.answering == n {
+		e.answering = -1
+	}
+	e.push(Action{
+		Kind:     ActionEnd,
+		Number:   n,
+		Upstream: a.upstream,
+		Result:   result,
+		Tokens:   a.tokens,
+		Duration: now.Sub(a.started),
+	})
+}
+
+// abandon cancels attempt n at its upstream. Events that still arrive from it
+// are wasted for cause.
+func (e *Exchange) abandon(now time.Time, n int, result Result, cause domain.WasteCause) {
+	a := &e.attempts[n]
+	a.cause = cause
+	e.push(Action{Kind: ActionCancel, Number: n, ID: a.id, Upstream: a.upstream, Conn: a.conn})
+	e.end(now, n, result)
+}
+
+func (e *Exchange) abandonAll(now time.Time, cause domain.WasteCause) {
+	for i := range e.attempts {
+		if !e.attempts[i].over {
+			e.abandon(now, i, ResultCancelled, cause)
+		}
+	}
+}
+
+// outcome returns what is known about the execution of the request.
+func (e *Exchange) outcome() domain.Outcome {
+	outcome := domain.OutcomeNotRun
+	for i := range e.attempts {
+		a := &e.attempts[i]
+		if a.next > 0 {
+			return domain.OutcomeRan
+		}
+		if a.mayHaveRun {
+			outcome = domain.OutcomeUnknown
+		}
+	}
+	return outcome
+}
--- /dev/null
+++ b/internal/exchange/recovery.go
@@ -0,0 +1,223 @@
+package exchange
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// recovery is the search for an upstream after a failure, for a hedge or for
+// a move. The zero value means that none is needed.
+type recovery struct {
+	active  bool
+	picking bool // an ActionPick is unanswered
+	granted bool // the budget was drawn on
+	purpose Purpose
+	moving  int // attempt that PurposeMove replaces
+	at      time.Time
+	until   time.Time // patience
+	tries   int
+	reason  Reason
+	cause   domain.WasteCause
+	err     error
+}
+
+// connFailed handles the failure of one connection of an attempt.
+func (e *Exchange) connFailed(now time.Time, n, conn int, err error) {
+	a := &e.attempts[n]
+	if a.over || conn != a.conn || !a.resumeAt.IsZero() {
+		return
+	}
+	unsent := errors.Is(err, ports.ErrNotSent)
+	refused := errors.Is(err, ports.ErrRefused)
+	switch {
+	case conn == 0 && a.next == 0 && (unsent || refused):
+		e.notRun(now, n, unsent, err)
+	case errors.Is(err, ports.ErrStreamGone):
+		e.lost(now, n, err)
+	case !e.cfg.Resumable || a.resumes >= e.cfg.MaxResumes:
+		e.lost(now, n, err)
+	case conn > 0 && (unsent || refused) && e.cfg.Repeatable:
+		e.lost(now, n, err)
+	case a.resumes > 0:
+		a.resumeAt = now.Add(e.wait(n, a.resumes))
+	default:
+		e.resume(now, n)
+	}
+}
+
+// notRun ends an attempt that its upstream did not run.
+func (e *Exchange) notRun(now time.Time, n int, unsent bool, err error) {
+	e.attempts[n].mayHaveRun = false
+	result, reason := ResultRefused, ReasonRefused
+	if unsent {
+		result, reason = ResultNotSent, ReasonNotSent
+	}
+	e.end(now, n, result)
+	e.recover(now, n, reason, "", err)
+}
+
+// lost ends an attempt whose stream cannot be read any further.
+func (e *Exchange) lost(now time.Time, n int, err error) {
+	result, reason, cause := ResultBroken, ReasonBroken, domain.WasteBroken
+	if errors.Is(err, ports.ErrMismatch) {
+		result, reason, cause = ResultMismatch, ReasonMismatch, domain.WasteMismatch
+	}
+	e.abandon(now, n, result, cause)
+	e.recover(now, n, reason, cause, err)
+}
+
+// resume reads the attempt again over a new connection.
+func (e *Exchange) resume(now time.Time, n int) {
+	a := &e.attempts[n]
+	a.resumes++
+	a.conn++
+	a.last = now
+	a.resumeAt = time.Time{}
+	e.push(Action{
+		Kind:     ActionResume,
+		Number:   n,
+		Conn:     a.conn,
+		ID:       a.id,
+		Upstream: a.upstream,
+		Last:     a.next - 1,
+	})
+}
+
+// recover looks for another upstream after attempt n ended, or fails the
+// request when a further attempt is not allowed.
+func (e *Exchange) recover(now time.Time, n int, reason Reason, cause domain.WasteCause, err error) {
+	failed := &e.attempts[n]
+	e.exclude = append(e.exclude, failed.upstream)
+	if e.live() {
+		return
+	}
+	if (failed.mayHaveRun && !e.cfg.Repeatable) || e.retries >= e.cfg.MaxRetries {
+		e.fail(now, reason, cause, err)
+		return
+	}
+	purpose := PurposeRetry
+	if e.events > 0 {
+		purpose = PurposeContinue
+	}
+	e.recovery = recovery{
+		active:  true,
+		purpose: purpose,
+		at:      now,
+		until:   now.Add(e.cfg.RetryPatience),
+		reason:  reason,
+		cause:   cause,
+		err:     err,
+	}
+	if e.retries > 0 {
+		e.recovery.at = now.Add(e.wait(n, e.retries))
+		return
+	}
+	e.seek(now)
+}
+
+// seek asks for an upstream when the retry budget allows it.
+func (e *Exchange) seek(now time.Time) {
+	r := &e.recovery
+	free := r.granted || r.purpose == PurposeMove || e.budget == nil
+	if !free && !e.budget.Withdraw(now) {
+		e.unavailable(now)
+		return
+	}
+	r.granted = true
+	r.picking = true
+	e.push(Action{Kind: ActionPick, Purpose: r.purpose, Exclude: e.exclude})
+}
+
+// Picked answers ActionPick with an upstream. Unless the returned actions
+// contain an ActionStart, the upstream is not used.
+func (e *Exchange) Picked(now time.Time, upstream domain.UpstreamID) []Action {
+	e.begin()
+	r := e.recovery
+	if e.phase != phaseRunning || !r.picking {
+		return e.finish(now)
+	}
+	e.recovery = recovery{}
+	switch r.purpose {
+	case PurposeMove:
+		if e.attempts[r.moving].over {
+			return e.finish(now)
+		}
+		e.abandon(now, r.moving, ResultCancelled, domain.WastePreempted)
+	case PurposeHedge:
+		if e.events > 0 {
+			return e.finish(now)
+		}
+	default:
+		e.retries++
+	}
+	e.start(now, upstream, r.purpose)
+	return e.finish(now)
+}
+
+// NotPicked answers ActionPick when no upstream is available.
+func (e *Exchange) NotPicked(now time.Time) []Action {
+	e.begin()
+	if e.phase == phaseRunning && e.recovery.picking {
+		e.recovery.picking = false
+		e.unavailable(now)
+	}
+	return e.finish(now)
+}
+
+// unavailable waits for an upstream or the budget, up to the patience.
+func (e *Exchange) unavailable(now time.Time) {
+	r := &e.recovery
+	switch {
+	case r.purpose == PurposeHedge:
+		e.recovery = recovery{}
+	case r.purpose == PurposeMove:
+		a := &e.attempts[r.moving]
+		a.moveAt = now.Add(maxRetryWait / 2)
+		if a.moveAt.After(a.moveBy) {
+			a.moveAt = time.Time{}
+		}
+		e.recovery = recovery{}
+	case !now.Before(r.until):
+		e.fail(now, r.reason, r.cause, r.err)
+	default:
+		// The upstreams that failed before may have recovered by the next try.
+		e.exclude = e.exclude[:0]
+		r.tries++
+		r.at = now.Add(e.wait(len(e.attempts), r.tries))
+	}
+}
+
+// fail ends the request. Tokens that the caller has are wasted for cause,
+// since they are no whole answer.
+func (e *Exchange) fail(now time.Time, reason Reason, cause domain.WasteCause, err error) {
+	e.abandonAll(now, cause)
+	if e.emitted > 0 {
+		e.push(Action{Kind: ActionWaste, Cause: cause, Tokens: e.emitted})
+	}
+	e.phase = phaseDone
+	e.push(Action{Kind: ActionFail, Outcome: e.outcome(), Reason: reason, Err: err, Tokens: e.emitted})
+}
+
+func (e *Exchange) live() bool {
+	for i := range e.attempts {
+		if !e.attempts[i].over {
+			return true
+		}
+	}
+	return false
+}
+
+// wait returns the backoff before try number tries: it doubles from 25 ms to
+// 1 s, with half of it spread by a hash of the request, so that requests that
+// failed together do not return together.
+func (e *Exchange) wait(n, tries int) time.Duration {
+	d := min(defaultRetryWait<<min(tries, 10), maxRetryWait)
+	h := xxhash.Sum64String(string(e.cfg.Request)) + uint64(n*31+tries)*0x9e3779b97f4a7c15
+	h ^= h >> 29
+	return d/2 + time.Duration(h%uint64(d/2+1))
+}
--- /dev/null
+++ b/internal/exchange/runner.go
@@ -0,0 +1,461 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// Engine is the part of ports.Engine that a Runner uses.
+type Engine interface {
+	Generate(ctx context.Context, req *ports.GenerateRequest) (ports.Stream, error)
+	Resume(ctx context.Context, attempt domain.AttemptID, last int) (ports.Stream, error)
+	Cancel(ctx context.Context, attempt domain.AttemptID) error
+	Probe(ctx context.Context) error
+}
+
+// Assignment is a place for one attempt at an engine. Release is called once,
+// when the attempt has ended; it may be nil.
+type Assignment struct {
+	Upstream domain.UpstreamID
+	Engine   Engine
+	Release  func()
+}
+
+// Picker chooses an engine for a further attempt.
+type Picker interface {
+	// Pick returns an engine outside exclude. It must not block. It reports
+	// false when there is none.
+	Pick(purpose Purpose, exclude []domain.UpstreamID) (Assignment, bool)
+}
+
+// Emitter sends events to the caller. Emit may block while the caller does
+// not read; it fails when the caller is gone. The event is valid during the
+// call. Its CompletionTokens, on the final event, counts the whole answer
+// across attempts; its Data is as the engine sent it.
+type Emitter interface {
+	Emit(ev *ports.Event) error
+}
+
+// Observer hears what happens to the attempts of a request. All methods are
+// called on the goroutine of Run.
+type Observer interface {
+	// AttemptStarted tells that attempt n starts.
+	AttemptStarted(n int, upstream domain.UpstreamID, purpose Purpose)
+	// FirstToken tells how long the first event of an attempt took.
+	FirstToken(upstream domain.UpstreamID, d time.Duration)
+	// Interval tells the time between two events and the later one's tokens.
+	Interval(upstream domain.UpstreamID, d time.Duration, tokens int)
+	// AttemptEnded tells how an attempt ended. Each started one ends once.
+	AttemptEnded(n int, upstream domain.UpstreamID, result Result, tokens int, d time.Duration)
+	// Wasted counts tokens that reached nobody.
+	Wasted(cause domain.WasteCause, tokens int)
+}
+
+// Outcome is how a request ended.
+type Outcome struct {
+	Outcome domain.Outcome
+	// Complete means that the caller has the whole answer.
+	Complete bool
+	Reason   Reason
+	Err      error
+	// Tokens is the number of tokens sent to the caller.
+	Tokens   int
+	Attempts int
+	// Upstream finished the answer; empty unless Complete.
+	Upstream domain.UpstreamID
+}
+
+// RunnerConfig is what a Runner needs. Picker, Observer, Readmit and Budget
+// are optional.
+type RunnerConfig struct {
+	Config  Config
+	Request ports.GenerateRequest // Attempt, PromptSuffix and SkipTokens are set by the Runner
+	Emitter Emitter
+	Picker  Picker
+	// Observer may be nil.
+	Observer Observer
+	// Readmit waits for a new place after a preemption; tokens have been sent
+	// already. Without it, requests are not preempted.
+	Readmit func(ctx context.Context, tokens int) (Assignment, error)
+	Budget  *Budget
+	// CancelTimeout bounds cancellation at an engine. Default 2 s.
+	CancelTimeout time.Duration
+}
+
+const (
+	defaultCancelTimeout = 2 * time.Second
+	// eventBuffer lets a reader run ahead of the caller by a few events.
+	eventBuffer = 16
+	// stallThreshold is how long the caller may block an event before the
+	// time counts as the caller's and not as the upstream's.
+	stallThreshold = 10 * time.Millisecond
+)
+
+type messageKind uint8
+
+const (
+	messageEvent messageKind = iota
+	messageFailed
+	messageProbed
+	messageReadmitted
+	messageDrain
+)
+
+type message struct {
+	kind       messageKind
+	number     int
+	conn       int
+	event      ports.Event
+	err        error
+	assignment Assignment
+	upstream   domain.UpstreamID
+	deadline   time.Time
+}
+
+type running struct {
+	Assignment
+	cancel context.CancelFunc // closes the connection
+}
+
+// Runner executes one request over engines. One goroutine reads each
+// connection; everything else happens on the goroutine of Run. Data of an
+// event must stay valid after the next Recv.
+type Runner struct {
+	cfg      RunnerConfig
+	machine  *Exchange
+	messages chan message
+	control  chan message
+	preempt  chan struct{}
+	done     chan struct{}
+	timer    *time.Timer
+	ctx      context.Context // of the connections; outlives the caller's
+	attempts []running
+	outcome  Outcome
+}
+
+// NewRunner returns a Runner for one request.
+func NewRunner(cfg RunnerConfig) *Runner {
+	if cfg.CancelTimeout == 0 {
+		cfg.CancelTimeout = defaultCancelTimeout
+	}
+	return &Runner{
+		cfg:      cfg,
+		machine:  New(cfg.Config, cfg.Budget),
+		messages: make(chan message, eventBuffer),
+		control:  make(chan message, 4),
+		preempt:  make(chan struct{}, 1),
+		done:     make(chan struct{}),
+	}
+}
+
+// Preempt asks the request to give its place back and to wait for another
+// one. It may be called at any time from any goroutine and does not block. It
+// has no effect on a request that must not be repeated.
+func (r *Runner) Preempt() {
+	select {
+	case r.preempt <- struct{}{}:
+	default:
+	}
+}
+
+// Drain tells that upstream leaves at deadline. It may be called at any time
+// from any goroutine; it may block while the caller blocks an event.
+func (r *Runner) Drain(upstream domain.UpstreamID, deadline time.Time) {
+	select {
+	case r.control <- message{kind: messageDrain, upstream: upstream, deadline: deadline}:
+	case <-r.done:
+	}
+}
+
+// Run executes the request on the admitted place until it has ended. When ctx
+// ends, the caller is taken to be gone. Run may be called once.
+func (r *Runner) Run(ctx context.Context, admitted Assignment) Outcome {
+	connections, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	defer close(r.done)
+	r.ctx = connections
+	r.timer = time.NewTimer(time.Hour)
+	defer r.timer.Stop()
+	r.assign(admitted, r.machine.Admitted(time.Now(), admitted.Upstream))
+	for !r.machine.Done() {
+		r.step(ctx)
+	}
+	r.outcome.Attempts = r.machine.Attempts()
+	return r.outcome
+}
+
+func (r *Runner) step(ctx context.Context) {
+	select {
+	case m := <-r.messages:
+		r.handle(&m)
+	case m := <-r.control:
+		r.handle(&m)
+	case <-r.preempt:
+		if r.cfg.Readmit != nil {
+			r.execute(r.machine.Preempted(time.Now()))
+		}
+	case <-r.timer.C:
+		r.tick()
+	case <-ctx.Done():
+		r.execute(r.machine.CallerGone(time.Now()))
+	}
+}
+
+// tick handles waiting messages first: a busy loop must not take events that
+// it has not looked at for silence.
+func (r *Runner) tick() {
+	for !r.machine.Done() {
+		select {
+		case m := <-r.messages:
+			r.handle(&m)
+			continue
+		default:
+		}
+		r.execute(r.machine.Tick(time.Now()))
+		return
+	}
+}
+
+func (r *Runner) handle(m *message) {
+	now := time.Now()
+	switch m.kind {
+	case messageEvent:
+		r.execute(r.machine.Event(now, m.number, m.conn, &m.event))
+		if end := time.Now(); end.Sub(now) > stallThreshold {
+			r.machine.Stalled(end)
+		}
+	case messageFailed:
+		r.execute(r.machine.Failed(now, m.number, m.conn, m.err))
+	case messageProbed:
+		r.execute(r.machine.Probed(now, m.number, m.err))
+	case messageReadmitted:
+		if m.err != nil {
+			r.execute(r.machine.Withdrawn(now, m.err))
+			return
+		}
+		r.assign(m.assignment, r.machine.Admitted(now, m.assignment.Upstream))
+	case messageDrain:
+		r.execute(r.machine.Draining(now, m.upstream, m.deadline))
+	}
+}
+
+// assign executes actions that may start an attempt at the assignment.
+func (r *Runner) assign(a Assignment, actions []Action) {
+	used := false
+	for i := range actions {
+		if actions[i].Kind == ActionStart {
+			r.attempts = append(r.attempts, running{Assignment: a})
+			used = true
+		}
+	}
+	if !used && a.Release != nil {
+		a.Release()
+	}
+	r.execute(actions)
+}
+
+// execute performs actions in order. An action that leads to another call of
+// the machine comes last, because the call reuses the actions' memory.
+func (r *Runner) execute(actions []Action) {
+	pick := -1
+	gone := false
+	for i := range actions {
+		switch a := &actions[i]; a.Kind {
+		case ActionPick:
+			pick = i
+		case ActionEmit:
+			gone = r.cfg.Emitter.Emit(a.Event) != nil || gone
+		default:
+			r.perform(a)
+		}
+	}
+	switch {
+	case gone && !r.machine.Done():
+		r.execute(r.machine.CallerGone(time.Now()))
+	case gone:
+		r.lostCaller()
+	case pick >= 0:
+		r.pick(actions[pick].Purpose, actions[pick].Exclude)
+	}
+}
+
+// lostCaller corrects the outcome when the final event did not reach the
+// caller.
+func (r *Runner) lostCaller() {
+	if !r.outcome.Complete {
+		return
+	}
+	r.outcome.Complete = false
+	r.outcome.Reason = ReasonCallerGone
+	if r.cfg.Observer != nil {
+		r.cfg.Observer.Wasted(domain.WasteCallerGone, r.outcome.Tokens)
+	}
+}
+
+func (r *Runner) pick(purpose Purpose, exclude []domain.UpstreamID) {
+	var a Assignment
+	ok := false
+	if r.cfg.Picker != nil {
+		a, ok = r.cfg.Picker.Pick(purpose, exclude)
+	}
+	if !ok {
+		r.execute(r.machine.NotPicked(time.Now()))
+		return
+	}
+	r.assign(a, r.machine.Picked(time.Now(), a.Upstream))
+}
+
+func (r *Runner) perform(a *Action) {
+	switch a.Kind {
+	case ActionStart:
+		r.startAttempt(a)
+	case ActionResume:
+		r.resumeAttempt(a)
+	case ActionCancel:
+		r.cancelAttempt(a)
+	case ActionProbe:
+		r.probe(a)
+	case ActionEnd:
+		r.endAttempt(a)
+	case ActionYield:
+		r.readmit(a.Tokens)
+	case ActionTimer:
+		r.timer.Reset(time.Until(a.At))
+	case ActionComplete:
+		r.outcome = Outcome{Outcome: a.Outcome, Complete: true, Tokens: a.Tokens, Upstream: a.Upstream}
+	case ActionFail:
+		r.outcome = Outcome{Outcome: a.Outcome, Reason: a.Reason, Err: a.Err, Tokens: a.Tokens}
+	case ActionFirstToken, ActionInterval, ActionWaste:
+		r.observe(a)
+	}
+}
+
+func (r *Runner) observe(a *Action) {
+	if r.cfg.Observer == nil {
+		return
+	}
+	switch a.Kind {
+	case ActionFirstToken:
+		r.cfg.Observer.FirstToken(a.Upstream, a.Duration)
+	case ActionInterval:
+		r.cfg.Observer.Interval(a.Upstream, a.Duration, a.Tokens)
+	case ActionWaste:
+		r.cfg.Observer.Wasted(a.Cause, a.Tokens)
+	}
+}
+
+func (r *Runner) startAttempt(a *Action) {
+	if r.cfg.Observer != nil {
+		r.cfg.Observer.AttemptStarted(a.Number, a.Upstream, a.Purpose)
+	}
+	req := r.cfg.Request
+	req.Attempt = a.ID
+	req.PromptSuffix = a.Suffix
+	req.SkipTokens = a.Skip
+	engine := r.attempts[a.Number].Engine
+	r.connect(a.Number, 0, func(ctx context.Context) (ports.Stream, error) {
+		return engine.Generate(ctx, &req)
+	})
+}
+
+func (r *Runner) resumeAttempt(a *Action) {
+	r.attempts[a.Number].cancel()
+	engine, id, last := r.attempts[a.Number].Engine, a.ID, a.Last
+	r.connect(a.Number, a.Conn, func(ctx context.Context) (ports.Stream, error) {
+		return engine.Resume(ctx, id, last)
+	})
+}
+
+func (r *Runner) connect(n, conn int, open func(context.Context) (ports.Stream, error)) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.attempts[n].cancel = cancel
+	go r.read(ctx, n, conn, open)
+}
+
+// read delivers the events of one connection until it fails or ctx ends.
+func (r *Runner) read(ctx context.Context, n, conn int, open func(context.Context) (ports.Stream, error)) {
+	stream, err := open(ctx)
+	if err != nil {
+		r.send(ctx, message{kind: messageFailed, number: n, conn: conn, err: err})
+		return
+	}
+	closed := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer func() {
+		if closed() {
+			_ = stream.Close()
+		}
+	}()
+	for {
+		ev, err := stream.Recv()
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = ports.ErrStreamBroken
+			}
+			r.send(ctx, message{kind: messageFailed, number: n, conn: conn, err: err})
+			return
+		}
+		if !r.send(ctx, message{kind: messageEvent, number: n, conn: conn, event: ev}) || ev.Final {
+			return
+		}
+	}
+}
+
+func (r *Runner) send(ctx context.Context, m message) bool {
+	select {
+	case r.messages <- m:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// cancelAttempt closes the connection at once and cancels at the engine in
+// the background.
+func (r *Runner) cancelAttempt(a *Action) {
+	at := &r.attempts[a.Number]
+	at.cancel()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), r.cfg.CancelTimeout)
+	engine, id := at.Engine, a.ID
+	go func() {
+		defer cancel()
+		_ = engine.Cancel(ctx, id)
+	}()
+}
+
+func (r *Runner) probe(a *Action) {
+	ctx, cancel := context.WithTimeout(r.ctx, a.Duration)
+	engine, n := r.attempts[a.Number].Engine, a.Number
+	go func() {
+		defer cancel()
+		err := engine.Probe(ctx)
+		r.send(r.ctx, message{kind: messageProbed, number: n, err: err})
+	}()
+}
+
+func (r *Runner) endAttempt(a *Action) {
+	at := &r.attempts[a.Number]
+	if r.cfg.Observer != nil {
+		r.cfg.Observer.AttemptEnded(a.Number, a.Upstream, a.Result, a.Tokens, a.Duration)
+	}
+	if at.Release != nil {
+		at.Release()
+	}
+	if at.cancel != nil && a.Result != ResultFinished {
+		at.cancel()
+	}
+}
+
+func (r *Runner) readmit(tokens int) {
+	go func() {
+		a, err := r.cfg.Readmit(r.ctx, tokens)
+		m := message{kind: messageReadmitted, assignment: a, err: err}
+		if !r.send(r.ctx, m) && err == nil && a.Release != nil {
+			a.Release()
+		}
+	}()
+}
--- /dev/null
+++ b/internal/exchange/runner_test.go
@@ -0,0 +1,259 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// fakeEngine generates the words "0 1 2 ..." up to total, each interval, and
+// continues behind SkipTokens. Its faults apply to the first connection.
+type fakeEngine struct {
+	total     int
+	interval  time.Duration
+	breakAt   int // the first connection breaks after this many events
+	silentAt  int // the first connection says nothing after this many events
+	gone      bool
+	probeErr  error
+	openErr   error
+	mu        sync.Mutex
+	started   []ports.GenerateRequest
+	cancelled []domain.AttemptID
+}
+
+func (f *fakeEngine) Generate(ctx context.Context, req *ports.GenerateRequest) (ports.Stream, error) {
+	if f.openErr != nil {
+		return nil, f.openErr
+	}
+	f.mu.Lock()
+	f.started = append(f.started, *req)
+	f.mu.Unlock()
+	return &fakeStream{f: f, ctx: ctx, attempt: req.Attempt, skip: req.SkipTokens, faulty: true}, nil
+}
+
+func (f *fakeEngine) Resume(ctx context.Context, attempt domain.AttemptID, last int) (ports.Stream, error) {
+	if f.gone {
+		return nil, ports.ErrStreamGone
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	req := f.started[len(f.started)-1]
+	return &fakeStream{f: f, ctx: ctx, attempt: attempt, skip: req.SkipTokens, next: last + 1}, nil
+}
+
+func (f *fakeEngine) Cancel(_ context.Context, attempt domain.AttemptID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled = append(f.cancelled, attempt)
+	return nil
+}
+
+func (f *fakeEngine) Probe(context.Context) error { return f.probeErr }
+
+type fakeStream struct {
+	f       *fakeEngine
+	ctx     context.Context
+	attempt domain.AttemptID
+	skip    int
+	next    int
+	faulty  bool
+}
+
+func (s *fakeStream) Recv() (ports.Event, error) {
+	n := s.f.total - s.skip
+	if s.next > n {
+		return ports.Event{}, io.EOF
+	}
+	if s.faulty && s.f.breakAt > 0 && s.next >= s.f.breakAt {
+		return ports.Event{}, ports.ErrStreamBroken
+	}
+	if s.faulty && s.f.silentAt > 0 && s.next >= s.f.silentAt {
+		<-s.ctx.Done()
+		return ports.Event{}, s.ctx.Err()
+	}
+	select {
+	case <-time.After(s.f.interval):
+	case <-s.ctx.Done():
+		return ports.Event{}, s.ctx.Err()
+	}
+	ev := ports.Event{Attempt: s.attempt, Index: s.next}
+	if s.next == n {
+		ev.Final = true
+		ev.CompletionTokens = n
+	} else {
+		ev.Text = strconv.Itoa(s.skip+s.next) + " "
+		ev.Tokens = 1
+	}
+	s.next++
+	return ev, nil
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+type textEmitter struct {
+	strings.Builder
+	final ports.Event
+	block time.Duration
+}
+
+func (t *textEmitter) Emit(ev *ports.Event) error {
+	time.Sleep(t.block)
+	t.WriteString(ev.Text)
+	if ev.Final {
+		t.final = *ev
+	}
+	return nil
+}
+
+type listPicker []Assignment
+
+func (p *listPicker) Pick(Purpose, []domain.UpstreamID) (Assignment, bool) {
+	if len(*p) == 0 {
+		return Assignment{}, false
+	}
+	a := (*p)[0]
+	*p = (*p)[1:]
+	return a, true
+}
+
+func wholeText(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(strconv.Itoa(i) + " ")
+	}
+	return b.String()
+}
+
+// TestRunnerAnswersInFull guards against lost or repeated tokens when the
+// first connection or the first upstream fails in each way.
+func TestRunnerAnswersInFull(t *testing.T) {
+	const total = 40
+	for _, tc := range []struct {
+		name     string
+		first    *fakeEngine
+		hedge    time.Duration
+		block    time.Duration
+		attempts int
+		cancels  int
+	}{
+		{name: "healthy", first: &fakeEngine{}, attempts: 1},
+		{name: "broken stream is resumed", first: &fakeEngine{breakAt: 7}, attempts: 1},
+		{name: "broken stream continues elsewhere", first: &fakeEngine{breakAt: 7, gone: true}, attempts: 2, cancels: 1},
+		{name: "silent connection is resumed", first: &fakeEngine{silentAt: 9}, attempts: 1},
+		{name: "silent upstream is replaced", first: &fakeEngine{silentAt: 9, probeErr: io.ErrUnexpectedEOF}, attempts: 2, cancels: 1},
+		{name: "refused request is retried", first: &fakeEngine{openErr: ports.ErrRefused}, attempts: 2},
+		{name: "slow first token is hedged", first: &fakeEngine{interval: 2 * time.Second}, hedge: time.Second, attempts: 2, cancels: 1},
+		{name: "slow caller is no silence", first: &fakeEngine{}, block: 5 * time.Second, attempts: 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first, second := tc.first, &fakeEngine{total: total, interval: 20 * time.Millisecond}
+				first.total = total
+				if first.interval == 0 {
+					first.interval = second.interval
+				}
+				released := 0
+				release := func() { released++ }
+				emitter := &textEmitter{block: tc.block}
+				outcome := NewRunner(RunnerConfig{
+					Config:  Config{Request: "r", Repeatable: true, Resumable: true, HedgeDelay: tc.hedge},
+					Emitter: emitter,
+					Picker:  &listPicker{{Upstream: "b", Engine: second, Release: release}},
+					Budget:  NewBudget(DefaultRetryRatio, DefaultRetryFloor),
+				}).Run(t.Context(), Assignment{Upstream: "a", Engine: first, Release: release})
+				synctest.Wait()
+				assert.Assert(t, outcome.Complete, "%+v", outcome)
+				assert.Equal(t, emitter.String(), wholeText(total))
+				assert.Equal(t, emitter.final.CompletionTokens, total)
+				assert.Equal(t, outcome.Attempts, tc.attempts)
+				assert.Equal(t, released, tc.attempts)
+				assert.Equal(t, len(first.cancelled), tc.cancels)
+			})
+		})
+	}
+}
+
+// TestRunnerPreemptionKeepsText guards against a preempted request that
+// starts over or repeats tokens.
+func TestRunnerPreemptionKeepsText(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &fakeEngine{total: 40, interval: 20 * time.Millisecond}
+		place := Assignment{Upstream: "a", Engine: engine}
+		emitter := &textEmitter{}
+		r := NewRunner(RunnerConfig{
+			Config:  Config{Request: "r", Repeatable: true, Resumable: true},
+			Emitter: emitter,
+			Readmit: func(ctx context.Context, tokens int) (Assignment, error) {
+				time.Sleep(time.Minute)
+				return place, nil
+			},
+		})
+		time.AfterFunc(150*time.Millisecond, r.Preempt)
+		outcome := r.Run(t.Context(), place)
+		synctest.Wait()
+		assert.Assert(t, outcome.Complete, "%+v", outcome)
+		assert.Equal(t, emitter.String(), wholeText(40))
+		assert.Equal(t, engine.started[1].SkipTokens, 7)
+		assert.DeepEqual(t, engine.cancelled, []domain.AttemptID{"r.0"})
+	})
+}
+
+type fakeService struct {
+	errs  []error
+	calls int
+}
+
+func (f *fakeService) Call(_ context.Context, req *ports.ServiceRequest) (*ports.ServiceResponse, error) {
+	f.calls++
+	if err := f.errs[f.calls-1]; err != nil {
+		return nil, err
+	}
+	return &ports.ServiceResponse{Status: 200, Body: []byte(req.Attempt)}, nil
+}
+
+func (f *fakeService) Probe(context.Context) error { return nil }
+
+func (f *fakeService) Pick(Purpose, []domain.UpstreamID) (ServiceAssignment, bool) {
+	return ServiceAssignment{Upstream: "s", Service: f}, true
+}
+
+// TestRunCall guards against a second run of a call that must not be
+// repeated, and against a wrong outcome.
+func TestRunCall(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		repeatable bool
+		errs       []error
+		outcome    domain.Outcome
+		calls      int
+	}{
+		{"answered", false, []error{nil}, domain.OutcomeRan, 1},
+		{"refused, then answered", false, []error{ports.ErrRefused, ports.ErrNotSent, nil}, domain.OutcomeRan, 3},
+		{"may have run", false, []error{ports.ErrStreamBroken}, domain.OutcomeUnknown, 1},
+		{"repeatable", true, []error{ports.ErrStreamBroken, nil}, domain.OutcomeRan, 2},
+		{"never ran", false, []error{ports.ErrRefused, ports.ErrRefused, ports.ErrRefused, ports.ErrRefused, ports.ErrNotSent}, domain.OutcomeNotRun, 5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := &fakeService{errs: tc.errs}
+				response, outcome := RunCall(t.Context(), CallConfig{
+					Config: Config{Request: "r", Repeatable: tc.repeatable},
+					Picker: service,
+				}, ServiceAssignment{Upstream: "s", Service: service})
+				assert.Equal(t, outcome.Outcome, tc.outcome)
+				assert.Equal(t, response != nil, outcome.Complete)
+				assert.Equal(t, service.calls, tc.calls)
+			})
+		})
+	}
+}
