--- /dev/null
+++ b/internal/admission/helpers_test.go
@@ -0,0 +1,31 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// testTiers returns n tiers with the given bound and share each. The first
+// half preempts.
+func testTiers(n, queueTokens int, share float64) []policy.Tier {
+	tiers := make([]policy.Tier, n)
+	for i := range tiers {
+		tiers[i] = policy.Tier{
+			ID: domain.TierID(fmt.Sprint("t", i)), Rank: i,
+			MinShare: share, QueueTokens: queueTokens, Preempts: i < n/2,
+		}
+	}
+	return tiers
+}
+
+func newRequest(id int, rank int, customer string, tokens int) *Request {
+	return &Request{
+		ID: domain.RequestID(fmt.Sprint(id)), Rank: rank,
+		Customer: domain.CustomerID(customer), Tokens: tokens,
+	}
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,332 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+)
+
+const (
+	// quantumTokens is added per weight and round to a customer's deficit.
+	quantumTokens = 512.0
+	// untargetedDue orders requests without a target among those with one.
+	untargetedDue = 10 * time.Minute
+	// lateShare is the share of a tier's dispatched tokens that requests past
+	// their target receive at least, so that they are served eventually.
+	lateShare = 0.1
+	// floorShare replaces a minimum share below it. Without it a tier with
+	// share zero could wait forever behind higher tiers.
+	floorShare = 0.01
+	// shareSum is the largest sum of minimum shares; larger sums are scaled
+	// down, because shares that add up to more than 1 cannot all be kept.
+	shareSum = 0.95
+)
+
+// Queue holds the waiting and running requests of one daemon and model. It is
+// not safe for concurrent use.
+//
+// Order of dispatch: a tier whose minimum-share credit covers its next request
+// goes first, the largest credit first; otherwise the most urgent tier with
+// work that can be placed. Each dispatch of t tokens adds share*t to the
+// credit of every tier with waiting work and takes t from the dispatched tier,
+// not below zero.
+//
+// Bound on waiting: let n be the number of tiers and L the largest request in
+// tokens. While no credit reaches L, the credits sum to less than n*L, and one
+// dispatch adds at most L in total. Once a credit reaches L, only tiers with
+// credit are dispatched, and each such dispatch lowers the sum because the
+// shares add up to less than 1. So no credit exceeds (n+1)*L, and a tier with
+// share s and waiting work that can be placed receives at least
+// s*W - (n+1)*L of any W dispatched tokens. Its next request starts after at
+// most (n+2)*L/s dispatched tokens.
+type Queue struct {
+	tiers   []*tier
+	groups  map[uint64]*group
+	expiry  indexedHeap[*Request]
+	waiting int
+	seq     uint64
+	epoch   uint64
+	blocked int // groups found without a place by the Next call of epoch
+	largest int64
+	drained rate // tokens dispatched
+	ended   rate // requests finished
+	running int
+}
+
+// NewQueue returns an empty queue for the tiers of a policy, by rank.
+func NewQueue(tiers []policy.Tier) *Queue {
+	q := &Queue{
+		groups: map[uint64]*group{},
+		expiry: indexedHeap[*Request]{
+			less:  func(a, b *Request) bool { return a.expires().Before(b.expires()) },
+			index: func(r *Request) *int { return &r.expiryIndex },
+		},
+	}
+	q.Configure(tiers)
+	return q
+}
+
+// Configure applies changed tiers; waiting and running requests stay. Tiers
+// that no longer exist keep their work as the lowest tiers until it is done.
+func (q *Queue) Configure(tiers []policy.Tier) {
+	for len(q.tiers) < len(tiers) {
+		q.tiers = append(q.tiers, newTier(len(q.tiers)))
+	}
+	sum := 0.0
+	for i, t := range q.tiers {
+		t.share, t.preempts, t.bound = floorShare, false, 0
+		if i < len(tiers) {
+			t.share = max(floorShare, tiers[i].MinShare)
+			t.preempts = tiers[i].Preempts
+		}
+		sum += t.share
+	}
+	if sum > shareSum {
+		for _, t := range q.tiers {
+			t.share *= shareSum / sum
+		}
+	}
+	bound := int64(0)
+	for i := len(tiers) - 1; i >= 0 && tiers[i].QueueTokens > 0; i-- {
+		bound += int64(tiers[i].QueueTokens)
+		q.tiers[i].bound = bound
+	}
+}
+
+func newTier(rank int) *tier {
+	return &tier{
+		rank:      rank,
+		customers: map[domain.CustomerID]*customer{},
+		heavy: indexedHeap[*customer]{
+			less:  func(a, b *customer) bool { return a.load() > b.load() },
+			index: func(c *customer) *int { return &c.heavyIndex },
+		},
+	}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.waiting }
+
+// Running returns the number of requests dispatched and not finished.
+func (q *Queue) Running() int { return q.running }
+
+// TierLoad is one tier's waiting and running work.
+type TierLoad struct {
+	Waiting       int
+	WaitingTokens int64
+	Running       int
+}
+
+// Load returns the work of the tier with the given rank.
+func (q *Queue) Load(rank int) TierLoad {
+	if rank < 0 || rank >= len(q.tiers) {
+		return TierLoad{}
+	}
+	t := q.tiers[rank]
+	return TierLoad{Waiting: t.waiting, WaitingTokens: t.tokens, Running: len(t.running)}
+}
+
+// Offer accepts a new request into the queue or sheds it. It may shed other
+// requests or ask for a preemption to make room; see Decision. A rank without
+// a tier counts as the lowest tier. Offering a request twice panics.
+func (q *Queue) Offer(now time.Time, r *Request) Decision {
+	if r.state != stateNew {
+		panic("admission: request " + string(r.ID) + " was offered twice")
+	}
+	r.Rank = min(max(r.Rank, 0), len(q.tiers)-1)
+	if r.Arrived.IsZero() {
+		r.Arrived = now
+	}
+	d := q.makeRoom(now, r)
+	if d.Action != ActionQueue {
+		r.state = stateDone
+		return d
+	}
+	q.seq++
+	r.seq = q.seq
+	r.late = r.missed(now)
+	q.insert(r)
+	return d
+}
+
+// Next removes and returns the request to dispatch. The ready function places
+// a request, normally by Router.Pick, and returns false when no upstream of
+// its group has room; nil accepts all. The second result is false when nothing
+// can be dispatched.
+func (q *Queue) Next(now time.Time, ready func(*Request) bool) (Decision, bool) {
+	q.epoch++
+	q.blocked = 0
+	for q.blocked < len(q.groups) {
+		r, reason := q.choose(now)
+		if r == nil {
+			return Decision{}, false
+		}
+		if ready == nil || ready(r) {
+			return q.dispatch(now, r, reason), true
+		}
+		r.flow.group.blocked = q.epoch
+		q.blocked++
+	}
+	return Decision{}, false
+}
+
+// choose returns the request to place next and why.
+func (q *Queue) choose(now time.Time) (*Request, Reason) {
+	var owed, strict *Request
+	credit := 0.0
+	for _, t := range q.tiers {
+		r := t.peek(now, q.epoch)
+		if r == nil {
+			continue
+		}
+		if strict == nil {
+			strict = r
+		}
+		if t.credit >= float64(r.tokens()) && t.credit > credit {
+			owed, credit = r, t.credit
+		}
+	}
+	if owed != nil && owed != strict {
+		return owed, ReasonMinShare
+	}
+	return strict, ReasonTierOrder
+}
+
+func (q *Queue) dispatch(now time.Time, r *Request, reason Reason) Decision {
+	t := q.tiers[r.Rank]
+	d := Decision{Action: ActionDispatch, Reason: reason, Request: r, Late: r.late}
+	d.Alternatives.Credit = t.credit
+	for _, other := range q.tiers {
+		if other.waiting > 0 {
+			d.Alternatives.TierWaiting++
+		}
+	}
+	q.charge(t, r)
+	r.flow.line.deficit -= float64(r.tokens())
+	q.remove(r)
+	if r.victim != nil {
+		r.victim.beneficiary, r.victim = nil, nil
+	}
+	q.drained.add(now, float64(r.tokens()))
+	r.state, r.dispatched = stateRunning, now
+	r.runIndex = len(t.running)
+	t.running = append(t.running, r)
+	q.running++
+	return d
+}
+
+// charge accounts a dispatch from tier t in the credits.
+func (q *Queue) charge(t *tier, r *Request) {
+	size := float64(r.tokens())
+	ceiling := float64(q.largest) * float64(len(q.tiers)+1)
+	for _, other := range q.tiers {
+		if other.waiting > 0 {
+			other.credit = min(other.credit+other.share*size, ceiling)
+		}
+	}
+	t.credit = max(t.credit-size, 0)
+	if t.bands[bandLate].waiting == 0 {
+		return
+	}
+	t.lateCredit = min(t.lateCredit+lateShare*size, 2*float64(q.largest))
+	if r.late {
+		t.lateCredit = max(t.lateCredit-size, 0)
+	}
+}
+
+// Remove takes a waiting request out, because its caller is gone or its
+// deadline passed. It reports whether the request was waiting.
+func (q *Queue) Remove(r *Request) bool {
+	if r.state != stateWaiting {
+		return false
+	}
+	q.remove(r)
+	q.release(r)
+	r.state = stateDone
+	return true
+}
+
+// Finish ends a running request. It reports whether the request was running.
+func (q *Queue) Finish(now time.Time, r *Request) bool {
+	if r.state != stateRunning {
+		return false
+	}
+	q.stopRunning(r)
+	q.release(r)
+	r.state = stateDone
+	q.ended.add(now, 1)
+	return true
+}
+
+// Requeue puts a preempted request back to the head of its customer's queue.
+// The caller may lower Tokens to the work that remains. It is never shed or
+// expired afterwards, because its caller may hold a part of the answer.
+func (q *Queue) Requeue(_ time.Time, r *Request) bool {
+	if r.state != stateRunning {
+		return false
+	}
+	q.stopRunning(r)
+	r.preemptions++
+	r.late = false
+	q.release(r)
+	q.insert(r)
+	return true
+}
+
+// Return puts a dispatched request back that an upstream refused before it
+// ran. It keeps its place by due time.
+func (q *Queue) Return(now time.Time, r *Request) bool {
+	if r.state != stateRunning {
+		return false
+	}
+	q.stopRunning(r)
+	q.release(r)
+	r.late = r.preemptions == 0 && r.missed(now)
+	q.insert(r)
+	return true
+}
+
+// release ends a pending preemption that r takes part in.
+func (q *Queue) release(r *Request) {
+	if r.victim != nil {
+		r.victim.beneficiary, r.victim = nil, nil
+	}
+	if r.beneficiary != nil {
+		r.beneficiary.victim, r.beneficiary = nil, nil
+	}
+}
+
+func (q *Queue) stopRunning(r *Request) {
+	t := q.tiers[r.Rank]
+	last := len(t.running) - 1
+	t.running[r.runIndex] = t.running[last]
+	t.running[r.runIndex].runIndex = r.runIndex
+	t.running[last] = nil
+	t.running = t.running[:last]
+	q.running--
+}
+
+// Expire removes the requests that waited longer than their MaxWait.
+func (q *Queue) Expire(now time.Time) []Decision {
+	var out []Decision
+	for q.expiry.len() > 0 && !now.Before(q.expiry.items[0].expires()) {
+		r := q.expiry.items[0]
+		q.Remove(r)
+		out = append(out, Decision{
+			Action: ActionExpire, Reason: ReasonMaxWait, Request: r,
+			RetryAfter: q.RetryAfter(now, r.Rank),
+		})
+	}
+	return out
+}
+
+// NextExpiry returns when Expire has work next.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	if q.expiry.len() == 0 {
+		return time.Time{}, false
+	}
+	return q.expiry.items[0].expires(), true
+}
+
+func (r *Request) expires() time.Time { return r.Arrived.Add(r.MaxWait) }
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,110 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against lower tiers running ahead of urgent work.
+func TestNextServesTiersInOrder(t *testing.T) {
+	q := NewQueue(testTiers(3, 0, 0))
+	for i, rank := range []int{2, 1, 0} {
+		q.Offer(start, newRequest(i, rank, "c", 10))
+	}
+	for want := range 3 {
+		d, ok := q.Next(start, nil)
+		assert.Assert(t, ok)
+		assert.Equal(t, d.Request.Rank, want)
+	}
+	_, ok := q.Next(start, nil)
+	assert.Assert(t, !ok)
+}
+
+// Guards against a tier with waiting work falling below its minimum share by
+// more than the documented bound.
+func TestMinimumShareBound(t *testing.T) {
+	const tiers, share, size = 4, 0.1, 100
+	q := NewQueue(testTiers(tiers, 0, share))
+	got := make([]int, tiers)
+	id, total := 0, 0
+	offer := func(rank int) {
+		id++
+		q.Offer(start, newRequest(id, rank, "c", size))
+	}
+	for rank := range tiers {
+		offer(rank)
+		offer(rank) // each tier has waiting work throughout
+	}
+	for range 1000 {
+		d, ok := q.Next(start, nil)
+		assert.Assert(t, ok)
+		got[d.Request.Rank] += size
+		total += size
+		offer(d.Request.Rank)
+		for rank := 1; rank < tiers; rank++ {
+			least := share*float64(total) - (tiers+1)*size
+			assert.Assert(t, float64(got[rank]) >= least, "tier %d has %d of %d", rank, got[rank], total)
+		}
+	}
+	assert.Assert(t, got[0] > total/2)
+}
+
+// Guards against customers receiving tokens other than by their weights.
+func TestCustomersShareByWeight(t *testing.T) {
+	q := NewQueue(testTiers(1, 0, 0))
+	got := map[string]int{}
+	for i := range 3000 {
+		name := []string{"a", "b", "c"}[i%3]
+		r := newRequest(i, 0, name, 50+i%7*100)
+		r.Weight = map[string]float64{"a": 1, "b": 2, "c": 0.5}[name]
+		q.Offer(start, r)
+	}
+	for range 1200 {
+		d, _ := q.Next(start, nil)
+		got[string(d.Request.Customer)] += d.Request.Tokens
+	}
+	assert.Assert(t, max(got["a"]*2, got["b"])-min(got["a"]*2, got["b"]) < 4*(512+650), fmt.Sprint(got))
+	assert.Assert(t, max(got["c"]*2, got["a"])-min(got["c"]*2, got["a"]) < 4*(512+650), fmt.Sprint(got))
+}
+
+// Guards against hopeless requests delaying those that can meet their target,
+// and against hopeless requests waiting forever.
+func TestLateRequestsRunAfterOthersButEventually(t *testing.T) {
+	q := NewQueue(testTiers(1, 0, 0))
+	late := newRequest(0, 0, "late", 100)
+	late.Deadline, late.FirstToken = start.Add(time.Second), 2*time.Second
+	q.Offer(start, late)
+	for i := 1; ; i++ {
+		r := newRequest(i, 0, "ok", 100)
+		r.Deadline = start.Add(time.Hour)
+		q.Offer(start, r)
+		d, _ := q.Next(start, nil)
+		if d.Request == late {
+			assert.Assert(t, d.Late)
+			assert.Assert(t, i > 5 && i <= 12, "dispatched as number %d", i)
+			return
+		}
+		assert.Assert(t, i < 100, "late request starved")
+	}
+}
+
+// Guards against one group without free slots blocking the others.
+func TestNextSkipsBlockedGroups(t *testing.T) {
+	q := NewQueue(testTiers(2, 0, 0))
+	for i := range 10 {
+		r := newRequest(i, i%2, fmt.Sprint("c", i), 10)
+		r.Group = uint64(i % 5)
+		q.Offer(start, r)
+	}
+	calls := 0
+	d, ok := q.Next(start, func(r *Request) bool { calls++; return r.Group == 3 })
+	assert.Assert(t, ok)
+	assert.Equal(t, d.Request.Group, uint64(3))
+	assert.Assert(t, calls <= 5)
+	_, ok = q.Next(start, func(*Request) bool { return false })
+	assert.Assert(t, !ok)
+	assert.Equal(t, q.Len(), 9)
+}
--- /dev/null
+++ b/internal/estimate/histogram.go
@@ -0,0 +1,114 @@
+package estimate
+
+import (
+	"math"
+	"sync/atomic"
+)
+
+const (
+	bucketsPerDoubling = 4
+	doublings          = 18 // up to 262,144 tokens
+	buckets            = bucketsPerDoubling*doublings + 1
+	// histogramWindow is the number of samples after which all counts are
+	// halved, so that old samples lose their weight.
+	histogramWindow = 1024
+)
+
+// upper holds the largest value of each bucket.
+var upper = func() (u [buckets]float64) {
+	for i := range u {
+		u[i] = math.Floor(math.Exp2(float64(i) / bucketsPerDoubling))
+	}
+	return u
+}()
+
+// Histogram is a decaying histogram of positive counts with log-spaced
+// buckets. Quantiles are exact to one bucket, about 19%. The zero value is
+// empty. All methods are safe for concurrent use.
+type Histogram struct {
+	total  atomic.Int64
+	counts [buckets]atomic.Int32
+}
+
+func bucketOf(n int) int {
+	if n <= 1 {
+		return 0
+	}
+	i := int(math.Ceil(math.Log2(float64(n)) * bucketsPerDoubling))
+	i = min(i, buckets-1)
+	for i > 0 && upper[i-1] >= float64(n) {
+		i--
+	}
+	return i
+}
+
+// Observe adds one value. Values below 1 count as 1.
+func (h *Histogram) Observe(n int) {
+	h.counts[bucketOf(n)].Add(1)
+	if h.total.Add(1) == histogramWindow {
+		h.halve()
+	}
+}
+
+// halve is called by the one goroutine whose sample filled the window.
+func (h *Histogram) halve() {
+	removed := int64(0)
+	for i := range h.counts {
+		half := h.counts[i].Load() / 2
+		h.counts[i].Add(-half)
+		removed += int64(half)
+	}
+	h.total.Add(-removed)
+}
+
+// Count returns the number of samples, decayed.
+func (h *Histogram) Count() int { return int(h.total.Load()) }
+
+// Quantile returns the value that a fraction q (0 to 1) of the samples above
+// after do not exceed. It returns 0 when there are no such samples.
+func (h *Histogram) Quantile(q float64, after int) int {
+	first := 0
+	if after > 0 {
+		first = bucketOf(after + 1)
+	}
+	sum := int64(0)
+	for i := first; i < buckets; i++ {
+		sum += int64(h.counts[i].Load())
+	}
+	if sum == 0 {
+		return 0
+	}
+	rank := int64(math.Ceil(min(max(q, 0), 1) * float64(sum)))
+	for i := first; i < buckets; i++ {
+		rank -= int64(h.counts[i].Load())
+		if rank <= 0 {
+			return max(int(upper[i]), after+1)
+		}
+	}
+	return int(upper[buckets-1])
+}
+
+// Mean returns the mean of the samples above after, or 0 without any.
+func (h *Histogram) Mean(after int) float64 {
+	first := 0
+	if after > 0 {
+		first = bucketOf(after + 1)
+	}
+	n, sum := 0.0, 0.0
+	for i := first; i < buckets; i++ {
+		c := float64(h.counts[i].Load())
+		n += c
+		sum += c * middle(i)
+	}
+	if n == 0 {
+		return 0
+	}
+	return max(sum/n, float64(after+1))
+}
+
+func middle(i int) float64 {
+	if i == 0 {
+		return 1
+	}
+	return (upper[i-1] + upper[i]) / 2
+}
--- /dev/null
+++ b/internal/estimate/upstream.go
@@ -0,0 +1,253 @@
+package estimate
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+const (
+	// Assumed before any observation: a base of 100 ms and 10 ms more per
+	// thousand active tokens to the first token, 20 ms and 1 ms between tokens.
+	priorFirst         = 0.1
+	priorFirstSlope    = 0.01e-3
+	priorInterval      = 0.02
+	priorIntervalSlope = 0.001e-3
+
+	// latenessGain is the weight of the newest ratio of observed to predicted
+	// time; latenessMemory is how long it is believed without a new one.
+	latenessGain   = 0.3
+	latenessMemory = 10 * time.Second
+	latenessMin    = 0.5
+	latenessMax    = 20.0
+
+	// reportMemory is the age at which a load report keeps 1/e of its weight.
+	reportMemory = 2 * time.Second
+	// othersGain is the weight of a new report in the long-term mean of the
+	// other daemons' load.
+	othersGain = 0.1
+	// herdFactor is the part of this daemon's growth since the report that
+	// each other daemon is assumed to have added too.
+	herdFactor = 0.5
+
+	historyStep  = 250 * time.Millisecond
+	historySteps = 32 // 8 s
+)
+
+// Upstream predicts the latency of one upstream from the daemon's own
+// observations and from late load reports. Create one with NewUpstream. All
+// methods are safe for concurrent use; predictions take no lock and do not
+// allocate. Active tokens are prompt plus expected answer tokens of the
+// requests in progress.
+type Upstream struct {
+	first    fit
+	interval fit
+
+	lateness   float        // natural logarithm of observed by predicted
+	latenessAt atomic.Int64 // Unix ns
+
+	own        atomic.Int64 // active tokens of this daemon
+	pending    atomic.Int64 // attempts without a first token
+	pendingSum atomic.Int64 // sum of their start times, µs since epoch
+	epoch      int64        // Unix ns
+	history    [historySteps]atomic.Uint64
+
+	reportedAt   atomic.Int64 // Unix ns; 0 before the first report
+	othersReport float
+	othersMean   float
+	ownReported  atomic.Int64 // own tokens when the report was taken
+}
+
+// NewUpstream returns an estimator without observations.
+func NewUpstream(now time.Time) *Upstream {
+	u := &Upstream{epoch: now.UnixNano()}
+	u.first.init(priorFirst, priorFirstSlope)
+	u.interval.init(priorInterval, priorIntervalSlope)
+	return u
+}
+
+// Start records that this daemon sends an attempt of the given tokens.
+func (u *Upstream) Start(now time.Time, tokens int) {
+	u.addOwn(now, int64(tokens))
+	u.pending.Add(1)
+	u.pendingSum.Add(u.micros(now))
+}
+
+// End records that an attempt is over. The started time is that of Start;
+// answered tells whether FirstToken was called for it.
+func (u *Upstream) End(now, started time.Time, tokens int, answered bool) {
+	u.addOwn(now, -int64(tokens))
+	if !answered {
+		u.endPending(started)
+	}
+}
+
+// FirstToken records the first token of an attempt that was started when load
+// active tokens (from Predict) were expected.
+func (u *Upstream) FirstToken(now, started time.Time, load float64) {
+	u.endPending(started)
+	observed := max(now.Sub(started), 0).Seconds()
+	u.recordLateness(now, observed, u.first.predict(load))
+	u.first.observe(load, observed)
+}
+
+// Interval records the mean interval between the tokens of an attempt.
+func (u *Upstream) Interval(now time.Time, mean time.Duration) {
+	u.interval.observe(u.Active(now), mean.Seconds())
+}
+
+func (u *Upstream) endPending(started time.Time) {
+	u.pending.Add(-1)
+	u.pendingSum.Add(-u.micros(started))
+}
+
+func (u *Upstream) micros(t time.Time) int64 { return (t.UnixNano() - u.epoch) / 1e3 }
+
+func (u *Upstream) recordLateness(now time.Time, observed, predicted float64) {
+	ratio := min(max(observed/max(predicted, 1e-6), latenessMin), latenessMax)
+	old := u.lateness.load() * u.latenessWeight(now)
+	// A lost update of a concurrent observation loses one sample.
+	u.lateness.store(old + latenessGain*(math.Log(ratio)-old))
+	u.latenessAt.Store(now.UnixNano())
+}
+
+func (u *Upstream) latenessWeight(now time.Time) float64 {
+	return decay(now.UnixNano()-u.latenessAt.Load(), latenessMemory)
+}
+
+func decay(age int64, memory time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(memory))
+}
+
+// addOwn changes the own active tokens and remembers them by time.
+func (u *Upstream) addOwn(now time.Time, tokens int64) {
+	own := max(u.own.Add(tokens), 0)
+	step := uint64(u.step(now.UnixNano()))
+	u.history[step%historySteps].Store(step<<32 | uint64(uint32(own)))
+}
+
+func (u *Upstream) step(ns int64) int64 {
+	return 1 + max(ns-u.epoch, 0)/int64(historyStep) // 0 marks an empty entry
+}
+
+// ownAt returns the own active tokens at an earlier time. Without a record
+// since then, they are the present ones.
+func (u *Upstream) ownAt(ns int64) int64 {
+	wanted := u.step(ns)
+	for step := wanted; step >= 0 && wanted-step < historySteps; step-- {
+		v := u.history[step%historySteps].Load()
+		if v != 0 && int64(v>>32) == step {
+			return int64(uint32(v))
+		}
+	}
+	return u.own.Load()
+}
+
+// Report applies a load report that arrived now. Reports that were taken
+// before the latest one are ignored.
+func (u *Upstream) Report(now time.Time, r ports.LoadReport) {
+	taken := now.UnixNano() - int64(max(r.Age, 0))
+	if previous := u.reportedAt.Load(); taken < previous {
+		return
+	}
+	own := u.ownAt(taken)
+	others := max(float64(r.ActiveTokens)-float64(own), 0)
+	if u.reportedAt.Load() == 0 {
+		u.othersMean.store(others)
+	}
+	mean := u.othersMean.load()
+	u.othersMean.store(mean + othersGain*(others-mean))
+	u.othersReport.store(others)
+	u.ownReported.Store(own)
+	u.reportedAt.Store(taken)
+}
+
+// Own returns the active tokens of this daemon.
+func (u *Upstream) Own() int64 { return max(u.own.Load(), 0) }
+
+// Active returns the expected active tokens of all daemons. It is the sum of
+// the own ones and of the other daemons' last reported load, which regresses
+// to its long-term mean with the age of the report.
+func (u *Upstream) Active(now time.Time) float64 {
+	return float64(u.Own()) + u.others(now, 1)
+}
+
+// others estimates the active tokens of the other daemons. A number of sharers
+// above 1 adds the growth that they are assumed to have had since the report,
+// so that a stale report of an idle upstream does not attract all daemons.
+func (u *Upstream) others(now time.Time, sharers int) float64 {
+	at := u.reportedAt.Load()
+	own := float64(u.Own())
+	if at == 0 {
+		return own * herdFactor * float64(max(sharers-1, 0))
+	}
+	weight := decay(now.UnixNano()-at, reportMemory)
+	others := weight*u.othersReport.load() + (1-weight)*u.othersMean.load()
+	growth := max(own-float64(u.ownReported.Load()), 0)
+	return others + growth*herdFactor*float64(max(sharers-1, 0))
+}
+
+// ReportAge returns the age of the latest report, or false without any.
+func (u *Upstream) ReportAge(now time.Time) (time.Duration, bool) {
+	at := u.reportedAt.Load()
+	return time.Duration(max(now.UnixNano()-at, 0)), at != 0
+}
+
+// Prediction is what a further request can expect of an upstream.
+type Prediction struct {
+	FirstToken time.Duration
+	Interval   time.Duration
+	// Load is the active tokens that the prediction assumes; FirstToken takes
+	// it back as the explanation of the observed time.
+	Load float64
+	// Lateness is the recent ratio of observed to predicted first-token time;
+	// 1 means as predicted.
+	Lateness float64
+}
+
+// Predict returns the prediction for a request that adds work tokens (prompt
+// tokens that are not cached), where sharers daemons use the upstream.
+// Observed answers outweigh reports: recent lateness scales the prediction,
+// and it is never below the mean time that attempts already wait.
+func (u *Upstream) Predict(now time.Time, work, sharers int) Prediction {
+	load := float64(u.Own()) + u.others(now, sharers) + float64(work)
+	lateness := u.Lateness(now)
+	first := max(u.first.predict(load)*lateness, u.waited(now))
+	return Prediction{
+		FirstToken: time.Duration(first * float64(time.Second)),
+		Interval:   time.Duration(u.interval.predict(load) * max(lateness, 1) * float64(time.Second)),
+		Load:       load,
+		Lateness:   lateness,
+	}
+}
+
+// waited is the mean time in seconds that pending attempts have waited.
+func (u *Upstream) waited(now time.Time) float64 {
+	n := u.pending.Load()
+	if n <= 0 {
+		return 0
+	}
+	mean := float64(u.micros(now)) - float64(u.pendingSum.Load())/float64(n)
+	return max(mean, 0) / 1e6
+}
+
+// Spread returns the mean deviation of first-token times from the fit.
+func (u *Upstream) Spread() time.Duration {
+	return time.Duration(u.first.scale.load() * float64(time.Second))
+}
+
+// PerToken returns the first-token time that one further active token adds.
+func (u *Upstream) PerToken() time.Duration {
+	return time.Duration(u.first.slope.load() * float64(time.Second))
+}
+
+// Lateness returns the recent ratio of observed to predicted first-token time;
+// 1 means as predicted.
+func (u *Upstream) Lateness(now time.Time) float64 {
+	return math.Exp(u.lateness.load() * u.latenessWeight(now))
+}
+
+// Samples returns the number of first-token observations.
+func (u *Upstream) Samples() int64 { return u.first.samples.Load() }
--- /dev/null
+++ b/internal/routing/filter_leaving.go
@@ -0,0 +1,12 @@
+package routing
+
+// LeavingFilter excludes upstreams that drain or have left.
+type LeavingFilter struct{}
+
+// Check implements Filter.
+func (LeavingFilter) Check(_ *Query, u *Upstream) Reason {
+	if u.Left || u.State.Leaving() {
+		return ReasonLeaving
+	}
+	return Keep
+}
--- /dev/null
+++ b/internal/routing/filter_model.go
@@ -0,0 +1,39 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+)
+
+// ModelFilter excludes upstreams of another kind or service and engines that
+// are not configured for the model and adapter. What an engine last reported
+// to hold takes precedence over its configuration.
+type ModelFilter struct{}
+
+// Check implements Filter.
+func (ModelFilter) Check(q *Query, u *Upstream) Reason {
+	if u.Kind != q.kind() {
+		return ReasonKind
+	}
+	if u.Kind == domain.KindService {
+		if u.Service != q.Service {
+			return ReasonKind
+		}
+		return Keep
+	}
+	if !u.Serves(q.Model, q.Adapter) {
+		return ReasonModel
+	}
+	if c := u.State.content.Load(); c != nil && !c.holds(q.Model, q.Adapter) {
+		return ReasonModel
+	}
+	return Keep
+}
+
+func (c *content) holds(model domain.ModelID, adapter string) bool {
+	if !slices.Contains(c.models, string(model)) {
+		return false
+	}
+	return adapter == "" || slices.Contains(c.adapters, adapter)
+}
--- /dev/null
+++ b/internal/routing/filter_tried.go
@@ -0,0 +1,14 @@
+package routing
+
+import "slices"
+
+// TriedFilter excludes upstreams that the request names as tried already.
+type TriedFilter struct{}
+
+// Check implements Filter.
+func (TriedFilter) Check(q *Query, u *Upstream) Reason {
+	if slices.Contains(q.Exclude, u.Index) {
+		return ReasonTried
+	}
+	return Keep
+}
--- /dev/null
+++ b/internal/routing/pick_near_best.go
@@ -0,0 +1,59 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+const (
+	// nearFraction and nearSeconds bound the extra cost of a candidate that is
+	// near-best.
+	nearFraction = 0.15
+	nearSeconds  = 0.010
+)
+
+// NearBestPicker samples among the candidates near the lowest cost, with a
+// weight that falls with the extra cost, so that daemons with the same view do
+// not all choose the same upstream. A remote upstream is sampled only when it
+// is better than each local one.
+type NearBestPicker struct{}
+
+// Pick implements Picker.
+func (NearBestPicker) Pick(_ *Query, c []Candidate, rng *rand.Rand) (int, int) {
+	best, local := math.Inf(1), math.Inf(1)
+	for i := range c {
+		best = min(best, c[i].Cost)
+		if !c[i].Upstream.Remote {
+			local = min(local, c[i].Cost)
+		}
+	}
+	band := nearSeconds + nearFraction*math.Abs(best)
+	total, near := 0.0, 0
+	for i := range c {
+		if w := nearWeight(&c[i], best, local, band); w > 0 {
+			total += w
+			near++
+		}
+	}
+	point := rng.Float64() * total
+	chosen := -1
+	for i := range c {
+		w := nearWeight(&c[i], best, local, band)
+		if w <= 0 {
+			continue
+		}
+		chosen = i
+		if point -= w; point < 0 {
+			break
+		}
+	}
+	return chosen, near
+}
+
+// nearWeight falls linearly from 1 at the best cost to 0 past the band.
+func nearWeight(c *Candidate, best, local, band float64) float64 {
+	if c.Upstream.Remote && c.Cost >= local {
+		return 0
+	}
+	return 1 - (c.Cost-best)/(band+1e-9)
+}
--- /dev/null
+++ b/internal/routing/prefix.go
@@ -0,0 +1,106 @@
+package routing
+
+import (
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+const (
+	// PrefixBlockBytes is the length of one prompt block in bytes.
+	PrefixBlockBytes = 1024
+	// PrefixBlockTokens is the assumed number of tokens in a block.
+	PrefixBlockTokens = 256
+	// MaxPrefixBlocks bounds the leading blocks that are hashed.
+	MaxPrefixBlocks = 16
+
+	prefixEntries = 4096 // 32 KiB per upstream
+	hitGain       = 0.05
+)
+
+// PrefixHashes appends to dst the xxhash64 of the prompt's first block, of its
+// first two blocks, and so on, up to MaxPrefixBlocks. A last block that is not
+// full is left out.
+func PrefixHashes(dst []uint64, prompt []byte) []uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for n := 0; n < MaxPrefixBlocks && len(prompt) >= PrefixBlockBytes; n++ {
+		_, _ = d.Write(prompt[:PrefixBlockBytes]) // never fails
+		prompt = prompt[PrefixBlockBytes:]
+		dst = append(dst, d.Sum64())
+	}
+	return dst
+}
+
+// PrefixSet remembers which prompt prefixes an engine's cache holds. It is a
+// direct-mapped table: colliding entries replace each other, so it is bounded
+// and lossy like the cache events themselves. The zero value is empty. All
+// methods are safe for concurrent use.
+type PrefixSet struct {
+	entries [prefixEntries]atomic.Uint64
+	misses  atomic.Int64 // rate of wrong predictions, parts per million
+	lastSeq atomic.Uint64
+}
+
+func (p *PrefixSet) entry(hash uint64) *atomic.Uint64 {
+	return &p.entries[hash%prefixEntries]
+}
+
+// Add records that a prefix is probably cached.
+func (p *PrefixSet) Add(hash uint64) { p.entry(hash).Store(hash) }
+
+// Apply applies one cache event. Events older than the latest are ignored;
+// gaps are tolerated, because Observe lowers the trust in what is missed.
+func (p *PrefixSet) Apply(e ports.CacheEvent) {
+	for {
+		last := p.lastSeq.Load()
+		if e.Seq <= last && e.Seq != 0 {
+			return
+		}
+		if p.lastSeq.CompareAndSwap(last, e.Seq) {
+			break
+		}
+	}
+	if e.Stored {
+		p.Add(e.Prefix)
+		return
+	}
+	p.entry(e.Prefix).CompareAndSwap(e.Prefix, 0)
+}
+
+// LastSeq returns the sequence number of the latest event.
+func (p *PrefixSet) LastSeq() uint64 { return p.lastSeq.Load() }
+
+// Clear forgets everything, for an engine that restarted.
+func (p *PrefixSet) Clear() {
+	for i := range p.entries {
+		p.entries[i].Store(0)
+	}
+	p.lastSeq.Store(0)
+}
+
+// Match returns the number of leading blocks that are probably cached.
+func (p *PrefixSet) Match(prefix []uint64) int {
+	for i, hash := range prefix {
+		if p.entry(hash).Load() != hash {
+			return i
+		}
+	}
+	return len(prefix)
+}
+
+// Observe compares an expected number of cached tokens with the engine's own
+// count and adjusts Trust.
+func (p *PrefixSet) Observe(expected, cached int) {
+	if expected <= 0 {
+		return
+	}
+	missed := 1e6 * (1 - min(float64(cached)/float64(expected), 1))
+	old := p.misses.Load()
+	p.misses.Store(old + int64(hitGain*(missed-float64(old))))
+}
+
+// Trust is the part of expected cached tokens that proved to be cached, 0 to 1.
+func (p *PrefixSet) Trust() float64 { return 1 - float64(p.misses.Load())/1e6 }
--- /dev/null
+++ b/internal/routing/request.go
@@ -0,0 +1,140 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+)
+
+// Request is one attempt that needs an upstream.
+type Request struct {
+	Route *policy.Route
+	// Kind is the kind of upstream wanted. Empty means KindEngine.
+	Kind domain.UpstreamKind
+	// Service is the service name for KindService.
+	Service string
+	// Model and Adapter are what an engine must hold.
+	Model   domain.ModelID
+	Adapter string
+	// Role is the phase that is wanted; empty or RoleBoth means a whole
+	// generation.
+	Role domain.Role
+	// PromptTokens and AnswerTokens are estimates of the work.
+	PromptTokens, AnswerTokens int
+	// Bytes is the expected traffic to and from the upstream.
+	Bytes int64
+	// Prefix holds the hashes of the prompt's leading blocks; see
+	// PrefixHashes.
+	Prefix []uint64
+	// Deadline is when the first token is due. Zero means no target.
+	Deadline time.Time
+	// Exclude lists indexes in Policy.Upstreams that were tried already.
+	Exclude []int
+	// DryRun makes Pick choose without taking a slot.
+	DryRun bool
+	// Explain, when not nil, is filled by Pick.
+	Explain *Explanation
+}
+
+func (r *Request) kind() domain.UpstreamKind {
+	if r.Kind == "" {
+		return domain.KindEngine
+	}
+	return r.Kind
+}
+
+// Tokens is the estimated work of the request.
+func (r *Request) Tokens() int { return max(r.PromptTokens+r.AnswerTokens, 1) }
+
+// Query is a Request at the moment of a decision, as the stages see it.
+type Query struct {
+	*Request
+	Now   time.Time
+	Table *Table
+}
+
+// Candidate is one upstream that passed the filters.
+type Candidate struct {
+	Upstream *Upstream
+	// Cost is the sum of the scores in seconds; lower is better.
+	Cost float64
+	// FirstToken and Interval are predicted, without the round trip.
+	FirstToken, Interval time.Duration
+	// Load is the predicted number of active tokens.
+	Load float64
+	// CachedTokens is the expected part of the prompt in the prefix cache.
+	CachedTokens int
+}
+
+// Choice is the result of Pick.
+type Choice struct {
+	// Upstream is the index in Policy.Upstreams; ID is its id.
+	Upstream int
+	ID       domain.UpstreamID
+	Address  string
+	Remote   bool
+	Cost     float64
+	// FirstToken and Interval are predicted, without the round trip.
+	FirstToken, Interval time.Duration
+	CachedTokens         int
+	// Slot is held until its Release. It is nil after a dry run.
+	Slot *Slot
+}
+
+// Explanation tells how a choice came about, for the decision log.
+type Explanation struct {
+	Candidates []Scored
+	Excluded   []Exclusion
+	// Chosen is the index in Policy.Upstreams, or -1.
+	Chosen int
+	// Near is the number of candidates that the picker sampled from.
+	Near int
+}
+
+// Scored is one candidate with its scores, in the order of Router.Scorers.
+type Scored struct {
+	Upstream domain.UpstreamID
+	Cost     float64
+	Scores   []float64
+}
+
+// Exclusion is one upstream that was not a candidate, and why.
+type Exclusion struct {
+	Upstream domain.UpstreamID
+	Reason   Reason
+}
+
+// Reason says why a Filter excludes an upstream. The zero value keeps it.
+type Reason uint8
+
+const (
+	Keep Reason = iota
+	// ReasonSubset: outside the daemon's subset.
+	ReasonSubset
+	// ReasonTried: an earlier attempt used it.
+	ReasonTried
+	// ReasonKind: another kind or service.
+	ReasonKind
+	// ReasonModel: the model or adapter is not loaded.
+	ReasonModel
+	// ReasonRole: it does not serve the wanted phase.
+	ReasonRole
+	// ReasonLeaving: it is draining or has left.
+	ReasonLeaving
+	// ReasonEjected: outlier detection took it out.
+	ReasonEjected
+	// ReasonProbation: on probation with all its probes in progress.
+	ReasonProbation
+	// ReasonSlots: no slot in the share and none to borrow.
+	ReasonSlots
+	// ReasonRefusing: it refused a request moments ago.
+	ReasonRefusing
+)
+
+var reasonNames = [...]string{
+	"keep", "outside_subset", "tried", "other_kind", "model_not_loaded",
+	"other_role", "leaving", "ejected", "probation", "no_slot", "refusing",
+}
+
+func (r Reason) String() string { return reasonNames[r] }
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,161 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Router runs the stages over the Table in force. All methods are safe for
+// concurrent use; each caller passes its own random source.
+type Router struct {
+	table   atomic.Pointer[Table]
+	Filters []Filter
+	Scorers []Scorer
+	Picker  Picker
+	scratch sync.Pool
+}
+
+// NewRouter returns a Router with the default stages.
+func NewRouter(t *Table) *Router {
+	r := &Router{
+		Filters: []Filter{
+			LeavingFilter{}, TriedFilter{}, ModelFilter{}, RoleFilter{}, HealthFilter{}, SlotFilter{},
+		},
+		Scorers: []Scorer{
+			LatencyScorer{}, PrefixScorer{}, RegionScorer{}, StragglerScorer{},
+		},
+		Picker: NearBestPicker{},
+	}
+	r.table.Store(t)
+	return r
+}
+
+// NewBaseline returns a Router with the default filters and only a picker.
+func NewBaseline(t *Table, p Picker) *Router {
+	r := NewRouter(t)
+	r.Scorers = nil
+	r.Picker = p
+	return r
+}
+
+// Table returns the snapshot in force.
+func (r *Router) Table() *Table { return r.table.Load() }
+
+// SetTable puts a new snapshot in force.
+func (r *Router) SetTable(t *Table) { r.table.Store(t) }
+
+type scratch struct {
+	query      Query
+	candidates []Candidate
+}
+
+// Pick chooses an upstream for a request and takes a slot there, unless it is
+// a dry run. It returns false when no upstream can take the request now. The
+// caller releases Choice.Slot. The request's route must be of the policy of
+// the table in force.
+func (r *Router) Pick(now time.Time, req *Request, rng *rand.Rand) (Choice, bool) {
+	s, _ := r.scratch.Get().(*scratch)
+	if s == nil {
+		s = &scratch{}
+	}
+	defer r.put(s)
+	s.query = Query{Request: req, Now: now, Table: r.table.Load()}
+	if req.Explain != nil {
+		*req.Explain = Explanation{Chosen: -1}
+	}
+	r.filter(s)
+	r.score(s)
+	for len(s.candidates) > 0 {
+		i, near := r.Picker.Pick(&s.query, s.candidates, rng)
+		c := &s.candidates[i]
+		if slot, ok := take(now, req, c); ok {
+			if e := req.Explain; e != nil {
+				e.Chosen, e.Near = c.Upstream.Index, near
+			}
+			return c.choice(slot), true
+		}
+		if e := req.Explain; e != nil {
+			e.Excluded = append(e.Excluded, Exclusion{c.Upstream.ID, ReasonSlots})
+		}
+		// Another request took the last slot in the meantime.
+		last := len(s.candidates) - 1
+		s.candidates[i] = s.candidates[last]
+		s.candidates = s.candidates[:last]
+	}
+	return Choice{}, false
+}
+
+func (r *Router) put(s *scratch) {
+	s.query = Query{}
+	clear(s.candidates[:cap(s.candidates)])
+	s.candidates = s.candidates[:0]
+	r.scratch.Put(s)
+}
+
+func take(now time.Time, req *Request, c *Candidate) (*Slot, bool) {
+	if req.DryRun {
+		return nil, true
+	}
+	slot := c.Upstream.State.Acquire(now, c.Upstream.Share, req.Tokens(), c.Load)
+	return slot, slot != nil
+}
+
+func (c *Candidate) choice(slot *Slot) Choice {
+	u := c.Upstream
+	return Choice{
+		Upstream: u.Index, ID: u.ID, Address: u.Address, Remote: u.Remote,
+		Cost: c.Cost, FirstToken: c.FirstToken, Interval: c.Interval,
+		CachedTokens: c.CachedTokens, Slot: slot,
+	}
+}
+
+// filter fills the candidates with the route's upstreams that pass.
+func (r *Router) filter(s *scratch) {
+	q := &s.query
+	all := q.Table.upstreams
+	for _, i := range q.Route.Upstreams {
+		if i >= len(all) || all[i] == nil {
+			if q.Explain != nil && i < len(all) {
+				id := q.Table.Policy.Upstreams[i].ID
+				q.Explain.Excluded = append(q.Explain.Excluded, Exclusion{id, ReasonSubset})
+			}
+			continue
+		}
+		u := all[i]
+		if reason := r.check(q, u); reason != Keep {
+			if q.Explain != nil {
+				q.Explain.Excluded = append(q.Explain.Excluded, Exclusion{u.ID, reason})
+			}
+			continue
+		}
+		s.candidates = append(s.candidates, Candidate{Upstream: u})
+	}
+}
+
+func (r *Router) check(q *Query, u *Upstream) Reason {
+	for _, f := range r.Filters {
+		if reason := f.Check(q, u); reason != Keep {
+			return reason
+		}
+	}
+	return Keep
+}
+
+func (r *Router) score(s *scratch) {
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		var scores []float64
+		for _, scorer := range r.Scorers {
+			cost := scorer.Score(&s.query, c)
+			c.Cost += cost
+			if s.query.Explain != nil {
+				scores = append(scores, cost)
+			}
+		}
+		if e := s.query.Explain; e != nil {
+			e.Candidates = append(e.Candidates, Scored{c.Upstream.ID, c.Cost, scores})
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,78 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against choosing upstreams that must not get the request, and against
+// explanations that do not name the reason.
+func TestPickExcludes(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(r *Router, q *Request, u *Upstream)
+		reason Reason
+	}{
+		{"leaving", func(_ *Router, _ *Request, u *Upstream) { u.State.SetLeaving(true) }, ReasonLeaving},
+		{"tried", func(_ *Router, q *Request, u *Upstream) { q.Exclude = []int{u.Index} }, ReasonTried},
+		{"model", func(_ *Router, q *Request, _ *Upstream) { q.Model = "other" }, ReasonModel},
+		{"kind", func(_ *Router, q *Request, _ *Upstream) { q.Kind = "service" }, ReasonKind},
+		{"role", func(_ *Router, _ *Request, u *Upstream) { u.Upstream.Role = "decode" }, ReasonRole},
+		{"ejected", func(_ *Router, _ *Request, u *Upstream) { u.State.health.eject(start) }, ReasonEjected},
+		{"slots", func(_ *Router, _ *Request, u *Upstream) { u.State.running.Store(2) }, ReasonSlots},
+		{"refusing", func(_ *Router, _ *Request, u *Upstream) {
+			u.State.Acquire(start, 2, 1, 0).Release(start, ResultRefused)
+		}, ReasonRefusing},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, q := testRouter(1, 2)
+			c.change(r, q, r.Table().Members()[0])
+			q.Explain = &Explanation{}
+			_, ok := r.Pick(start, q, newRNG())
+			assert.Assert(t, !ok)
+			assert.DeepEqual(t, q.Explain.Excluded, []Exclusion{{"u0", c.reason}})
+		})
+	}
+}
+
+// Guards against more attempts in progress than there are slots.
+func TestPickTakesSlots(t *testing.T) {
+	r, q := testRouter(3, 2)
+	rng := newRNG()
+	var slots []*Slot
+	for range 6 {
+		c, ok := r.Pick(start, q, rng)
+		assert.Assert(t, ok)
+		slots = append(slots, c.Slot)
+	}
+	_, ok := r.Pick(start, q, rng)
+	assert.Assert(t, !ok)
+	assert.Assert(t, slots[0].Release(start, ResultOK))
+	assert.Assert(t, !slots[0].Release(start, ResultOK))
+	_, ok = r.Pick(start, q, rng)
+	assert.Assert(t, ok)
+	_, ok = r.Pick(start, q, rng)
+	assert.Assert(t, !ok)
+}
+
+// Guards against paying for a remote region while a local upstream is as good.
+func TestPickPrefersLocalRegion(t *testing.T) {
+	r, q := testRouter(9, 100)
+	q.DryRun = true
+	rng := newRNG()
+	for range 200 {
+		c, ok := r.Pick(start, q, rng)
+		assert.Assert(t, ok && !c.Remote)
+	}
+	for _, u := range r.Table().Members() {
+		if !u.Remote {
+			slot := u.State.Acquire(start, 100, 100, 0)
+			slot.FirstToken(start.Add(5 * time.Second))
+		}
+	}
+	c, ok := r.Pick(start.Add(5*time.Second), q, rng)
+	assert.Assert(t, ok && c.Remote, "local upstreams answer late")
+}
--- /dev/null
+++ b/internal/routing/score_prefix.go
@@ -0,0 +1,25 @@
+package routing
+
+// PrefixScorer rewards the first-token time that cached prompt blocks save.
+type PrefixScorer struct {
+	// SecondsPerToken is the prefill time per token. Zero means the default.
+	SecondsPerToken float64
+}
+
+// defaultPrefillSeconds is the assumed prefill time per prompt token.
+const defaultPrefillSeconds = 0.1e-3
+
+// Score implements Scorer.
+func (s PrefixScorer) Score(q *Query, c *Candidate) float64 {
+	blocks := c.Upstream.State.Prefixes.Match(q.Prefix)
+	if blocks == 0 {
+		return 0
+	}
+	perToken := s.SecondsPerToken
+	if perToken == 0 {
+		perToken = defaultPrefillSeconds
+	}
+	c.CachedTokens = min(blocks*PrefixBlockTokens, q.PromptTokens)
+	trusted := float64(c.CachedTokens) * c.Upstream.State.Prefixes.Trust()
+	return -min(trusted*perToken, c.FirstToken.Seconds())
+}
--- /dev/null
+++ b/internal/routing/score_region.go
@@ -0,0 +1,29 @@
+package routing
+
+// RegionScorer prices traffic to other regions: the route's penalty, the
+// remaining part of the round trip, and the billed bytes.
+type RegionScorer struct {
+	// SecondsPerUnit is how many seconds of first-token time one unit of
+	// currency is worth. Zero means the default.
+	SecondsPerUnit float64
+}
+
+// defaultSecondsPerUnit makes 1 MB at 0.02 per GB worth 20 ms.
+const defaultSecondsPerUnit = 1000.0
+
+// Score implements Scorer.
+func (s RegionScorer) Score(q *Query, c *Candidate) float64 {
+	u := c.Upstream
+	if !u.Remote {
+		return 0
+	}
+	worth := s.SecondsPerUnit
+	if worth == 0 {
+		worth = defaultSecondsPerUnit
+	}
+	cost := float64(q.Bytes) / 1e9 * u.PricePerGB * worth
+	if q.Route.Level != nil {
+		cost += q.Route.Level.RemotePenalty.Seconds()
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/routing/state.go
@@ -0,0 +1,205 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/estimate"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+const (
+	// borrowMaxAge is the age of a load report up to which slots are borrowed.
+	borrowMaxAge = 3 * time.Second
+	// refusalPause keeps new work away from an upstream that refused some.
+	refusalPause = 250 * time.Millisecond
+	// warmup is how long the limit of a new or returning upstream grows.
+	warmup = 10 * time.Second
+)
+
+// State is the live state of one upstream on this daemon. All methods are
+// safe for concurrent use and take no lock, except Estimate's dropped updates.
+type State struct {
+	// Estimate predicts the upstream's latency.
+	Estimate *estimate.Upstream
+	// Prefixes remembers what its prefix cache holds.
+	Prefixes PrefixSet
+
+	address string
+	slots   int
+
+	running      atomic.Int64
+	leaving      atomic.Bool
+	refusedUntil atomic.Int64 // Unix ns
+	warmFrom     atomic.Int64 // Unix ns; 0 means fully warm
+	allowance    atomic.Int64 // own running limit by the latest report
+	reportedAt   atomic.Int64 // Unix ns
+	content      atomic.Pointer[content]
+	incarnation  atomic.Uint64
+	health       health
+}
+
+// content is what an engine reported to hold.
+type content struct {
+	models, adapters []string
+	role             domain.Role
+}
+
+// NewState returns the state of an upstream without observations.
+func NewState(now time.Time, u *policy.Upstream) *State {
+	return &State{
+		Estimate: estimate.NewUpstream(now),
+		address:  u.Address,
+		slots:    u.Slots,
+	}
+}
+
+// Running returns the slots that this daemon holds.
+func (s *State) Running() int { return int(s.running.Load()) }
+
+// SetLeaving excludes the upstream from new work, or readmits it.
+func (s *State) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
+
+// Leaving reports whether the upstream is excluded by SetLeaving.
+func (s *State) Leaving() bool { return s.leaving.Load() }
+
+// Warm starts a slow start: the limit grows from one slot to the full share.
+func (s *State) Warm(now time.Time) { s.warmFrom.Store(now.UnixNano()) }
+
+// Report applies a load report that arrived now, where sharers daemons use
+// the upstream. A new incarnation forgets the prefix cache and starts slowly.
+func (s *State) Report(now time.Time, r ports.LoadReport, sharers int) {
+	if old := s.incarnation.Swap(uint64(r.Incarnation)); old != 0 && old != uint64(r.Incarnation) {
+		s.Prefixes.Clear()
+		s.Warm(now)
+	}
+	s.Estimate.Report(now, r)
+	slots := int64(r.Slots)
+	if slots == 0 {
+		slots = int64(s.slots)
+	}
+	// Each sharer borrows an equal part of the free slots until the next
+	// report, so that all of them together exceed the room by less than one
+	// slot each.
+	room := max(slots-int64(r.Running)-int64(r.Queued), 0)
+	n := int64(max(sharers, 1))
+	s.allowance.Store(s.running.Load() + (room+n-1)/n)
+	s.reportedAt.Store(now.UnixNano() - int64(max(r.Age, 0)))
+	if len(r.Models) > 0 {
+		s.content.Store(&content{models: r.Models, adapters: r.Adapters, role: r.Role})
+	}
+}
+
+// limit is the number of slots that this daemon may hold now.
+func (s *State) limit(now time.Time, share int) int64 {
+	if s.slots <= 0 {
+		return int64(1) << 40
+	}
+	limit := int64(share)
+	if now.UnixNano()-s.reportedAt.Load() < int64(borrowMaxAge) {
+		limit = max(limit, min(s.allowance.Load(), int64(s.slots)))
+	}
+	return max(int64(float64(limit)*s.warmth(now)), 1)
+}
+
+// warmth is the part of the limit that the slow start allows, 0 to 1.
+func (s *State) warmth(now time.Time) float64 {
+	from := s.warmFrom.Load()
+	if from == 0 {
+		return 1
+	}
+	age := now.UnixNano() - from
+	if age >= int64(warmup) {
+		return 1
+	}
+	return float64(max(age, 0)) / float64(warmup)
+}
+
+// Slot is one running attempt at an upstream.
+type Slot struct {
+	state    *State
+	started  time.Time
+	tokens   int
+	load     float64
+	probe    bool
+	answered atomic.Bool
+	released atomic.Bool
+}
+
+// acquire takes a slot, or returns nil when the limit is reached. A probe is
+// also limited by the probation.
+func (s *State) acquire(now time.Time, share int) bool {
+	for {
+		n := s.running.Load()
+		if n >= s.limit(now, share) {
+			return false
+		}
+		if s.running.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// Acquire takes a slot for an attempt of the given tokens, expected to run at
+// load active tokens. It returns nil when no slot is free.
+func (s *State) Acquire(now time.Time, share, tokens int, load float64) *Slot {
+	probe, ok := s.health.admit(now)
+	if !ok {
+		return nil
+	}
+	if !s.acquire(now, share) {
+		s.health.cancel(probe)
+		return nil
+	}
+	s.Estimate.Start(now, tokens)
+	return &Slot{state: s, started: now, tokens: tokens, load: load, probe: probe}
+}
+
+// FirstToken records the first token. Further calls have no effect.
+func (s *Slot) FirstToken(now time.Time) {
+	if s.released.Load() || !s.answered.CompareAndSwap(false, true) {
+		return
+	}
+	s.state.Estimate.FirstToken(now, s.started, s.load)
+}
+
+// Interval records the mean interval between the attempt's tokens so far.
+func (s *Slot) Interval(now time.Time, mean time.Duration) {
+	s.state.Estimate.Interval(now, mean)
+}
+
+// Started returns when the slot was taken.
+func (s *Slot) Started() time.Time { return s.started }
+
+// Result is how an attempt at an upstream ended, as far as the upstream is
+// concerned.
+type Result uint8
+
+const (
+	// ResultOK: the attempt ended as intended.
+	ResultOK Result = iota
+	// ResultFailed: the upstream failed (connection, protocol, silence).
+	ResultFailed
+	// ResultRefused: the upstream refused before running.
+	ResultRefused
+	// ResultCancelled: ended by this side; says nothing about the upstream.
+	ResultCancelled
+)
+
+// Release returns the slot. Only the first call has an effect; it reports
+// whether this was the first.
+func (s *Slot) Release(now time.Time, result Result) bool {
+	if !s.released.CompareAndSwap(false, true) {
+		return false
+	}
+	st := s.state
+	st.running.Add(-1)
+	st.Estimate.End(now, s.started, s.tokens, s.answered.Load())
+	if result == ResultRefused {
+		st.refusedUntil.Store(now.Add(refusalPause).UnixNano())
+	}
+	st.health.record(now, result, s.probe)
+	return true
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,132 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+)
+
+// Site says where this daemon is and what it may use.
+type Site struct {
+	Region domain.Region
+	Zone   domain.AvailabilityZone
+	// Subset lists the upstreams that this daemon uses; nil means all.
+	Subset []domain.UpstreamID
+	// Sharers is the number of daemons that use each upstream, this one
+	// included. Missing entries and values below 1 count as 1.
+	Sharers map[domain.UpstreamID]int
+	// Left lists upstreams whose leave was accepted or listed; they receive no
+	// new work.
+	Left map[domain.UpstreamID]bool
+}
+
+// Upstream is one upstream in a Table.
+type Upstream struct {
+	*policy.Upstream
+	// Index is the index in Policy.Upstreams.
+	Index int
+	// State is the live state, shared by successive tables.
+	State *State
+	// Remote is true in another region than the daemon's; SameZone is true in
+	// the daemon's availability zone.
+	Remote, SameZone bool
+	// RTT is the round-trip time to a remote region.
+	RTT time.Duration
+	// PricePerGB is the price of a gigabyte to or from a remote region.
+	PricePerGB float64
+	// Sharers is the number of daemons that use the upstream.
+	Sharers int
+	// Share is this daemon's share of the slots, at least 1.
+	Share int
+	// Left excludes the upstream from new work.
+	Left bool
+}
+
+// Table is an immutable snapshot of the upstreams that one daemon may use.
+type Table struct {
+	Policy *policy.Policy
+	Site   Site
+	// upstreams is indexed like Policy.Upstreams; nil outside the subset.
+	upstreams []*Upstream
+	// members lists the entries that are not nil, ascending.
+	members []*Upstream
+	states  map[domain.UpstreamID]*State
+}
+
+// NewTable builds the snapshot for a policy. Live states are taken over from
+// the previous table, which may be nil, by upstream id and address.
+func NewTable(now time.Time, previous *Table, p *policy.Policy, site Site) *Table {
+	t := &Table{
+		Policy:    p,
+		Site:      site,
+		upstreams: make([]*Upstream, len(p.Upstreams)),
+		states:    map[domain.UpstreamID]*State{},
+	}
+	var subset map[domain.UpstreamID]bool
+	if site.Subset != nil {
+		subset = make(map[domain.UpstreamID]bool, len(site.Subset))
+		for _, id := range site.Subset {
+			subset[id] = true
+		}
+	}
+	home := p.Regions[site.Region]
+	for i := range p.Upstreams {
+		u := &p.Upstreams[i]
+		if subset != nil && !subset[u.ID] {
+			continue
+		}
+		e := newUpstream(u, i, site, home)
+		e.State = takeOver(now, previous, e)
+		t.states[u.ID] = e.State
+		t.upstreams[i] = e
+		t.members = append(t.members, e)
+	}
+	return t
+}
+
+func newUpstream(u *policy.Upstream, index int, site Site, home *policy.Region) *Upstream {
+	e := &Upstream{
+		Upstream: u,
+		Index:    index,
+		Remote:   u.Region != site.Region,
+		SameZone: u.Zone == site.Zone,
+		Sharers:  max(site.Sharers[u.ID], 1),
+		Left:     u.Draining || site.Left[u.ID],
+	}
+	e.Share = max(u.Slots/e.Sharers, 1)
+	if e.Remote && home != nil {
+		e.RTT = home.RTT[u.Region]
+		e.PricePerGB = home.PricePerGB[u.Region]
+	}
+	return e
+}
+
+func takeOver(now time.Time, previous *Table, e *Upstream) *State {
+	if previous != nil {
+		if s := previous.states[e.ID]; s != nil && s.address == e.Address {
+			return s
+		}
+	}
+	s := NewState(now, e.Upstream)
+	if previous != nil {
+		s.Warm(now)
+	}
+	return s
+}
+
+// State returns the live state of an upstream in the table, or nil.
+func (t *Table) State(id domain.UpstreamID) *State { return t.states[id] }
+
+// Members returns the upstreams of the table in the order of the policy. The
+// slice must not be changed.
+func (t *Table) Members() []*Upstream { return t.members }
+
+// Serves reports whether the upstream is configured for a model and adapter.
+func (u *Upstream) Serves(model domain.ModelID, adapter string) bool {
+	if !slices.Contains(u.Models, model) {
+		return false
+	}
+	return adapter == "" || len(u.Adapters) == 0 || slices.Contains(u.Adapters, adapter)
+}
