--- a/internal/ports/platform.go
+++ b/internal/ports/platform.go
@@ -45,6 +45,9 @@
 	Key     string  `json:"key"`
 	Value   []byte  `json:"value"`
 	Version Version `json:"version"`
+	// Deleted marks a row that was deleted at Version. Only a Scan with a
+	// since version returns such rows, so that a follower learns of deletions.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Write is one conditional write of a transaction.
@@ -65,7 +68,11 @@
 	Get(ctx context.Context, keys ...string) ([]Row, error)
 	// Scan returns up to limit rows whose key starts with prefix and comes
 	// after the key after, in key order. Rows with a version of since or
-	// lower are left out.
+	// lower are left out, and rows deleted behind since are returned with
+	// Deleted set. With since zero, deleted rows are left out. Pages are read
+	// one after another, so a follower takes the highest version of its first
+	// page as the next since; a later page may show writes that are newer than
+	// a change to a row of an earlier page.
 	Scan(ctx context.Context, prefix, after string, limit int, since Version) ([]Row, error)
 	// Commit applies all writes or none and returns the new version, which
 	// all written rows share. It fails with *ConflictError, ErrUnavailable,
