--- /dev/null
+++ b/internal/backoff/backoff.go
@@ -0,0 +1,41 @@
+// Package backoff computes jittered exponential delays. It exists so that
+// hundreds of daemons that lost the platform at the same moment do not return
+// to it at the same moment. It does harm where a caller waits for the answer;
+// callers bound the total by their own deadline.
+package backoff
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Policy bounds the delays. The zero value waits not at all.
+type Policy struct {
+	// Floor is the shortest delay.
+	Floor time.Duration
+	// Cap is the longest delay.
+	Cap time.Duration
+}
+
+// Delay returns the delay before the next try after the given number of
+// consecutive failures. It is uniform between Floor and an upper bound that
+// doubles with each failure until Cap. Zero failures count as one.
+func (p Policy) Delay(failures int, rng *rand.Rand) time.Duration {
+	bound := p.bound(failures)
+	spread := bound - p.Floor
+	if spread <= 0 {
+		return p.Floor
+	}
+	return p.Floor + time.Duration(rng.Int64N(int64(spread)))
+}
+
+func (p Policy) bound(failures int) time.Duration {
+	bound := 2 * p.Floor
+	for range failures - 1 {
+		if bound >= p.Cap {
+			break
+		}
+		bound *= 2
+	}
+	return min(bound, p.Cap)
+}
