--- a/internal/policy/bitset.go
+++ b/internal/policy/bitset.go
@@ -1,5 +1,7 @@
 package policy
 
+import "math/bits"
+
 const wordBits = 64
 
 // bitset is a fixed-size set of small integers.
@@ -11,6 +13,20 @@
 
 func (b bitset) has(i int) bool { return b[i/wordBits]&(1<<(i%wordBits)) != 0 }
 
+// next returns the smallest member that is i or more, or -1.
+func (b bitset) next(i int) int {
+	for w := i / wordBits; w < len(b); w++ {
+		word := b[w]
+		if w == i/wordBits {
+			word &= ^uint64(0) << (i % wordBits)
+		}
+		if word != 0 {
+			return w*wordBits + bits.TrailingZeros64(word)
+		}
+	}
+	return -1
+}
+
 // and sets b to the intersection of x and y.
 func (b bitset) and(x, y bitset) {
 	for i := range b {
--- a/internal/policy/check.go
+++ b/internal/policy/check.go
@@ -41,6 +41,17 @@
 	// Absent reports that the file does not set a field. For required fields
 	// the decoder has reported that already.
 	Absent(field string) bool
+	// Rejected reports that a finding about a field, or about any field for
+	// an empty name, exists already.
+	Rejected(field string) bool
+}
+
+// known holds the items of one kind by identifier.
+type known struct {
+	items map[string]located
+	// incomplete is set when an item lost its identifier to another finding,
+	// so that a name that seems to be missing may exist.
+	incomplete bool
 }
 
 // checker validates a document's items and references.
@@ -48,11 +59,11 @@
 	doc  *Document
 	list *findings.List
 
-	tiers   map[string]located
-	levels  map[string]located
-	models  map[string]located
-	classes map[string]located
-	regions map[string]located
+	tiers   known
+	levels  known
+	models  known
+	classes known
+	regions known
 	// zones maps a zone to its region.
 	zones map[domain.AvailabilityZone]domain.Region
 	// adapters holds "model/adapter" of each model.
@@ -64,18 +75,23 @@
 	c.list.Errorf(file, line, column, allowed, format, args...)
 }
 
+// unset reports that a required field has no value and that a finding says so.
+func unset(at located, field string) bool {
+	return at.Absent(field) || at.Rejected(field)
+}
+
 // check reports what is wrong inside a document, apart from what the rules
 // give together.
 func check(d *Document, list *findings.List) {
 	c := &checker{doc: d, list: list}
-	c.tiers = indexItems(c, "tier", d.Tiers, func(t *Tier) string { return string(t.ID) })
-	c.levels = indexItems(c, "service level", d.Levels, func(l *ServiceLevel) string { return l.Name })
-	c.models = indexItems(c, "model", d.Models, func(m *Model) string { return string(m.ID) })
-	c.classes = indexItems(c, "class", d.Classes, func(x *Class) string { return string(x.ID) })
-	c.regions = indexItems(c, "region", d.Regions, func(r *Region) string { return string(r.ID) })
-	indexItems(c, "customer", d.Customers, func(x *Customer) string { return string(x.ID) })
-	indexItems(c, "upstream", d.Upstreams, func(u *Upstream) string { return string(u.ID) })
-	indexItems(c, "rule", d.Rules, func(r *Rule) string { return r.Name })
+	c.tiers = indexItems(c, "tier", d.Tiers, tierID)
+	c.levels = indexItems(c, "service level", d.Levels, levelID)
+	c.models = indexItems(c, "model", d.Models, modelID)
+	c.classes = indexItems(c, "class", d.Classes, classID)
+	c.regions = indexItems(c, "region", d.Regions, regionID)
+	indexItems(c, "customer", d.Customers, customerID)
+	indexItems(c, "upstream", d.Upstreams, upstreamID)
+	indexItems(c, "rule", d.Rules, ruleID)
 	c.checkTiers()
 	c.checkLevels()
 	c.checkModels()
@@ -92,22 +108,23 @@
 	*T
 	located
 }](c *checker, kind string, items []T, id func(*T) string,
-) map[string]located {
-	byID := make(map[string]located, len(items))
+) known {
+	byID := known{items: make(map[string]located, len(items))}
 	for i := range items {
 		item := P(&items[i])
 		name := id(&items[i])
-		if name == "" && item.Absent("id") {
+		if name == "" && unset(item, "id") {
+			byID.incomplete = true
 			continue
 		}
 		if name == "" || len(validation.IsValidLabelValue(name)) > 0 {
 			c.errorf(item, "id", allowedValue, "%s has an invalid id %q", kind, name)
 		}
-		if first, ok := byID[name]; ok {
+		if first, ok := byID.items[name]; ok {
 			c.errorf(item, "id", "", "duplicate %s %q; %s", kind, name, firstAt(first))
 			continue
 		}
-		byID[name] = item
+		byID.items[name] = item
 	}
 	return byID
 }
@@ -118,19 +135,22 @@
 }
 
 // reference reports a name that does not exist.
-func (c *checker) reference(at located, field, kind, name string, known map[string]located) bool {
-	if _, ok := known[name]; ok {
+func (c *checker) reference(at located, field, kind, name string, k known) bool {
+	if _, ok := k.items[name]; ok {
 		return true
 	}
-	c.errorf(at, field, names(known), "%s %q does not exist", kind, name)
+	if k.incomplete {
+		return false
+	}
+	c.errorf(at, field, names(k.items), "%s %q does not exist", kind, name)
 	return false
 }
 
 // names lists identifiers for a finding's allowed values.
-func names[V any](known map[string]V) string {
+func names(items map[string]located) string {
 	const most = 12
-	list := make([]string, 0, len(known))
-	for name := range known {
+	list := make([]string, 0, len(items))
+	for name := range items {
 		list = append(list, name)
 	}
 	sort.Strings(list)
@@ -176,6 +196,9 @@
 	sum := 0.0
 	for i := range c.doc.Tiers {
 		t := &c.doc.Tiers[i]
+		if unset(t, "rank") {
+			continue
+		}
 		if first, ok := ranks[t.Rank]; ok {
 			c.errorf(t, "rank", "", "tiers %q and %q have the same rank %d", first.ID, t.ID, t.Rank)
 		}
@@ -191,7 +214,7 @@
 func (c *checker) checkLevels() {
 	for i := range c.doc.Levels {
 		l := &c.doc.Levels[i]
-		if l.Attainment <= 0 {
+		if l.Attainment <= 0 && !l.Rejected("attainment") {
 			c.errorf(l, "attainment", `over "0%"`, "attainment of service level %q is zero", l.Name)
 		}
 	}
@@ -241,12 +264,27 @@
 		for _, other := range sortedKeys(r.RTT) {
 			c.reference(r, "rtt."+string(other), "region", string(other), c.regions)
 		}
+		c.checkRTT(r)
 		for _, other := range sortedKeys(r.PricePerGB) {
 			c.reference(r, "price_per_gb."+string(other), "region", string(other), c.regions)
 		}
 	}
 }
 
+// checkRTT requires round-trip times to all other regions: a missing one would
+// make the remote region look closest.
+func (c *checker) checkRTT(r *Region) {
+	if r.Rejected("rtt") || r.Rejected("") {
+		return
+	}
+	for i := range c.doc.Regions {
+		other := c.doc.Regions[i].ID
+		if other != "" && other != r.ID && r.RTT[other] == 0 {
+			c.errorf(r, "rtt", "a positive duration for each other region", "region %q has no rtt to region %q", r.ID, other)
+		}
+	}
+}
+
 func (c *checker) checkCustomers() {
 	keys := map[KeyHash]*Customer{}
 	for i := range c.doc.Customers {
@@ -256,7 +294,7 @@
 		if x.DefaultClass != "" {
 			c.reference(x, "default_class", "class", string(x.DefaultClass), c.classes)
 		}
-		if x.Weight <= 0 {
+		if x.Weight <= 0 && !x.Rejected("weight") {
 			c.errorf(x, "weight", "over 0", "weight of customer %q is not positive", x.ID)
 		}
 		for j, k := range x.APIKeys {
@@ -281,7 +319,7 @@
 		if u.Role != domain.RoleBoth && u.Role != domain.RolePrefill && u.Role != domain.RoleDecode {
 			c.errorf(u, "role", "both, prefill, decode", "unknown role %q", u.Role)
 		}
-		if u.Slots == 0 && !u.Absent("slots") {
+		if u.Slots == 0 && !unset(u, "slots") {
 			c.errorf(u, "slots", "1 or more", "upstream %q has no slots", u.ID)
 		}
 		for j, m := range u.Models {
@@ -292,7 +330,7 @@
 }
 
 func (c *checker) checkAddress(u *Upstream, seen map[string]*Upstream) {
-	if u.Address == "" && u.Absent("address") {
+	if u.Address == "" && unset(u, "address") {
 		return
 	}
 	at, err := netip.ParseAddrPort(u.Address)
@@ -308,19 +346,19 @@
 }
 
 func (c *checker) checkPlace(u *Upstream) {
-	if u.Region == "" && u.Absent("region") {
+	if u.Region == "" && unset(u, "region") {
 		return
 	}
 	if !c.reference(u, "region", "region", string(u.Region), c.regions) {
 		return
 	}
-	if u.Zone == "" && u.Absent("zone") {
+	if u.Zone == "" && unset(u, "zone") {
 		return
 	}
 	if c.zones[u.Zone] == u.Region {
 		return
 	}
-	region := c.regions[string(u.Region)].(*Region)
+	region := c.regions.items[string(u.Region)].(*Region)
 	allowed := make([]string, len(region.Zones))
 	for i, z := range region.Zones {
 		allowed[i] = string(z)
@@ -331,21 +369,21 @@
 func (c *checker) checkKind(u *Upstream) {
 	switch u.Kind {
 	case domain.KindEngine:
-		if len(u.Models) == 0 {
-			c.errorf(u, "models", names(c.models), "engine %q has no models", u.ID)
+		if len(u.Models) == 0 && !u.Rejected("models") {
+			c.errorf(u, "models", names(c.models.items), "engine %q has no models", u.ID)
 		}
 		if u.Service != "" {
 			c.errorf(u, "service", `kind = "service"`, "engine %q names a service", u.ID)
 		}
 	case domain.KindService:
-		if u.Service == "" {
+		if u.Service == "" && !u.Rejected("service") {
 			c.errorf(u, "service", "name used in /services/<name>/", "upstream %q of kind service names no service", u.ID)
 		}
 		if len(u.Models) > 0 {
 			c.errorf(u, "models", `kind = "engine"`, "service %q has models", u.ID)
 		}
 	case "":
-		if u.Absent("kind") {
+		if unset(u, "kind") {
 			return
 		}
 		fallthrough
@@ -369,10 +407,10 @@
 func (c *checker) checkRules() {
 	for i := range c.doc.Rules {
 		r := &c.doc.Rules[i]
-		if !r.Absent("tier") {
+		if r.Tier != "" || !unset(r, "tier") {
 			c.reference(r, "tier", "tier", string(r.Tier), c.tiers)
 		}
-		if !r.Absent("service_level") {
+		if r.Level != "" || !unset(r, "service_level") {
 			c.reference(r, "service_level", "service level", r.Level, c.levels)
 		}
 	}
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -1,8 +1,8 @@
 package policy
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/findings"
@@ -63,14 +63,41 @@
 	if list.HasErrors() {
 		return nil, list
 	}
+	p.dropPlaces()
 	return p, list
 }
 
+// dropPlaces releases the positions in the files, which a policy in force does
+// not need. Rules keep theirs for Explain.
+func (p *Policy) dropPlaces() {
+	for i := range p.Tiers {
+		p.Tiers[i].Place = nil
+	}
+	for i := range p.Upstreams {
+		p.Upstreams[i].Place = nil
+	}
+	for _, l := range p.Levels {
+		l.Place = nil
+	}
+	for _, m := range p.Models {
+		m.Place = nil
+	}
+	for _, c := range p.Classes {
+		c.Place = nil
+	}
+	for _, c := range p.Customers {
+		c.Place = nil
+	}
+	for _, r := range p.Regions {
+		r.Place = nil
+	}
+}
+
 func newPolicy(d *Document, revision domain.Revision) *Policy {
 	p := &Policy{
 		Revision:  revision,
 		Tiers:     d.Tiers,
-		Levels:    byID(d.Levels, func(l *ServiceLevel) string { return l.Name }),
+		Levels:    byID(d.Levels, levelID),
 		Models:    byID(d.Models, func(m *Model) domain.ModelID { return m.ID }),
 		Classes:   byID(d.Classes, func(c *Class) domain.ClassID { return c.ID }),
 		Customers: byID(d.Customers, func(c *Customer) domain.CustomerID { return c.ID }),
@@ -114,13 +141,6 @@
 	return m
 }
 
-// group is a set of items that no selector can tell apart, so that they share
-// all matching work.
-type group struct {
-	labels map[string]string
-	items  []int // ascending
-}
-
 // compiler evaluates the rules over groups of customers, classes and upstreams.
 type compiler struct {
 	policy *Policy
@@ -132,11 +152,12 @@
 	customerRules, classRules []bitset
 	// ruleUpstreams[r] are the upstream groups that rule r selects.
 	ruleUpstreams []bitset
-	// byPrecedence lists rules with the highest precedence first.
-	byPrecedence []int
-	tiers        map[domain.TierID]*Tier
-	decisions    map[string]*decision
-	conflicts    map[[2]int]bool
+	// rules lists the usable rules with the highest precedence first. Sets of
+	// rules hold indexes into it.
+	rules     []*Rule
+	tiers     map[domain.TierID]*Tier
+	decisions map[string]*decision
+	conflicts map[[2]int]bool
 }
 
 // decision is the part of a Route that depends on the matching rules only.
@@ -169,124 +190,42 @@
 	return c
 }
 
-func ruleCustomers(r *Rule) Selector { return r.Customers }
-func ruleClasses(r *Rule) Selector   { return r.Classes }
-func ruleUpstreams(r *Rule) Selector { return r.Upstreams }
-
-// selected returns the label keys that the rules' selectors look at.
-func selected(rules []Rule, selector func(*Rule) Selector) []string {
-	keys := map[string]bool{}
-	for i := range rules {
-		selector(&rules[i]).keys(keys)
-	}
-	return sortedKeys(keys)
-}
-
-// groups collects the items that agree in all keys.
-func groups(n int, keys []string, label func(i int, key string) (string, bool)) []group {
-	var all []group
-	index := map[string]int{}
-	var text []byte
-	for i := range n {
-		text = text[:0]
-		for _, key := range keys {
-			value, ok := label(i, key)
-			if ok {
-				text = append(text, '=')
-				text = append(text, value...)
-			}
-			text = append(text, ',')
-		}
-		g, ok := index[string(text)]
-		if !ok {
-			g = len(all)
-			index[string(text)] = g
-			all = append(all, group{labels: pick(keys, i, label)})
-		}
-		all[g].items = append(all[g].items, i)
-	}
-	return all
-}
-
-func pick(keys []string, i int, label func(i int, key string) (string, bool)) map[string]string {
-	set := make(map[string]string, len(keys))
-	for _, key := range keys {
-		if value, ok := label(i, key); ok {
-			set[key] = value
+// match evaluates each selector once per group. Rules that could not be read
+// completely match nothing.
+func (c *compiler) match() {
+	c.rules = make([]*Rule, 0, len(c.doc.Rules))
+	for r := range c.doc.Rules {
+		if !c.doc.Rules[r].Rejected("") {
+			c.rules = append(c.rules, &c.doc.Rules[r])
 		}
 	}
-	return set
-}
-
-func customerLabel(c *Customer, key string) (string, bool) {
-	switch key {
-	case labelID:
-		return string(c.ID), true
-	case labelTeam:
-		return c.Team, c.Team != ""
-	}
-	value, ok := c.Labels[key]
-	return value, ok
-}
-
-func classLabel(c *Class, key string) (string, bool) {
-	if key == labelID {
-		return string(c.ID), true
-	}
-	value, ok := c.Labels[key]
-	return value, ok
-}
-
-func upstreamLabel(u *Upstream, key string) (string, bool) {
-	switch key {
-	case labelID:
-		return string(u.ID), true
-	case labelRegion:
-		return string(u.Region), true
-	case labelZone:
-		return string(u.Zone), true
-	case labelKind:
-		return string(u.Kind), true
-	case labelService:
-		return u.Service, u.Service != ""
-	}
-	value, ok := u.Labels[key]
-	return value, ok
-}
-
-// match evaluates each selector once per group.
-func (c *compiler) match() {
-	rules := c.doc.Rules
+	slices.SortStableFunc(c.rules, byPrecedence)
 	c.customerRules = make([]bitset, len(c.customers))
 	for g := range c.customers {
-		c.customerRules[g] = matching(rules, ruleCustomers, c.customers[g].labels)
+		c.customerRules[g] = matching(c.rules, ruleCustomers, c.customers[g].labels)
 	}
 	c.classRules = make([]bitset, len(c.classes))
 	for g := range c.classes {
-		c.classRules[g] = matching(rules, ruleClasses, c.classes[g].labels)
+		c.classRules[g] = matching(c.rules, ruleClasses, c.classes[g].labels)
 	}
-	c.ruleUpstreams = make([]bitset, len(rules))
-	for r := range rules {
+	c.ruleUpstreams = make([]bitset, len(c.rules))
+	for r, rule := range c.rules {
 		c.ruleUpstreams[r] = newBitset(len(c.upstreams))
 		for g := range c.upstreams {
-			if rules[r].Upstreams.Matches(c.upstreams[g].labels) {
+			if rule.Upstreams.Matches(c.upstreams[g].labels) {
 				c.ruleUpstreams[r].set(g)
 			}
 		}
 	}
-	c.byPrecedence = make([]int, len(rules))
-	for r := range rules {
-		c.byPrecedence[r] = r
-	}
-	slices.SortStableFunc(c.byPrecedence, func(a, b int) int {
-		return rules[b].Precedence - rules[a].Precedence
-	})
 }
 
-func matching(rules []Rule, selector func(*Rule) Selector, labels map[string]string) bitset {
+// byPrecedence orders rules with the highest precedence first.
+func byPrecedence(a, b *Rule) int { return cmp.Compare(b.Precedence, a.Precedence) }
+
+func matching(rules []*Rule, selector func(*Rule) Selector, labels map[string]string) bitset {
 	set := newBitset(len(rules))
-	for r := range rules {
-		if selector(&rules[r]).Matches(labels) {
+	for r, rule := range rules {
+		if selector(rule).Matches(labels) {
 			set.set(r)
 		}
 	}
@@ -296,11 +235,12 @@
 // buildRoutes decides each pair of customer group and class group and writes
 // the routes of all their members.
 func (c *compiler) buildRoutes() {
-	both := newBitset(len(c.doc.Rules))
+	both := newBitset(len(c.rules))
+	var top []int
 	for cg := range c.customers {
 		for kg := range c.classes {
 			both.and(c.customerRules[cg], c.classRules[kg])
-			top := c.top(both)
+			top = c.top(top[:0], both)
 			if len(top) == 0 {
 				continue
 			}
@@ -310,19 +250,15 @@
 	}
 }
 
-// top returns the rules of the highest precedence in a set, in rule order.
-func (c *compiler) top(set bitset) []int {
-	var top []int
-	for _, r := range c.byPrecedence {
-		if !set.has(r) {
-			continue
-		}
-		if len(top) > 0 && c.doc.Rules[r].Precedence != c.doc.Rules[top[0]].Precedence {
+// top appends the rules of the highest precedence in a set.
+func (c *compiler) top(into []int, set bitset) []int {
+	for r := set.next(0); r >= 0; r = set.next(r + 1) {
+		if len(into) > 0 && c.rules[r].Precedence != c.rules[into[0]].Precedence {
 			break
 		}
-		top = append(top, r)
+		into = append(into, r)
 	}
-	return top
+	return into
 }
 
 // decide returns the shared decision of a set of rules.
@@ -334,7 +270,7 @@
 	if d, ok := c.decisions[string(key)]; ok {
 		return d
 	}
-	first := &c.doc.Rules[rules[0]]
+	first := c.rules[rules[0]]
 	d := &decision{
 		tier:  c.tiers[first.Tier],
 		level: c.policy.Levels[first.Level],
@@ -342,7 +278,7 @@
 	reachable := newBitset(len(c.upstreams))
 	for _, r := range rules {
 		reachable.or(c.ruleUpstreams[r])
-		d.rules = append(d.rules, c.doc.Rules[r].Name)
+		d.rules = append(d.rules, c.rules[r].Name)
 	}
 	for g := range c.upstreams {
 		if reachable.has(g) {
@@ -365,86 +301,8 @@
 				Level:     d.level,
 				Upstreams: d.upstreams,
 				Rules:     d.rules,
+				decision:  d,
 			}
 		}
 	}
 }
-
-// reportConflicts reports each pair of rules that disagree once, with the first
-// customer and class that both decide.
-func (c *compiler) reportConflicts(rules []int, customers, classes int) {
-	a := &c.doc.Rules[rules[0]]
-	for _, r := range rules[1:] {
-		b := &c.doc.Rules[r]
-		if a.Tier == b.Tier && a.Level == b.Level || c.conflicts[[2]int{rules[0], r}] {
-			continue
-		}
-		c.conflicts[[2]int{rules[0], r}] = true
-		customer := c.doc.Customers[c.customers[customers].items[0]].ID
-		class := c.doc.Classes[c.classes[classes].items[0]].ID
-		file, line, column := b.At("precedence")
-		c.list.Errorf(file, line, column, "different precedences, or the same tier and service level",
-			"rules %q and %q of precedence %d give customer %q and class %q different %s",
-			a.Name, b.Name, b.Precedence, customer, class, difference(a, b))
-	}
-}
-
-func difference(a, b *Rule) string {
-	var parts []string
-	if a.Tier != b.Tier {
-		parts = append(parts, "tiers ("+string(a.Tier)+", "+string(b.Tier)+")")
-	}
-	if a.Level != b.Level {
-		parts = append(parts, "service levels ("+a.Level+", "+b.Level+")")
-	}
-	return strings.Join(parts, " and ")
-}
-
-// checkSelectors reports selectors that match nothing. For upstreams this is a
-// warning, because rented upstreams come and go while their rules stay.
-func (c *compiler) checkSelectors() {
-	customers := union(c.customerRules, len(c.doc.Rules))
-	classes := union(c.classRules, len(c.doc.Rules))
-	for r := range c.doc.Rules {
-		rule := &c.doc.Rules[r]
-		if !customers.has(r) {
-			file, line, column := rule.At("customers")
-			c.list.Errorf(file, line, column, "selector over customer labels", "customers selector %q of rule %q matches nothing", rule.Customers, rule.Name)
-		}
-		if !classes.has(r) {
-			file, line, column := rule.At("classes")
-			c.list.Errorf(file, line, column, "selector over class labels", "classes selector %q of rule %q matches nothing", rule.Classes, rule.Name)
-		}
-		if c.ruleUpstreams[r].empty() {
-			file, line, column := rule.At("upstreams")
-			c.list.Warnf(file, line, column, "selector over upstream labels", "upstreams selector %q of rule %q matches nothing", rule.Upstreams, rule.Name)
-		}
-	}
-}
-
-// reportUnreached warns about customers and classes that no rule reaches.
-func (c *compiler) reportUnreached() {
-	width := c.policy.index.width
-	classReached := make([]bool, width)
-	for i := range c.doc.Customers {
-		reached := false
-		for j := range c.doc.Classes {
-			if c.policy.index.routes[i*width+j].Customer != nil {
-				reached = true
-				classReached[j] = true
-			}
-		}
-		if !reached {
-			x := &c.doc.Customers[i]
-			file, line, column := x.At("id")
-			c.list.Warnf(file, line, column, "", "no rule reaches customer %q", x.ID)
-		}
-	}
-	for j := range c.doc.Classes {
-		if !classReached[j] {
-			x := &c.doc.Classes[j]
-			file, line, column := x.At("id")
-			c.list.Warnf(file, line, column, "", "no rule reaches class %q", x.ID)
-		}
-	}
-}
--- a/internal/policy/document.go
+++ b/internal/policy/document.go
@@ -102,13 +102,13 @@
 	slices.SortStableFunc(d.Tiers, func(a, b Tier) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.ID, b.ID))
 	})
-	sortBy(d.Levels, func(l *ServiceLevel) string { return l.Name })
-	sortBy(d.Models, func(m *Model) string { return string(m.ID) })
-	sortBy(d.Classes, func(c *Class) string { return string(c.ID) })
-	sortBy(d.Customers, func(c *Customer) string { return string(c.ID) })
-	sortBy(d.Upstreams, func(u *Upstream) string { return string(u.ID) })
-	sortBy(d.Regions, func(r *Region) string { return string(r.ID) })
-	sortBy(d.Rules, func(r *Rule) string { return r.Name })
+	sortBy(d.Levels, levelID)
+	sortBy(d.Models, modelID)
+	sortBy(d.Classes, classID)
+	sortBy(d.Customers, customerID)
+	sortBy(d.Upstreams, upstreamID)
+	sortBy(d.Regions, regionID)
+	sortBy(d.Rules, ruleID)
 }
 
 func sortBy[T any](items []T, id func(*T) string) {
--- /dev/null
+++ b/internal/policy/group.go
@@ -0,0 +1,94 @@
+package policy
+
+import "strconv"
+
+// group is a set of items that no selector can tell apart, so that they share
+// all matching work.
+type group struct {
+	labels map[string]string
+	items  []int // ascending
+}
+
+func ruleCustomers(r *Rule) Selector { return r.Customers }
+func ruleClasses(r *Rule) Selector   { return r.Classes }
+func ruleUpstreams(r *Rule) Selector { return r.Upstreams }
+
+// selected returns the label keys that the rules' selectors look at.
+func selected(rules []Rule, selector func(*Rule) Selector) []string {
+	keys := map[string]bool{}
+	for i := range rules {
+		selector(&rules[i]).keys(keys)
+	}
+	return sortedKeys(keys)
+}
+
+// groups collects the items that agree in all keys.
+func groups(n int, keys []string, label func(i int, key string) (string, bool)) []group {
+	var all []group
+	index := map[string]int{}
+	var text []byte
+	for i := range n {
+		text = text[:0]
+		for _, key := range keys {
+			value, ok := label(i, key)
+			if ok {
+				text = strconv.AppendQuote(text, value)
+			}
+			text = append(text, ',')
+		}
+		g, ok := index[string(text)]
+		if !ok {
+			g = len(all)
+			index[string(text)] = g
+			all = append(all, group{labels: pick(keys, i, label)})
+		}
+		all[g].items = append(all[g].items, i)
+	}
+	return all
+}
+
+func pick(keys []string, i int, label func(i int, key string) (string, bool)) map[string]string {
+	set := make(map[string]string, len(keys))
+	for _, key := range keys {
+		if value, ok := label(i, key); ok {
+			set[key] = value
+		}
+	}
+	return set
+}
+
+func customerLabel(c *Customer, key string) (string, bool) {
+	switch key {
+	case labelID:
+		return string(c.ID), true
+	case labelTeam:
+		return c.Team, c.Team != ""
+	}
+	value, ok := c.Labels[key]
+	return value, ok
+}
+
+func classLabel(c *Class, key string) (string, bool) {
+	if key == labelID {
+		return string(c.ID), true
+	}
+	value, ok := c.Labels[key]
+	return value, ok
+}
+
+func upstreamLabel(u *Upstream, key string) (string, bool) {
+	switch key {
+	case labelID:
+		return string(u.ID), true
+	case labelRegion:
+		return string(u.Region), true
+	case labelZone:
+		return string(u.Zone), true
+	case labelKind:
+		return string(u.Kind), true
+	case labelService:
+		return u.Service, u.Service != ""
+	}
+	value, ok := u.Labels[key]
+	return value, ok
+}
--- a/internal/policy/model.go
+++ b/internal/policy/model.go
@@ -178,7 +178,9 @@
 	Level    *ServiceLevel
 	// Upstreams holds ascending indexes into Policy.Upstreams.
 	Upstreams []int
-	Rules     []string // names of the rules that matched
+	Rules     []string // names of the rules that decided
+
+	decision *decision
 }
 
 // Routing holds the prices that upstream selection weighs against latency.
--- /dev/null
+++ b/internal/policy/rulecheck.go
@@ -0,0 +1,106 @@
+package policy
+
+import "strings"
+
+// reportConflicts reports each pair of rules that disagree once, with the first
+// customer and class that both decide.
+func (c *compiler) reportConflicts(rules []int, customers, classes int) {
+	a := c.rules[rules[0]]
+	for _, r := range rules[1:] {
+		b := c.rules[r]
+		if a.Tier == b.Tier && a.Level == b.Level || c.conflicts[[2]int{rules[0], r}] {
+			continue
+		}
+		c.conflicts[[2]int{rules[0], r}] = true
+		customer := c.doc.Customers[c.customers[customers].items[0]].ID
+		class := c.doc.Classes[c.classes[classes].items[0]].ID
+		file, line, column := b.At("precedence")
+		c.list.Errorf(file, line, column, "different precedences, or the same tier and service level",
+			"rules %q and %q of precedence %d give customer %q and class %q different %s",
+			a.Name, b.Name, b.Precedence, customer, class, difference(a, b))
+	}
+}
+
+func difference(a, b *Rule) string {
+	var parts []string
+	if a.Tier != b.Tier {
+		parts = append(parts, "tiers ("+string(a.Tier)+", "+string(b.Tier)+")")
+	}
+	if a.Level != b.Level {
+		parts = append(parts, "service levels ("+a.Level+", "+b.Level+")")
+	}
+	return strings.Join(parts, " and ")
+}
+
+// checkSelectors reports selectors that match nothing. For upstreams this is a
+// warning, because rented upstreams come and go while their rules stay. Items
+// that could not be read might match, so they silence the findings.
+func (c *compiler) checkSelectors() {
+	customers := union(c.customerRules, len(c.rules))
+	classes := union(c.classRules, len(c.rules))
+	unknownCustomers := anyRejected(c.doc.Customers)
+	unknownClasses := anyRejected(c.doc.Classes)
+	unknownUpstreams := anyRejected(c.doc.Upstreams)
+	for r, rule := range c.rules {
+		if !customers.has(r) && !unknownCustomers {
+			file, line, column := rule.At("customers")
+			c.list.Errorf(file, line, column, "selector over customer labels", "customers selector %q of rule %q matches nothing", rule.Customers, rule.Name)
+		}
+		if !classes.has(r) && !unknownClasses {
+			file, line, column := rule.At("classes")
+			c.list.Errorf(file, line, column, "selector over class labels", "classes selector %q of rule %q matches nothing", rule.Classes, rule.Name)
+		}
+		if c.ruleUpstreams[r].empty() && !unknownUpstreams {
+			file, line, column := rule.At("upstreams")
+			c.list.Warnf(file, line, column, "selector over upstream labels", "upstreams selector %q of rule %q matches nothing", rule.Upstreams, rule.Name)
+		}
+	}
+}
+
+func anyRejected[T any, P interface {
+	*T
+	located
+}](items []T) bool {
+	for i := range items {
+		if P(&items[i]).Rejected("") {
+			return true
+		}
+	}
+	return false
+}
+
+// reportUnreached warns about customers, classes and default classes that no
+// rule reaches.
+func (c *compiler) reportUnreached() {
+	if len(c.rules) < len(c.doc.Rules) {
+		return
+	}
+	classReached := make([]bool, len(c.doc.Classes))
+	for i := range c.doc.Customers {
+		x := &c.doc.Customers[i]
+		row := c.policy.index.routes[i*len(classReached):][:len(classReached)]
+		reached := false
+		for j := range row {
+			if row[j].Customer != nil {
+				reached = true
+				classReached[j] = true
+			}
+		}
+		if !reached {
+			file, line, column := x.At("id")
+			c.list.Warnf(file, line, column, "", "no rule reaches customer %q", x.ID)
+			continue
+		}
+		if j, ok := c.policy.index.classes[x.DefaultClass]; ok && row[j].Customer == nil {
+			file, line, column := x.At("default_class")
+			c.list.Warnf(file, line, column, "", "no rule reaches customer %q with its default class %q", x.ID, x.DefaultClass)
+		}
+	}
+	for j := range c.doc.Classes {
+		if !classReached[j] {
+			x := &c.doc.Classes[j]
+			file, line, column := x.At("id")
+			c.list.Warnf(file, line, column, "", "no rule reaches class %q", x.ID)
+		}
+	}
+}
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -57,3 +57,22 @@
 		into[r.Key()] = true
 	}
 }
+
+func (s Selector) matchesView(view labels.Labels) bool {
+	return s.selector == nil || s.selector.Matches(view)
+}
+
+// unmet lists the requirements that a set of labels does not meet.
+func (s Selector) unmet(view labels.Labels) []string {
+	if s.selector == nil {
+		return nil
+	}
+	var unmet []string
+	requirements, _ := s.selector.Requirements()
+	for _, r := range requirements {
+		if !r.Matches(view) {
+			unmet = append(unmet, r.String())
+		}
+	}
+	return unmet
+}
--- a/internal/tomlstrict/decode.go
+++ b/internal/tomlstrict/decode.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/findings"
@@ -20,7 +21,13 @@
 	Line, Column int
 	// fields holds the places of the values, by key path such as "labels.team"
 	// or "models.1".
-	fields map[string][2]int
+	fields map[string]fieldPlace
+	broken bool
+}
+
+type fieldPlace struct {
+	line, column int
+	rejected     bool
 }
 
 // At returns the place of a field's value, or of the table when the field was
@@ -30,11 +37,32 @@
 		return "", 0, 0
 	}
 	if at, ok := p.fields[field]; ok {
-		return p.File, at[0], at[1]
+		return p.File, at.line, at.column
 	}
 	return p.File, p.Line, p.Column
 }
 
+// Rejected reports that a finding exists about the value of a field or, for an
+// empty field name, that any part of the table could not be read. Checks of
+// rejected values would report consequences of that finding.
+func (p *Place) Rejected(field string) bool {
+	if p == nil {
+		return false
+	}
+	if field != "" {
+		return p.fields[field].rejected
+	}
+	if p.broken {
+		return true
+	}
+	for _, f := range p.fields {
+		if f.rejected {
+			return true
+		}
+	}
+	return false
+}
+
 // Absent reports that the value was read from a file that does not set a
 // field.
 func (p *Place) Absent(field string) bool {
@@ -83,7 +111,13 @@
 	return strings.Contains(f.options+",", ","+option+",")
 }
 
+// fieldCache holds the tagged fields of struct types.
+var fieldCache sync.Map // reflect.Type -> []field
+
 func fieldsOf(t reflect.Type) []field {
+	if cached, ok := fieldCache.Load(t); ok {
+		return cached.([]field)
+	}
 	var fields []field
 	for i := range t.NumField() {
 		name, options, _ := strings.Cut(t.Field(i).Tag.Get("toml"), ",")
@@ -92,6 +126,7 @@
 		}
 		fields = append(fields, field{name, "," + options, i})
 	}
+	fieldCache.Store(t, fields)
 	return fields
 }
 
@@ -99,7 +134,7 @@
 // record positions when the table belongs to an outer one that has a Place.
 func (d *decoder) table(n *node, v reflect.Value, what string, place *Place, prefix string) {
 	if own := placeOf(v); own.IsValid() {
-		place = &Place{File: d.file, Line: n.line, Column: n.column, fields: map[string][2]int{}}
+		place = &Place{File: d.file, Line: n.line, Column: n.column, fields: map[string]fieldPlace{}, broken: n.damaged}
 		prefix = ""
 		own.Set(reflect.ValueOf(place))
 	}
@@ -112,7 +147,7 @@
 		child := n.fields[name]
 		f, ok := known[name]
 		if !ok {
-			d.errorf(child, fieldNames(fields), "unknown key %q in %s", name, what)
+			d.list.Errorf(d.file, child.key.line, child.key.column, fieldNames(fields), "unknown key %q in %s", name, what)
 			continue
 		}
 		d.value(child, v.Field(f.index), f, place, prefix+name)
@@ -120,6 +155,9 @@
 	for _, f := range fields {
 		if f.has("required") && n.fields[f.name] == nil && !n.damaged {
 			d.errorf(n, "", "key %q is missing in %s", f.name, what)
+			if place != nil {
+				place.broken = true
+			}
 		}
 	}
 }
@@ -142,10 +180,16 @@
 	return strings.Join(names, ", ")
 }
 
+// value fills one value and records where it is and whether it was rejected.
 func (d *decoder) value(n *node, v reflect.Value, f field, place *Place, path string) {
+	before := len(*d.list)
+	d.fill(n, v, f, place, path)
 	if place != nil {
-		place.fields[path] = [2]int{n.line, n.column}
+		place.fields[path] = fieldPlace{n.line, n.column, len(*d.list) > before}
 	}
+}
+
+func (d *decoder) fill(n *node, v reflect.Value, f field, place *Place, path string) {
 	if text, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		d.text(n, text, path)
 		return
