--- a/internal/admission/helpers_test.go
+++ b/internal/admission/helpers_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"flag"
 	"fmt"
 	"time"
 
@@ -29,3 +30,6 @@
 		Customer: domain.CustomerID(customer), Tokens: tokens,
 	}
 }
+
+// A fixed seed keeps the property tests repeatable; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
--- /dev/null
+++ b/internal/admission/shed_test.go
@@ -0,0 +1,125 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/policy"
+)
+
+// Guards against shedding the wrong request on overflow.
+func TestOverflow(t *testing.T) {
+	type offer struct {
+		rank     int
+		customer string
+		want     Reason
+		shed     string // id of the request that gives way
+	}
+	cases := []struct {
+		name   string
+		bounds [3]int
+		offers []offer
+	}{
+		{"lowest tier's latest gives way", [3]int{1, 100, 200}, []offer{
+			{2, "a", ReasonRoom, ""},
+			{1, "a", ReasonRoom, ""},
+			{2, "a", ReasonRoom, ""},
+			{0, "c", ReasonDisplacedLower, "2"},
+			{0, "c", ReasonDisplacedLower, "0"},
+			{0, "c", ReasonDisplacedLower, "1"},
+			{0, "c", ReasonQueueFull, ""},
+			{2, "b", ReasonQueueFull, ""},
+		}},
+		{"lower tier cannot use the room of a higher one", [3]int{100, 100, 100}, []offer{
+			{2, "a", ReasonRoom, ""},
+			{2, "a", ReasonQueueFull, ""},
+			{1, "a", ReasonRoom, ""},
+			{0, "a", ReasonRoom, ""},
+		}},
+		{"heaviest customer gives way", [3]int{100, 100, 100}, []offer{
+			{0, "a", ReasonRoom, ""},
+			{0, "a", ReasonRoom, ""},
+			{0, "a", ReasonRoom, ""},
+			{0, "b", ReasonDisplacedHeavy, "2"},
+			{0, "b", ReasonQueueFull, ""},
+			{0, "a", ReasonQueueFull, ""},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tiers := testTiers(3, 0, 0)
+			for i := range tiers {
+				tiers[i].QueueTokens = c.bounds[i]
+			}
+			q := NewQueue(tiers)
+			for i, o := range c.offers {
+				d := q.Offer(start, newRequest(i, o.rank, o.customer, 100))
+				shed := ""
+				for _, s := range d.Shed {
+					shed += string(s.Request.ID)
+					assert.Assert(t, s.RetryAfter > 0)
+				}
+				assert.Equal(t, d.Reason, o.want, "offer %d", i)
+				assert.Equal(t, shed, o.shed, "offer %d", i)
+			}
+		})
+	}
+}
+
+// Guards against Retry-After that does not follow the measured drain rate.
+func TestRetryAfterFollowsDrainRate(t *testing.T) {
+	q := NewQueue([]policy.Tier{{}})
+	for i := range 400 {
+		q.Offer(start, newRequest(i, 0, "c", 100))
+	}
+	assert.Equal(t, q.RetryAfter(start, 0), unknownRetryAfter)
+	now := start
+	for range 200 { // 10 a second for 20 s
+		now = now.Add(100 * time.Millisecond)
+		q.Next(now, nil)
+	}
+	got := q.RetryAfter(now, 0) // 200 are left
+	assert.Assert(t, got >= 19*time.Second && got <= 21*time.Second, fmt.Sprint(got))
+}
+
+// Guards against preempting without need, the wrong victim, or the same
+// request over and over.
+func TestPreempt(t *testing.T) {
+	q := NewQueue(testTiers(4, 0, 0))
+	run := func(id, rank, progress int) *Request {
+		r := newRequest(id, rank, fmt.Sprint("c", id), 100)
+		q.Offer(start, r)
+		q.Next(start, nil)
+		r.Progress.Store(int64(progress))
+		return r
+	}
+	run(0, 1, 0)
+	run(1, 3, 50)
+	victim := run(2, 3, 5)
+	run(3, 2, 0)
+	urgent := newRequest(4, 0, "u", 100)
+	q.Offer(start, urgent)
+	_, ok := q.Preempt(start)
+	assert.Assert(t, !ok, "a request without a target cannot miss it")
+	q.Remove(urgent)
+
+	urgent = newRequest(5, 0, "u", 100)
+	urgent.Deadline = start.Add(time.Second)
+	q.Offer(start, urgent)
+	d, ok := q.Preempt(start)
+	assert.Assert(t, ok && d.Preempt == victim)
+	_, ok = q.Preempt(start)
+	assert.Assert(t, !ok, "one victim at a time")
+	q.Requeue(start, victim)
+	d, _ = q.Next(start, nil)
+	assert.Equal(t, d.Request, urgent)
+
+	victim.preemptions = maxPreemptions
+	d, _ = q.Next(start, nil)
+	assert.Equal(t, d.Request, victim)
+	candidate, _ := ChooseVictim(start, []*Request{victim}, Need{Request: urgent, SlotWait: time.Hour})
+	assert.Assert(t, candidate == nil, "preempted too often already")
+}
--- a/internal/routing/helpers_test.go
+++ b/internal/routing/helpers_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -47,3 +48,6 @@
 	r := NewRouter(NewTable(start, nil, p, Site{Region: "a"}))
 	return r, &Request{Route: route, Model: "m", PromptTokens: 500, AnswerTokens: 300}
 }
+
+// A fixed seed keeps the property tests repeatable; -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
--- /dev/null
+++ b/internal/routing/subset.go
@@ -0,0 +1,190 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+)
+
+// Subset returns the upstreams that daemon self uses, in ascending order,
+// where each daemon uses about size of them. It is the same for any order of
+// the arguments. A size of zero or below, or not below the number of
+// upstreams, means all of them. A self that is not among the daemons gets nil.
+func Subset(daemons []domain.DaemonID, upstreams []domain.UpstreamID, self domain.DaemonID, size int) []domain.UpstreamID {
+	return Subsets(daemons, upstreams, size)[self]
+}
+
+// Subsets returns the subset of each daemon; see Subset.
+//
+// Each daemon-upstream pair has a pseudo-random weight. Pairs are taken in the
+// order of their weight while the daemon has fewer than size upstreams and the
+// upstream is below its quota. The quotas add up to the daemons' sizes and
+// differ by at most one, so the load is even on both sides. A membership
+// change moves few pairs, because weights do not change and quotas change by
+// at most one at a time. Rest pairs that the greedy order cannot place are
+// placed by swaps.
+func Subsets(daemons []domain.DaemonID, upstreams []domain.UpstreamID, size int) map[domain.DaemonID][]domain.UpstreamID {
+	m := newMatching(daemons, upstreams, size)
+	m.greedy()
+	m.fill()
+	out := make(map[domain.DaemonID][]domain.UpstreamID, len(m.daemons))
+	for d, id := range m.daemons {
+		own := make([]domain.UpstreamID, 0, m.size)
+		for u, upstream := range m.upstreams {
+			if m.has(d, u) {
+				own = append(own, upstream)
+			}
+		}
+		out[id] = own
+	}
+	return out
+}
+
+// matching is the assignment under construction; d and u are indexes.
+type matching struct {
+	daemons            []domain.DaemonID
+	upstreams          []domain.UpstreamID
+	size               int
+	daemonHash, upHash []uint64
+	quota              []int
+	held, holders      []int
+	pairs              []bool
+}
+
+func newMatching(daemons []domain.DaemonID, upstreams []domain.UpstreamID, size int) *matching {
+	m := &matching{daemons: sortedSet(daemons), upstreams: sortedSet(upstreams)}
+	if size <= 0 || size > len(m.upstreams) {
+		size = len(m.upstreams)
+	}
+	m.size = size
+	for _, d := range m.daemons {
+		m.daemonHash = append(m.daemonHash, xxhash.Sum64String(string(d)))
+	}
+	for _, u := range m.upstreams {
+		m.upHash = append(m.upHash, xxhash.Sum64String(string(u)))
+	}
+	m.held = make([]int, len(m.daemons))
+	m.holders = make([]int, len(m.upstreams))
+	m.pairs = make([]bool, len(m.daemons)*len(m.upstreams))
+	m.setQuotas()
+	return m
+}
+
+func sortedSet[T cmp.Ordered](ids []T) []T {
+	s := slices.Clone(ids)
+	slices.Sort(s)
+	return slices.Compact(s)
+}
+
+// setQuotas splits the daemons' sizes evenly; the upstreams with the lowest
+// hashes get the remainder.
+func (m *matching) setQuotas() {
+	n := len(m.upstreams)
+	m.quota = make([]int, n)
+	if n == 0 {
+		return
+	}
+	total := len(m.daemons) * m.size
+	order := make([]int, n)
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(m.upHash[a], m.upHash[b]) })
+	for rank, u := range order {
+		m.quota[u] = total / n
+		if rank < total%n {
+			m.quota[u]++
+		}
+	}
+}
+
+func (m *matching) has(d, u int) bool { return m.pairs[d*len(m.upstreams)+u] }
+
+func (m *matching) set(d, u int, on bool) {
+	m.pairs[d*len(m.upstreams)+u] = on
+	step := 1
+	if !on {
+		step = -1
+	}
+	m.held[d] += step
+	m.holders[u] += step
+}
+
+// weight is the rank of a pair; lower is taken first.
+func (m *matching) weight(d, u int) uint64 {
+	x := m.daemonHash[d] ^ (m.upHash[u]*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (m *matching) greedy() {
+	type pair struct {
+		weight uint64
+		d, u   int32
+	}
+	all := make([]pair, 0, len(m.pairs))
+	for d := range m.daemons {
+		for u := range m.upstreams {
+			all = append(all, pair{m.weight(d, u), int32(d), int32(u)})
+		}
+	}
+	slices.SortFunc(all, func(a, b pair) int {
+		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.d, b.d), cmp.Compare(a.u, b.u))
+	})
+	for _, p := range all {
+		d, u := int(p.d), int(p.u)
+		if m.held[d] < m.size && m.holders[u] < m.quota[u] {
+			m.set(d, u, true)
+		}
+	}
+}
+
+// fill places what is left: a daemon d below its size and an upstream u below
+// its quota already use each other, so another pair (e, v) gives way to (d, v)
+// and (e, u). The pair with the lowest weight of (d, v) is taken.
+func (m *matching) fill() {
+	for d := range m.daemons {
+		for m.held[d] < m.size && m.fillOne(d) {
+		}
+	}
+}
+
+func (m *matching) fillOne(d int) bool {
+	for u := range m.upstreams {
+		if m.holders[u] >= m.quota[u] {
+			continue
+		}
+		if !m.has(d, u) {
+			m.set(d, u, true)
+			return true
+		}
+		if e, v, ok := m.swap(d, u); ok {
+			m.set(e, v, false)
+			m.set(d, v, true)
+			m.set(e, u, true)
+			return true
+		}
+	}
+	return false
+}
+
+func (m *matching) swap(d, u int) (e, v int, ok bool) {
+	best := uint64(math.MaxUint64)
+	for vv := range m.upstreams {
+		if m.has(d, vv) || m.weight(d, vv) >= best {
+			continue
+		}
+		for ee := range m.daemons {
+			if m.has(ee, vv) && !m.has(ee, u) {
+				best, e, v, ok = m.weight(d, vv), ee, vv, true
+				break
+			}
+		}
+	}
+	return e, v, ok
+}
--- /dev/null
+++ b/internal/routing/subset_test.go
@@ -0,0 +1,200 @@
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+)
+
+type subsets map[domain.DaemonID][]domain.UpstreamID
+
+type subsetMethod func(d []domain.DaemonID, u []domain.UpstreamID, size int) subsets
+
+// rendezvous gives each daemon the upstreams with the lowest pair hashes.
+func rendezvous(d []domain.DaemonID, u []domain.UpstreamID, size int) subsets {
+	out := subsets{}
+	for _, id := range d {
+		own := slices.Clone(u)
+		h := func(v domain.UpstreamID) uint64 { return xxhash.Sum64String(string(id) + "/" + string(v)) }
+		slices.SortFunc(own, func(a, b domain.UpstreamID) int { return cmp.Compare(h(a), h(b)) })
+		out[id] = own[:size]
+	}
+	return out
+}
+
+// aperture lays both sides evenly on a ring; each daemon takes the next size
+// upstreams from its position.
+func aperture(d []domain.DaemonID, u []domain.UpstreamID, size int) subsets {
+	ring := slices.Clone(u)
+	slices.SortFunc(ring, func(a, b domain.UpstreamID) int {
+		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
+	})
+	out := subsets{}
+	for i, id := range d {
+		from := i * len(u) / len(d)
+		for k := range size {
+			out[id] = append(out[id], ring[(from+k)%len(u)])
+		}
+	}
+	return out
+}
+
+// shuffles deals the upstreams out in rounds of one shuffle each.
+func shuffles(d []domain.DaemonID, u []domain.UpstreamID, size int) subsets {
+	out := subsets{}
+	per := max(len(u)/size, 1)
+	for i, id := range d {
+		own := slices.Clone(u)
+		rng := rand.New(rand.NewPCG(uint64(i/per), 7))
+		rng.Shuffle(len(own), func(a, b int) { own[a], own[b] = own[b], own[a] })
+		out[id] = own[i%per*size:][:size]
+	}
+	return out
+}
+
+// boundedRing is consistent hashing with bounded loads: each daemon walks the
+// ring from size hashed points and skips upstreams that are full.
+func boundedRing(d []domain.DaemonID, u []domain.UpstreamID, size int) subsets {
+	ring := slices.Clone(u)
+	hash := func(s string) uint64 { return xxhash.Sum64String(s) }
+	slices.SortFunc(ring, func(a, b domain.UpstreamID) int { return cmp.Compare(hash(string(a)), hash(string(b))) })
+	limit := (len(d)*size*5/4 + len(u) - 1) / len(u)
+	load := map[domain.UpstreamID]int{}
+	out := subsets{}
+	for _, id := range d {
+		for k := range size {
+			point := hash(fmt.Sprint(id, "#", k))
+			at, _ := slices.BinarySearchFunc(ring, point, func(v domain.UpstreamID, p uint64) int { return cmp.Compare(hash(string(v)), p) })
+			for n := range len(ring) {
+				v := ring[(at+n)%len(ring)]
+				if load[v] < limit && !slices.Contains(out[id], v) {
+					load[v]++
+					out[id] = append(out[id], v)
+					break
+				}
+			}
+		}
+	}
+	return out
+}
+
+func matched(d []domain.DaemonID, u []domain.UpstreamID, size int) subsets {
+	return Subsets(d, u, size)
+}
+
+func names(daemons, upstreams int) (d []domain.DaemonID, u []domain.UpstreamID) {
+	for i := range daemons {
+		d = append(d, domain.DaemonID(fmt.Sprintf("daemon-%04d", i)))
+	}
+	for i := range upstreams {
+		u = append(u, domain.UpstreamID(fmt.Sprintf("upstream-%04d", i)))
+	}
+	return d, u
+}
+
+func (s subsets) loads(u []domain.UpstreamID) (least, most int, mean float64) {
+	load := map[domain.UpstreamID]int{}
+	total := 0
+	for _, own := range s {
+		for _, id := range own {
+			load[id]++
+			total++
+		}
+	}
+	least = len(s)
+	for _, id := range u {
+		least, most = min(least, load[id]), max(most, load[id])
+	}
+	return least, most, float64(total) / float64(len(u))
+}
+
+// moved is the fraction of pairs of daemons and upstreams present on both
+// sides that are in one assignment only.
+func moved(a, b subsets, gone domain.UpstreamID) float64 {
+	changed, total := 0, 0
+	for id, own := range a {
+		if _, stays := b[id]; !stays {
+			continue
+		}
+		for _, u := range own {
+			if u == gone {
+				continue
+			}
+			total++
+			if !slices.Contains(b[id], u) {
+				changed++
+			}
+		}
+	}
+	return float64(changed) / float64(total)
+}
+
+type subsetFigures struct {
+	least, most                      int
+	ratio, daemonMoves, upstreamMove float64
+}
+
+func measure(method subsetMethod, daemons, upstreams, size int) subsetFigures {
+	d, u := names(daemons, upstreams)
+	base := method(d, u, size)
+	least, most, mean := base.loads(u)
+	fewer := slices.Delete(slices.Clone(d), daemons/3, daemons/3+1)
+	lost := slices.Delete(slices.Clone(u), upstreams/3, upstreams/3+1)
+	return subsetFigures{
+		least, most, float64(most) / mean,
+		moved(base, method(fewer, u, size), ""),
+		moved(base, method(d, lost, size), u[upstreams/3]),
+	}
+}
+
+// Guards against subsets that leave an upstream unused or overload one, and
+// against mass reassignment on a membership change. The log compares methods.
+func TestSubsetFigures(t *testing.T) {
+	methods := []struct {
+		name string
+		run  subsetMethod
+	}{
+		{"rendezvous", rendezvous},
+		{"aperture", aperture},
+		{"shuffles", shuffles},
+		{"bounded ring", boundedRing},
+		{"matched", matched},
+	}
+	for _, n := range []struct{ d, u, size int }{{8, 25, 10}, {330, 2500, 32}} {
+		for _, m := range methods {
+			f := measure(m.run, n.d, n.u, n.size)
+			t.Logf("%3d x %4d size %d %-12s least %d most %d max/mean %.2f moved: daemon gone %.3f upstream gone %.3f",
+				n.d, n.u, n.size, m.name, f.least, f.most, f.ratio, f.daemonMoves, f.upstreamMove)
+			if m.name == "matched" {
+				assert.Assert(t, f.most-f.least <= 1)
+				assert.Assert(t, f.daemonMoves < 0.15 && f.upstreamMove < 0.15)
+			}
+		}
+	}
+}
+
+// Guards against uneven subsets for any sizes and argument orders.
+func TestSubsetsAreBalanced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 20).Draw(t, "daemons")
+		upstreams := rapid.IntRange(1, 40).Draw(t, "upstreams")
+		size := rapid.IntRange(1, upstreams).Draw(t, "size")
+		d, u := names(daemons, upstreams)
+		s := subsets(Subsets(d, u, size))
+		least, most, _ := s.loads(u)
+		assert.Assert(t, most-least <= 1)
+		for _, own := range s {
+			assert.Equal(t, len(own), size)
+		}
+		slices.Reverse(u)
+		assert.DeepEqual(t, Subset(d, u, d[0], size), s[d[0]])
+	})
+}
