--- a/internal/configlog/watcher.go
+++ b/internal/configlog/watcher.go
@@ -86,22 +86,23 @@
 
 // Run follows the log until ctx ends and returns the cause.
 func (w *Watcher) Run(ctx context.Context) error {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(pollFloor)
 	defer timer.Stop()
+	var event FollowEvent = Tick{}
 	for {
-		var event FollowEvent = Tick{}
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-timer.C:
-		case event = <-w.events:
-		}
 		actions := w.core.Step(time.Now(), event)
 		w.publish()
 		for _, a := range actions {
 			w.run(ctx, a)
 		}
 		timer.Reset(w.untilDue())
+		event = Tick{}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-timer.C:
+		case event = <-w.events:
+		}
 	}
 }
 
