Add the whole request path as one binary with a development fleet

Cause: callers could not reach an upstream through the system yet. Conclusion: the thin whole path works on configuration read from the table service.

--- /dev/null
+++ b/cmd/auburndyke/main.go
@@ -0,0 +1,16 @@
+// Command auburndyke is the router's one binary.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/cli"
+)
+
+func main() {
+	if err := cli.NewRootCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/internal/adapters/callerhttp/errors.go
+++ b/internal/adapters/callerhttp/errors.go
@@ -47,6 +47,7 @@
 	domain.CodeKeyRequired:      http.StatusBadRequest,
 	domain.CodeKeyReused:        http.StatusUnprocessableEntity,
 	domain.CodeInProgress:       http.StatusConflict,
+	domain.CodeAnswerNotKept:    http.StatusConflict,
 	domain.CodeOutcomeUnknown:   http.StatusBadGateway,
 	domain.CodeShuttingDown:     http.StatusServiceUnavailable,
 	domain.CodeNotReady:         http.StatusServiceUnavailable,
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -239,7 +239,7 @@
 
 func writeAnswer(c echo.Context, answer *ports.ServiceResponse) error {
 	header := c.Response().Header()
-	for _, name := range []string{"Content-Type", "Content-Language", "Location"} {
+	for _, name := range []string{"Content-Type", "Content-Language", "Location", "Idempotent-Replayed"} {
 		if value := answer.Header.Get(name); value != "" {
 			header.Set(name, value)
 		}
--- /dev/null
+++ b/internal/daemon/configuration.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/configlog"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/routing"
+)
+
+func (d *Daemon) configurationHooks() configlog.Hooks {
+	return configlog.Hooks{
+		Enforce: d.enforce,
+		Reject: func(r configlog.Reject) {
+			d.cfg.Log.Event(telemetry.ConfigurationRejected).Uint64("revision", uint64(r.Revision)).
+				Str("from", string(r.From)).Str("reason", r.Reason).Msg("")
+		},
+		Readiness: d.readiness,
+	}
+}
+
+// enforce compiles a revision and puts it in force. A revision that does not
+// compile leaves the earlier one in force; the administration API accepts
+// none that does not.
+func (d *Daemon) enforce(doc configlog.Document) {
+	name := fmt.Sprintf("revision-%d", doc.Revision)
+	document, list := policy.Decode(name, doc.Content)
+	if list.HasErrors() {
+		d.rejectRevision(doc, list)
+		return
+	}
+	compiled, list := policy.Compile(document, doc.Revision)
+	if list.HasErrors() {
+		d.rejectRevision(doc, list)
+		return
+	}
+	d.policy.Store(compiled)
+	d.apply(time.Now())
+	d.cfg.Metrics.Gauge("auburndyke_revision").Update(float64(doc.Revision))
+	d.cfg.Log.Event(telemetry.ConfigurationInForce).Uint64("revision", uint64(doc.Revision)).
+		Str("digest", string(doc.Digest)).Int("upstreams", len(compiled.Upstreams)).Msg("")
+}
+
+func (d *Daemon) rejectRevision(doc configlog.Document, err error) {
+	d.cfg.Log.Event(telemetry.ConfigurationRejected).Uint64("revision", uint64(doc.Revision)).Err(err).Msg("")
+}
+
+func (d *Daemon) readiness(r configlog.Readiness) {
+	if !r.Ready {
+		d.gateway.SetUnready(r.Reason)
+		d.cfg.Log.Event(telemetry.DaemonUnready).Str("reason", r.Reason).Msg("")
+		return
+	}
+	d.gateway.SetReady()
+	d.cfg.Log.Event(telemetry.DaemonReady).Str("reason", r.Reason).Uint64("revision", uint64(d.Revision())).Msg("")
+}
+
+// apply puts the policy and the view of the fleet in force on the request
+// path.
+func (d *Daemon) apply(now time.Time) {
+	if p := d.policy.Load(); p != nil {
+		d.gateway.Apply(now, p, d.site(p))
+	}
+}
+
+// site describes this daemon's place in the fleet.
+func (d *Daemon) site(*policy.Policy) routing.Site {
+	return routing.Site{Region: d.cfg.Region, Zone: d.cfg.Zone}
+}
+
+func (d *Daemon) rebuildLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.rebuild:
+			d.apply(time.Now())
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,173 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
+	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/claims"
+	"github.com/auburndyke/auburndyke/internal/configlog"
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/gateway"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// Config describes one daemon process.
+type Config struct {
+	ID     domain.DaemonID
+	Region domain.Region
+	Zone   domain.AvailabilityZone
+	// Boot is unique to this run of the process.
+	Boot string
+	// Callers accepts callers' connections.
+	Callers net.Listener
+	Caller  callerhttp.Options
+	// Platform is the platform's client.
+	Platform ports.Platform
+	// Upstream sets up the clients of upstreams.
+	Upstream engineclient.Options
+	// ShutdownBound is how long a planned stop waits for requests in
+	// progress. Default 2 min.
+	ShutdownBound time.Duration
+	Log           *telemetry.Log
+	Metrics       *telemetry.Metrics
+	// Seed feeds all random choices. Zero takes a random one.
+	Seed uint64
+}
+
+const defaultShutdownBound = 2 * time.Minute
+
+// Daemon is one process of the system.
+type Daemon struct {
+	cfg      Config
+	seeds    atomic.Uint64
+	gateway  *gateway.Gateway
+	claims   *claims.Claims
+	watcher  *configlog.Watcher
+	backends *backends
+	policy   atomic.Pointer[policy.Policy]
+	rebuild  chan struct{}
+	callers  *http.Server
+}
+
+// New returns a daemon that works once Run is called.
+func New(cfg Config) *Daemon {
+	if cfg.ShutdownBound == 0 {
+		cfg.ShutdownBound = defaultShutdownBound
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	d := &Daemon{cfg: cfg, backends: newBackends(cfg.Upstream), rebuild: make(chan struct{}, 1)}
+	d.seeds.Store(cfg.Seed)
+	d.claims = claims.New(claims.Config{
+		Table: cfg.Platform,
+		Owner: claims.Owner{Daemon: cfg.ID},
+		Seed:  d.rng,
+	})
+	d.gateway = gateway.New(gateway.Options{
+		Backend: d.backends.get,
+		Claims:  d.claims,
+		Log:     cfg.Log,
+		Metrics: cfg.Metrics,
+		Seed:    cfg.Seed,
+	})
+	d.watcher = configlog.NewWatcher(cfg.Platform, cfg.ID, cfg.Region, d.rng(), d.configurationHooks())
+	d.callers = callerhttp.NewServer(d.gateway, cfg.Caller)
+	return d
+}
+
+// Gateway returns the request path.
+func (d *Daemon) Gateway() *gateway.Gateway { return d.gateway }
+
+// Revision returns the configuration in force; zero before the first.
+func (d *Daemon) Revision() domain.Revision { return d.watcher.InForce().Revision }
+
+// rng returns a new random source.
+func (d *Daemon) rng() *rand.Rand {
+	return rand.New(rand.NewPCG(d.cfg.Seed, d.seeds.Add(1)))
+}
+
+// Run serves until ctx ends, then stops gracefully: it refuses new requests
+// and waits for those in progress up to the shutdown bound.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.cfg.Log.Event(telemetry.DaemonStarting).Str("region", string(d.cfg.Region)).Str("zone", string(d.cfg.Zone)).
+		Str("callers", d.cfg.Callers.Addr().String()).Msg("")
+	// Background work outlives the signal to stop, since requests in progress
+	// still need it.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group run.Group
+	group.Add(func() error {
+		<-ctx.Done()
+		return context.Cause(ctx)
+	}, func(error) {})
+	for _, loop := range d.loops() {
+		loopCtx, cancel := context.WithCancel(background)
+		group.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
+	}
+	// The last actor is interrupted last, but all interrupts run before any
+	// actor is waited for; so the graceful part happens in its interrupt.
+	served := make(chan error, 1)
+	go func() { served <- d.callers.Serve(d.cfg.Callers) }()
+	err := d.runUntilStopped(ctx, &group, served)
+	d.backends.close()
+	return err
+}
+
+func (d *Daemon) runUntilStopped(ctx context.Context, group *run.Group, served <-chan error) error {
+	stopped := make(chan struct{})
+	group.Add(func() error {
+		select {
+		case err := <-served:
+			return eris.Wrap(err, "caller listener failed")
+		case <-ctx.Done():
+			d.shutdown()
+			return nil
+		case <-stopped:
+			return nil
+		}
+	}, func(error) { close(stopped) })
+	err := group.Run()
+	if err == nil || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// loops lists the background work of the daemon.
+func (d *Daemon) loops() []func(context.Context) error {
+	return []func(context.Context) error{
+		d.watcher.Run,
+		d.rebuildLoop,
+		d.pumpLoop,
+		d.loadLoop,
+	}
+}
+
+// shutdown waits for requests in progress, up to the bound.
+func (d *Daemon) shutdown() {
+	d.cfg.Log.Event(telemetry.ShutdownStarted).Int("in_progress", d.gateway.InProgress()).Msg("")
+	d.gateway.StopAccepting()
+	bound, cancel := context.WithTimeout(context.Background(), d.cfg.ShutdownBound)
+	defer cancel()
+	err := d.callers.Shutdown(bound)
+	cut := 0
+	if err != nil {
+		cut = d.gateway.InProgress()
+		_ = d.callers.Close()
+	}
+	d.claims.Close(bound)
+	d.cfg.Log.Event(telemetry.ShutdownComplete).Int("cut", cut).Msg("")
+}
--- /dev/null
+++ b/internal/dev/fleet.go
@@ -0,0 +1,313 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburndyke/auburndyke/examples"
+	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
+	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
+	"github.com/auburndyke/auburndyke/internal/adapters/platformclient"
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/configlog"
+	"github.com/auburndyke/auburndyke/internal/daemon"
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/standin/engine"
+	"github.com/auburndyke/auburndyke/internal/standin/platform"
+	"github.com/auburndyke/auburndyke/internal/standin/service"
+)
+
+// Options configures a Fleet.
+type Options struct {
+	// Example names the configuration. Default "maraval-bay".
+	Example string
+	// Daemons is the number of daemons; they are spread over the regions.
+	// Default 2.
+	Daemons int
+	// Callers is the address of the first daemon's caller listener; the other
+	// daemons take free ports. Default 127.0.0.1:0.
+	Callers string
+	// Speed divides the engines' times. Default 1.
+	Speed float64
+	// Engine overrides settings of all engines; ID, Models, Adapters, Slots
+	// and ChecksFencing come from the configuration.
+	Engine engine.Config
+	// ServiceLatency is the time of each call to a plain service.
+	ServiceLatency time.Duration
+	Platform       platform.Config
+	// Log receives the daemons' log. Nil discards it.
+	Log func(daemon string) *telemetry.Log
+	// Edit changes the configuration before it is proposed.
+	Edit func(*policy.Document) *policy.Document
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Document *policy.Document
+	Platform *platform.Platform
+	Engines  map[domain.UpstreamID]*engine.Engine
+	Services map[domain.UpstreamID]*service.Service
+	Members  []*Member
+
+	platformURL string
+	options     Options
+	work        sync.WaitGroup
+}
+
+// Member is one daemon of a Fleet.
+type Member struct {
+	*daemon.Daemon
+	ID      domain.DaemonID
+	Region  domain.Region
+	URL     string // of the caller listener
+	Metrics *telemetry.Metrics
+	stop    context.CancelFunc
+	done    chan struct{}
+	err     error
+}
+
+// Start starts a deployment and returns when every daemon is ready or ctx
+// ends.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	options = options.withDefaults()
+	document, err := examples.Load(options.Example)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		Document: document,
+		Engines:  make(map[domain.UpstreamID]*engine.Engine),
+		Services: make(map[domain.UpstreamID]*service.Service),
+		options:  options,
+	}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (o Options) withDefaults() Options {
+	if o.Example == "" {
+		o.Example = "maraval-bay"
+	}
+	if o.Daemons == 0 {
+		o.Daemons = 2
+	}
+	if o.Callers == "" {
+		o.Callers = "127.0.0.1:0"
+	}
+	if o.Speed == 0 {
+		o.Speed = 1
+	}
+	if o.Log == nil {
+		o.Log = func(string) *telemetry.Log { return telemetry.NopLog() }
+	}
+	return o
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	for i := range f.Document.Upstreams {
+		if err := f.startUpstream(&f.Document.Upstreams[i]); err != nil {
+			return err
+		}
+	}
+	if f.options.Edit != nil {
+		f.Document = f.options.Edit(f.Document)
+	}
+	if _, err := f.Propose(ctx, f.Document, "initial configuration"); err != nil {
+		return err
+	}
+	for i := range f.options.Daemons {
+		address := "127.0.0.1:0"
+		if i == 0 {
+			address = f.options.Callers
+		}
+		if err := f.startDaemon(i, address); err != nil {
+			return err
+		}
+	}
+	return f.WaitReady(ctx)
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, eris.Wrapf(err, "listening on %s", address)
+}
+
+func (f *Fleet) startPlatform() error {
+	listener, err := listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	f.Platform = platform.New(f.options.Platform)
+	f.Platform.Start(listener)
+	f.platformURL = "http://" + listener.Addr().String()
+	return nil
+}
+
+// startUpstream starts the stand-in of one upstream on a free port and puts
+// its address into the configuration.
+func (f *Fleet) startUpstream(u *policy.Upstream) error {
+	listener, err := listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	u.Address = listener.Addr().String()
+	if u.Kind == domain.KindService {
+		s := service.New(service.Config{ID: u.ID, Slots: u.Slots, Latency: f.options.ServiceLatency})
+		s.Start(listener)
+		f.Services[u.ID] = s
+		return nil
+	}
+	e := engine.New(f.engineConfig(u))
+	e.Start(listener)
+	f.Engines[u.ID] = e
+	return nil
+}
+
+func (f *Fleet) engineConfig(u *policy.Upstream) engine.Config {
+	cfg := f.options.Engine
+	cfg.ID = u.ID
+	cfg.Role = u.Role
+	cfg.Slots = u.Slots
+	cfg.ChecksFencing = u.ChecksFencing
+	cfg.Speed = f.options.Speed
+	for _, id := range u.Models {
+		cfg.Models = append(cfg.Models, string(id))
+		for i := range f.Document.Models {
+			if f.Document.Models[i].ID == id {
+				cfg.Adapters = append(cfg.Adapters, f.Document.Models[i].Adapters...)
+			}
+		}
+	}
+	return cfg
+}
+
+// Propose brings a configuration into the log through the platform.
+func (f *Fleet) Propose(ctx context.Context, document *policy.Document, message string) (configlog.Result, error) {
+	client, err := platformclient.New(f.platformURL, platformclient.Options{Name: "operator"})
+	if err != nil {
+		return configlog.Result{}, err
+	}
+	defer client.Close()
+	proposer := configlog.NewProposer(client, nil, func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) })
+	base := domain.Revision(0)
+	if len(f.Members) > 0 {
+		base = f.Members[0].Revision()
+	}
+	result, err := proposer.Propose(ctx, configlog.Change{
+		ID:      uuid.NewString(),
+		Author:  "dev",
+		Message: message,
+		Base:    base,
+		Content: document.Encode(),
+	})
+	if err == nil && !result.Accepted() {
+		err = eris.Errorf("the change conflicts with revision %d: %v", result.Head.Revision, result.Conflicts)
+	}
+	return result, err
+}
+
+func (f *Fleet) startDaemon(i int, address string) error {
+	listener, err := listen(address)
+	if err != nil {
+		return err
+	}
+	region := &f.Document.Regions[i%len(f.Document.Regions)]
+	zone := region.Zones[(i/len(f.Document.Regions))%len(region.Zones)]
+	id := domain.DaemonID(fmt.Sprintf("daemon-%d", i+1))
+	client, err := platformclient.New(f.platformURL, platformclient.Options{Name: string(id)})
+	if err != nil {
+		return err
+	}
+	metrics := telemetry.NewMetrics()
+	m := &Member{ID: id, Region: region.ID, URL: "http://" + listener.Addr().String(), Metrics: metrics, done: make(chan struct{})}
+	m.Daemon = daemon.New(daemon.Config{
+		ID:            id,
+		Region:        region.ID,
+		Zone:          zone,
+		Boot:          uuid.NewString(),
+		Callers:       listener,
+		Caller:        callerhttp.Options{},
+		Platform:      client,
+		Upstream:      engineclient.Options{},
+		ShutdownBound: 30 * time.Second,
+		Log:           f.options.Log(string(id)),
+		Metrics:       metrics,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	m.stop = stop
+	f.Members = append(f.Members, m)
+	f.work.Go(func() {
+		defer close(m.done)
+		defer client.Close()
+		m.err = m.Run(ctx)
+	})
+	return nil
+}
+
+// WaitReady waits until every daemon is ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, m := range f.Members {
+		if err := m.waitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Member) waitReady(ctx context.Context) error {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		ok, reason := m.Gateway().Ready()
+		if ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Errorf("%s is not ready: %s", m.ID, reason)
+		case <-m.done:
+			return eris.Wrapf(errors.Join(m.err, http.ErrServerClosed), "%s ended", m.ID)
+		case <-ticker.C:
+		}
+	}
+}
+
+// Stop stops one daemon gracefully and waits for it.
+func (m *Member) Stop() error {
+	m.stop()
+	<-m.done
+	return m.err
+}
+
+// Close stops the daemons gracefully, then the stand-ins.
+func (f *Fleet) Close() {
+	for _, m := range f.Members {
+		m.stop()
+	}
+	f.work.Wait()
+	for _, e := range f.Engines {
+		_ = e.Close()
+	}
+	for _, s := range f.Services {
+		_ = s.Close()
+	}
+	if f.Platform != nil {
+		_ = f.Platform.Close()
+	}
+}
--- a/internal/domain/failure.go
+++ b/internal/domain/failure.go
@@ -21,6 +21,7 @@
 	CodeKeyRequired      FailureCode = "idempotency_key_required"
 	CodeKeyReused        FailureCode = "idempotency_key_reused"
 	CodeInProgress       FailureCode = "request_in_progress"
+	CodeAnswerNotKept    FailureCode = "answer_not_kept"
 	CodeOutcomeUnknown   FailureCode = "outcome_unknown"
 	CodeShuttingDown     FailureCode = "shutting_down"
 	CodeNotReady         FailureCode = "not_ready"
--- /dev/null
+++ b/internal/gateway/job.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/admission"
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/estimate"
+	"github.com/auburndyke/auburndyke/internal/exchange"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/routing"
+)
+
+// bytesPerToken is the assumed size of prompt text per token.
+const bytesPerToken = 4
+
+// job is one accepted request, whether generation or service call.
+type job struct {
+	gateway *Gateway
+	id      domain.RequestID
+	policy  *policy.Policy // that route belongs to
+	route   *policy.Route
+	query   routing.Request
+	arrived time.Time
+	pool    *pool
+	waiter  *waiter
+}
+
+// newJob finds the route of a customer's request.
+func (g *Gateway) newJob(id domain.RequestID, customer domain.CustomerID, class domain.ClassID) (*job, *domain.Failure) {
+	p := g.policy()
+	account := p.Customers[customer]
+	if account == nil {
+		return nil, domain.NotRun(domain.CodeUnauthorized, "the customer no longer exists")
+	}
+	if class == "" {
+		class = account.DefaultClass
+	}
+	if p.Classes[class] == nil {
+		return nil, domain.NotRun(domain.CodeUnknownClass, "request class "+string(class)+" does not exist")
+	}
+	route, ok := p.Route(customer, class)
+	if !ok {
+		return nil, domain.NotRun(domain.CodeNoRoute, "no rule lets class "+string(class)+" of this customer reach an upstream")
+	}
+	return &job{gateway: g, id: id, policy: p, route: route, arrived: time.Now()}, nil
+}
+
+// enqueue prepares the request for its pool.
+func (j *job) enqueue(name string) {
+	j.pool = j.gateway.pool(name, j.policy.Tiers)
+	w := &waiter{job: j, grants: make(chan grant, 1)}
+	w.Request = admission.Request{
+		ID:       j.id,
+		Customer: j.route.Customer.ID,
+		Weight:   j.route.Customer.Weight,
+		Rank:     j.route.Tier.Rank,
+		Tokens:   j.query.Tokens(),
+		Group:    groupOf(j.route, &j.query),
+		Route:    j.route,
+		Arrived:  j.arrived,
+		MaxWait:  j.route.Class.MaxWait,
+		Value:    w,
+	}
+	if target := j.route.Level.FirstToken; target > 0 {
+		w.Deadline = j.arrived.Add(target)
+		j.query.Deadline = w.Deadline
+	}
+	j.waiter = w
+}
+
+// groupOf identifies requests that the same upstreams can serve.
+func groupOf(route *policy.Route, query *routing.Request) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(query.Model))
+	_, _ = d.WriteString(query.Adapter)
+	_, _ = d.WriteString(query.Service)
+	for _, i := range route.Upstreams {
+		_, _ = d.Write([]byte{byte(i), byte(i >> 8), byte(i >> 16)})
+	}
+	return d.Sum64()
+}
+
+// pick chooses an upstream by the configuration in force. A request that was
+// routed by an earlier one is routed again.
+func (j *job) pick(now time.Time, rng *rand.Rand, tried []domain.UpstreamID) (routing.Choice, bool) {
+	router := j.gateway.router
+	for {
+		p := router.Table().Policy
+		if !j.reroute(p) {
+			return routing.Choice{}, false
+		}
+		query := j.query
+		query.Route = j.route
+		query.Exclude = indexes(p, tried)
+		query.Explain = j.gateway.explanation()
+		choice, ok := router.Pick(now, &query, rng)
+		if router.Table().Policy == p {
+			j.gateway.logRouting(j, &choice, ok, query.Explain)
+			return choice, ok
+		}
+		// The configuration changed meanwhile; the route's indexes may have
+		// been applied to another list of upstreams.
+		if ok {
+			choice.Slot.Release(now, routing.ResultCancelled)
+		}
+	}
+}
+
+// reroute brings the job's route to a policy.
+func (j *job) reroute(p *policy.Policy) bool {
+	if j.policy == p {
+		return true
+	}
+	route, ok := p.Route(j.route.Customer.ID, j.route.Class.ID)
+	if ok {
+		j.policy, j.route = p, route
+	}
+	return ok
+}
+
+func indexes(p *policy.Policy, ids []domain.UpstreamID) []int {
+	if len(ids) == 0 {
+		return nil
+	}
+	out := make([]int, 0, len(ids))
+	for i := range p.Upstreams {
+		for _, id := range ids {
+			if p.Upstreams[i].ID == id {
+				out = append(out, i)
+			}
+		}
+	}
+	return out
+}
+
+// backend returns the client of a chosen upstream.
+func (j *job) backend(choice *routing.Choice) (Backend, bool) {
+	b, err := j.gateway.options.Backend(choice.Address)
+	if err != nil {
+		j.gateway.logBackend(choice, err)
+		choice.Slot.Release(time.Now(), routing.ResultFailed)
+		return nil, false
+	}
+	return b, true
+}
+
+// exchangeConfig derives the exchange's settings from class and service level.
+func (j *job) exchangeConfig(choice *routing.Choice) exchange.Config {
+	class, level := j.route.Class, j.route.Level
+	cfg := exchange.Config{
+		Request:       j.id,
+		Repeatable:    class.Repeatable,
+		Resumable:     true,
+		TokenInterval: max(choice.Interval, level.BetweenTokens),
+	}
+	if level.FirstToken > 0 {
+		cfg.FirstTokenSilence = max(minFirstTokenSilence, firstTokenSilenceFactor*level.FirstToken)
+		if class.Hedge {
+			cfg.HedgeDelay = max(minHedgeDelay, level.FirstToken/2)
+		}
+	}
+	return cfg
+}
+
+const (
+	// minFirstTokenSilence and firstTokenSilenceFactor times the target bound
+	// how soon a first token that does not come leads to a probe.
+	minFirstTokenSilence    = 2 * time.Second
+	firstTokenSilenceFactor = 4
+	minHedgeDelay           = 50 * time.Millisecond
+)
+
+// lengthKey says whose answer lengths predict this request's.
+func (j *job) lengthKey() estimate.LengthKey {
+	return estimate.LengthKey{Model: j.query.Model, Class: j.route.Class.ID, Customer: j.route.Customer.ID}
+}
