--- a/internal/policy/examples_test.go
+++ b/internal/policy/examples_test.go
@@ -34,3 +34,22 @@
 	r, _ = p.Route("tyrico-trial", "season-summary")
 	assert.Equal(t, string(r.Tier.ID), "spare")
 }
+
+// Guards against example files that the daemon would refuse, and against
+// README keys that do not match.
+func TestFrylineExample(t *testing.T) {
+	d, p, list := Load(7, readExample(t, "fryline")...)
+	assert.Equal(t, len(list), 0, list.Error())
+	assert.Equal(t, len(d.Upstreams), 13)
+	for id := range p.Customers {
+		assert.Equal(t, p.CustomerByKey(HashKey("fl-"+string(id)+"-key")).ID, id)
+	}
+	r, ok := p.Route("liffey-churros", "opening-time")
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Tier.Rank, 0)
+	r, _ = p.Route("mayo-rapeseed", "supplier-terms")
+	assert.DeepEqual(t, r.Rules, []string{"terms", "terms-connacht"})
+	assert.Equal(t, len(r.Upstreams), 10)
+	r, _ = p.Route("shannon-oils", "supplier-terms")
+	assert.DeepEqual(t, r.Rules, []string{"large-suppliers"})
+}
--- a/internal/tomlstrict/decode.go
+++ b/internal/tomlstrict/decode.go
@@ -28,6 +28,7 @@
 type fieldPlace struct {
 	line, column int
 	rejected     bool
+	table        bool
 }
 
 // At returns the place of a field's value, or of the table when the field was
@@ -63,6 +64,21 @@
 	return false
 }
 
+// Leaves lists the paths of all values that are not tables, in order.
+func (p *Place) Leaves() []string {
+	if p == nil {
+		return nil
+	}
+	var paths []string
+	for path, f := range p.fields {
+		if !f.table {
+			paths = append(paths, path)
+		}
+	}
+	sort.Strings(paths)
+	return paths
+}
+
 // Absent reports that the value was read from a file that does not set a
 // field.
 func (p *Place) Absent(field string) bool {
@@ -185,7 +201,7 @@
 	before := len(*d.list)
 	d.fill(n, v, f, place, path)
 	if place != nil {
-		place.fields[path] = fieldPlace{n.line, n.column, len(*d.list) > before}
+		place.fields[path] = fieldPlace{n.line, n.column, len(*d.list) > before, n.kind == kindTable}
 	}
 }
 
