--- /dev/null
+++ b/internal/adapters/cli/config.go
@@ -0,0 +1,207 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburndyke/auburndyke/internal/findings"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/settings"
+)
+
+// NewConfigCommand returns the command "config" with its subcommands.
+func NewConfigCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "config",
+		Short: "Check and compare configuration files",
+		Args:  cobra.NoArgs,
+	}
+	cmd.AddCommand(newCheckCommand(), newSettingsCommand(), newDiffCommand())
+	return cmd
+}
+
+// checkReport is the JSON output of config check and config check-settings.
+type checkReport struct {
+	OK       bool          `json:"ok"`
+	Findings findings.List `json:"findings"`
+}
+
+func writeCheck(w io.Writer, format output, list findings.List, summary string) error {
+	if format == outputJSON {
+		if list == nil {
+			list = findings.List{}
+		}
+		if err := writeJSON(w, checkReport{!list.HasErrors(), list}); err != nil {
+			return err
+		}
+		return findingsError(list)
+	}
+	if err := writeFindings(w, list); err != nil {
+		return err
+	}
+	if list.HasErrors() {
+		return findingsError(list)
+	}
+	_, err := fmt.Fprintln(w, summary)
+	return err
+}
+
+func newCheckCommand() *cobra.Command {
+	var format output
+	cmd := newCommand("check FILES...", "Check the shared configuration",
+		"Checks the files that form one shared configuration together and reports all\nfindings with file, line and column.",
+		func(cmd *cobra.Command, args []string) error {
+			return runCheck(cmd.OutOrStdout(), format, args)
+		})
+	cmd.Args = cobra.MinimumNArgs(1)
+	addOutputFlag(cmd, &format)
+	return cmd
+}
+
+func runCheck(w io.Writer, format output, paths []string) error {
+	sources, err := readSources(paths)
+	if err != nil {
+		return err
+	}
+	d, list := policy.DecodeFiles(sources...)
+	summary := fmt.Sprintf("configuration is valid: %d customers, %d classes, %d upstreams, %d rules",
+		len(d.Customers), len(d.Classes), len(d.Upstreams), len(d.Rules))
+	return writeCheck(w, format, list, summary)
+}
+
+func newSettingsCommand() *cobra.Command {
+	var format output
+	cmd := newCommand("check-settings FILES...", "Check the settings of one daemon",
+		"Checks the files that form the settings of one daemon together and reports all\nfindings with file, line and column.",
+		func(cmd *cobra.Command, args []string) error {
+			sources, err := readSources(args)
+			if err != nil {
+				return err
+			}
+			s, list := settings.Decode(sources...)
+			return writeCheck(cmd.OutOrStdout(), format, list, fmt.Sprintf("settings of daemon %s are valid", s.Daemon))
+		})
+	cmd.Args = cobra.MinimumNArgs(1)
+	addOutputFlag(cmd, &format)
+	return cmd
+}
+
+// diffReport is the JSON output of config diff.
+type diffReport struct {
+	Changes []policy.Change      `json:"changes"`
+	Impact  []policy.RouteChange `json:"impact"`
+}
+
+func newDiffCommand() *cobra.Command {
+	var format output
+	cmd := newCommand("diff OLD NEW", "Compare two shared configurations",
+		"Lists the changes between two configurations and the traffic that they affect.\nOLD and NEW are files, or directories whose files customers.toml, policy.toml\nand upstreams.toml, as far as they exist, form the configuration.",
+		func(cmd *cobra.Command, args []string) error {
+			return runDiff(cmd.OutOrStdout(), format, args[0], args[1])
+		})
+	cmd.Args = cobra.ExactArgs(2)
+	addOutputFlag(cmd, &format)
+	return cmd
+}
+
+// configurationFiles are the file names of a configuration in a directory.
+// Settings lie beside them, so not every TOML file belongs to it.
+var configurationFiles = []string{"policy.toml", "customers.toml", "upstreams.toml"}
+
+func expand(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, &ExitError{ExitUsage, err}
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	var paths []string
+	for _, name := range configurationFiles {
+		file := filepath.Join(path, name)
+		if _, err := os.Stat(file); err == nil {
+			paths = append(paths, file)
+		}
+	}
+	if len(paths) == 0 {
+		return nil, usageErrorf("directory %s holds none of %v", path, configurationFiles)
+	}
+	return paths, nil
+}
+
+func loadPath(path string) (*policy.Document, *policy.Policy, findings.List, error) {
+	paths, err := expand(path)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	sources, err := readSources(paths)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	d, p, list := policy.Load(0, sources...)
+	return d, p, list, nil
+}
+
+func runDiff(w io.Writer, format output, oldPath, newPath string) error {
+	oldDoc, oldPolicy, oldList, err := loadPath(oldPath)
+	if err != nil {
+		return err
+	}
+	newDoc, newPolicy, newList, err := loadPath(newPath)
+	if err != nil {
+		return err
+	}
+	if list := slices.Concat(oldList, newList); list.HasErrors() {
+		return writeCheck(w, format, list, "")
+	}
+	report := diffReport{policy.Diff(oldDoc, newDoc), policy.Impact(oldPolicy, newPolicy)}
+	if format == outputJSON {
+		return writeJSON(w, report)
+	}
+	return writeDiff(w, report)
+}
+
+func writeDiff(w io.Writer, report diffReport) error {
+	p := &printer{w: w}
+	for _, c := range report.Changes {
+		p.printf("%s %s %s\n", c.Op, c.Kind, c.ID)
+		for _, f := range c.Fields {
+			p.printf("  %s: %s -> %s\n", f.Field, orNone(f.Old), orNone(f.New))
+		}
+	}
+	p.printf("%d changes; %d pairs of customer and class affected\n", len(report.Changes), len(report.Impact))
+	for _, c := range report.Impact {
+		p.printf("  %s %s: tier %s -> %s, service level %s -> %s, gains %v, loses %v",
+			c.Customer, c.Class, orNone(string(c.OldTier)), orNone(string(c.NewTier)),
+			orNone(c.OldLevel), orNone(c.NewLevel), c.Gained, c.Lost)
+		if c.LeftWithout {
+			p.printf(" and has no upstream left")
+		}
+		p.printf("\n")
+	}
+	return p.err
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
+// printer keeps the first error of a sequence of writes.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) printf(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format, args...)
+	}
+}
--- /dev/null
+++ b/internal/adapters/cli/explain.go
@@ -0,0 +1,84 @@
+package cli
+
+import (
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+)
+
+type explainOptions struct {
+	format                          output
+	customer, class, model, adapter string
+}
+
+// NewExplainCommand returns the command "explain".
+func NewExplainCommand() *cobra.Command {
+	var options explainOptions
+	cmd := newCommand("explain --customer ID [--class ID] [--model ID] [--adapter NAME] FILES...",
+		"Tell which upstreams may serve a request and why",
+		"Tells the tier, the service level and the deciding rules for a customer and\nclass, and for each upstream whether it may serve the request or why not. The\nconfiguration decides; health and load of upstreams are not considered.",
+		func(cmd *cobra.Command, args []string) error {
+			return runExplain(cmd.OutOrStdout(), options, args)
+		})
+	cmd.Args = cobra.MinimumNArgs(1)
+	addOutputFlag(cmd, &options.format)
+	flags := cmd.Flags()
+	flags.StringVar(&options.customer, "customer", "", "customer identifier (required)")
+	flags.StringVar(&options.class, "class", "", "class identifier (default: the customer's default class)")
+	flags.StringVar(&options.model, "model", "", "model identifier (default: a plain service)")
+	flags.StringVar(&options.adapter, "adapter", "", "adapter of the model")
+	cobra.CheckErr(cmd.MarkFlagRequired("customer"))
+	return cmd
+}
+
+func runExplain(w io.Writer, options explainOptions, paths []string) error {
+	sources, err := readSources(paths)
+	if err != nil {
+		return err
+	}
+	_, p, list := policy.Load(0, sources...)
+	if list.HasErrors() {
+		return writeCheck(w, options.format, list, "")
+	}
+	class := domain.ClassID(options.class)
+	if c := p.Customers[domain.CustomerID(options.customer)]; c != nil && class == "" {
+		class = c.DefaultClass
+	}
+	e, err := policy.Explain(p, domain.CustomerID(options.customer), class, domain.ModelID(options.model), options.adapter)
+	if err != nil {
+		return &ExitError{ExitUsage, err}
+	}
+	if options.format == outputJSON {
+		return writeJSON(w, e)
+	}
+	return writeExplanation(w, e)
+}
+
+func writeExplanation(w io.Writer, e *policy.Explanation) error {
+	p := &printer{w: w}
+	p.printf("customer %s, class %s, model %s, adapter %s\n", e.Customer, e.Class, orNone(string(e.Model)), orNone(e.Adapter))
+	if e.Tier == "" {
+		p.printf("no rule matches\n")
+	} else {
+		p.printf("tier %s (rank %d), service level %s\n", e.Tier, e.Rank, e.Level)
+	}
+	for _, r := range e.Rules {
+		decides := "decides"
+		if !r.Decides {
+			decides = "overridden"
+		}
+		p.printf("rule %s, precedence %d: %s (%s:%d)\n", r.Name, r.Precedence, decides, r.File, r.Line)
+	}
+	for _, v := range e.Upstreams {
+		if v.In {
+			p.printf("in   %s (%s, %s): rules %s\n", v.ID, v.Region, v.Zone, strings.Join(v.Rules, ", "))
+			continue
+		}
+		p.printf("out  %s (%s, %s): %s\n", v.ID, v.Region, v.Zone, strings.Join(v.Reasons, "; "))
+	}
+	return p.err
+}
