Leave out consequences of syntax errors, apply TOML fragments

Cause: an unreadable table header made references to the lost item look like further mistakes, and an unclosed array hid the table behind it; findings about edited items named no item. Change: resume at the header behind an unclosed value, remember which lists lost items, name edited items by kind and identifier; add Document.Apply.

--- a/internal/policy/check.go
+++ b/internal/policy/check.go
@@ -71,10 +71,21 @@
 }
 
 func (c *checker) errorf(at located, field, allowed, format string, args ...any) {
-	file, line, column := at.At(field)
+	file, line, column := locate(at, field)
 	c.list.Errorf(file, line, column, allowed, format, args...)
 }
 
+// locate returns the place of a field. Items that were not read from a file,
+// such as those of an edit, are named by kind, identifier and field instead.
+func locate(at located, field string) (file string, line, column int) {
+	file, line, column = at.At(field)
+	if file != "" {
+		return file, line, column
+	}
+	kind, id := identity(at)
+	return fmt.Sprintf("%s/%s/%s", kind, id, field), 0, 0
+}
+
 // unset reports that a required field has no value and that a finding says so.
 func unset(at located, field string) bool {
 	return at.Absent(field) || at.Rejected(field)
@@ -84,14 +95,14 @@
 // give together.
 func check(d *Document, list *findings.List) {
 	c := &checker{doc: d, list: list}
-	c.tiers = indexItems(c, "tier", d.Tiers, tierID)
-	c.levels = indexItems(c, "service level", d.Levels, levelID)
-	c.models = indexItems(c, "model", d.Models, modelID)
-	c.classes = indexItems(c, "class", d.Classes, classID)
-	c.regions = indexItems(c, "region", d.Regions, regionID)
-	indexItems(c, "customer", d.Customers, customerID)
-	indexItems(c, "upstream", d.Upstreams, upstreamID)
-	indexItems(c, "rule", d.Rules, ruleID)
+	c.tiers = indexItems(c, ItemTier, "tier", d.Tiers, tierID)
+	c.levels = indexItems(c, ItemLevel, "service level", d.Levels, levelID)
+	c.models = indexItems(c, ItemModel, "model", d.Models, modelID)
+	c.classes = indexItems(c, ItemClass, "class", d.Classes, classID)
+	c.regions = indexItems(c, ItemRegion, "region", d.Regions, regionID)
+	indexItems(c, ItemCustomer, "customer", d.Customers, customerID)
+	indexItems(c, ItemUpstream, "upstream", d.Upstreams, upstreamID)
+	indexItems(c, ItemRule, "rule", d.Rules, ruleID)
 	c.checkTiers()
 	c.checkLevels()
 	c.checkModels()
@@ -107,9 +118,9 @@
 func indexItems[T any, P interface {
 	*T
 	located
-}](c *checker, kind string, items []T, id func(*T) string,
+}](c *checker, list ItemKind, kind string, items []T, id func(*T) string,
 ) known {
-	byID := known{items: make(map[string]located, len(items))}
+	byID := known{items: make(map[string]located, len(items)), incomplete: c.doc.lost[list]}
 	for i := range items {
 		item := P(&items[i])
 		name := id(&items[i])
@@ -130,7 +141,10 @@
 }
 
 func firstAt(first located) string {
-	file, line, _ := first.At("id")
+	file, line, _ := locate(first, "id")
+	if line == 0 {
+		return "first at " + file
+	}
 	return fmt.Sprintf("first at %s:%d", file, line)
 }
 
@@ -359,6 +373,9 @@
 		return
 	}
 	region := c.regions.items[string(u.Region)].(*Region)
+	if region.Rejected("") {
+		return
+	}
 	allowed := make([]string, len(region.Zones))
 	for i, z := range region.Zones {
 		allowed[i] = string(z)
--- a/internal/policy/document.go
+++ b/internal/policy/document.go
@@ -30,6 +30,10 @@
 	Regions   []Region       `toml:"regions"`
 	Rules     []Rule         `toml:"rules"`
 	Routing   Routing        `toml:"routing"`
+
+	// lost names the lists that miss items because a table header could not
+	// be read. Checks that need the complete list are left out.
+	lost map[ItemKind]bool
 }
 
 // Source is one configuration file.
@@ -78,11 +82,14 @@
 	var list findings.List
 	d := &Document{}
 	d.SetDefaults()
+	d.lost = map[ItemKind]bool{}
 	var routing *tomlstrict.Place
 	for _, s := range sources {
-		tomlstrict.Decode(s.Name, s.Data, d, &list)
+		for _, name := range tomlstrict.Decode(s.Name, s.Data, d, &list) {
+			d.lost[ItemKind(name)] = true
+		}
 		if routing != nil && d.Routing.Place != routing {
-			file, line, column := d.Routing.At("")
+			file, line, column := locate(&d.Routing, "")
 			list.Errorf(file, line, column, "", "routing is already set at %s:%d", routing.File, routing.Line)
 		}
 		routing = d.Routing.Place
@@ -128,5 +135,6 @@
 		Regions:   slices.Clone(d.Regions),
 		Rules:     slices.Clone(d.Rules),
 		Routing:   d.Routing,
+		lost:      d.lost,
 	}
 }
--- a/internal/policy/edit_test.go
+++ b/internal/policy/edit_test.go
@@ -98,3 +98,19 @@
 	var missing *NotFoundError
 	assert.Assert(t, errors.As(err, &missing))
 }
+
+// Guards against edits that accept unreadable fragments, and against findings
+// about edited items that name no item.
+func TestApplyFragment(t *testing.T) {
+	base, _ := load(t)
+	_, list := base.Apply("request", []byte("[[rules]]\nid = \"x\"\ntier = 3\nservice_level = \"seconds\"\n"))
+	assert.Equal(t, list.Error(), "request:3:8: error: tier has wrong type: integer (allowed: string)")
+	next, list := base.Apply("request", []byte("[[models]]\nid = \"lesson\"\nadapters = [\"plan\"]\n[routing]\nsecond_value = 2\n"))
+	assert.Equal(t, len(list), 0, list.Error())
+	assert.Equal(t, len(Diff(base, next)), 2)
+	assert.Equal(t, next.Routing.BytesPerToken, 300)
+	bad := next.PutTier(Tier{ID: "beach-2", Rank: 0})
+	_, list = Compile(bad, 2)
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].String(), `tiers/beach-2/rank: error: tiers "beach" and "beach-2" have the same rank 0`)
+}
--- a/internal/policy/findings_test.go
+++ b/internal/policy/findings_test.go
@@ -65,6 +65,8 @@
 func TestEachMistakeGivesOneFinding(t *testing.T) {
 	cases := []struct{ name, old, new, want string }{
 		{"syntax", `kind = "engine"`, `kind = engine`, `:36:8: error: syntax error`},
+		{"unclosed array", `zones = ["north-a"]`, `zones = ["north-a"`, `:34:1: error: syntax error`},
+		{"unclosed header", `[[upstreams]]`, `[[upstreams]`, `:34:`},
 		{"unknown key", `rank = 0`, "rank = 0\ncolour = 3", `:5:1: error: unknown key "colour" in tiers (allowed: id, min_share, preempts, queue_tokens, rank)`},
 		{"missing key", `slots = 4`, ``, `:34:3: error: key "slots" is missing in upstreams`},
 		{"wrong type", `slots = 4`, `slots = "4"`, `:42:9: error: slots has wrong type: string (allowed: integer)`},
@@ -84,7 +86,6 @@
 		{"address", `127.0.0.1:21001`, `localhost:21001`, `invalid address "localhost:21001" (allowed: IP address and port`},
 		{"key hash", `e3b0c442`, `e3b0`, `api_key_sha256.0: value is not a SHA-256 hash (allowed: 64 hexadecimal`},
 		{"selector syntax", `"audience=guest"`, `"audience in guest"`, `:46:11: error: classes:`},
-		{"selector without class", `"audience=guest"`, `"audience=gest"`, `warning: classes selector "audience=gest" of rule "all" matches nothing`},
 		{"selector without upstream", `"pool=day"`, `"pool=night"`, `warning: upstreams selector "pool=night" of rule "all" matches nothing`},
 		{"reserved label", `pool = "day"`, `pool = "day", zone = "x"`, `label "zone" is reserved`},
 		{"enumeration", `models = ["m"]`, "models = [\"m\"]\nrole = \"both ways\"", `unknown role "both ways" (allowed: both, prefill, decode)`},
@@ -99,18 +100,21 @@
 			text := strings.Replace(valid, c.old, c.new, 1)
 			assert.Assert(t, text != valid)
 			_, list := Decode("p.toml", []byte(text))
-			var mistakes []string
-			for _, f := range list {
-				if !strings.Contains(f.Message, "no rule reaches") {
-					mistakes = append(mistakes, f.String())
-				}
-			}
-			assert.Equal(t, len(mistakes), 1, strings.Join(mistakes, "\n"))
-			assert.Assert(t, strings.Contains(mistakes[0], c.want), mistakes[0])
+			assert.Equal(t, len(list), 1, list.Error())
+			assert.Assert(t, strings.Contains(list[0].String(), c.want), list[0].String())
 		})
 	}
 }
 
+// Guards against warnings that hide which traffic a typing mistake cuts off.
+func TestSelectorWithoutClassWarnsAboutTraffic(t *testing.T) {
+	_, p, list := Load(1, Source{"p.toml", []byte(strings.Replace(valid, "audience=guest", "audience=gest", 1))})
+	assert.Assert(t, p != nil)
+	assert.Equal(t, list.Error(), `p.toml:21:6: warning: no rule reaches class "ask"
+p.toml:25:6: warning: no rule reaches customer "one"
+p.toml:46:11: warning: classes selector "audience=gest" of rule "all" matches nothing (allowed: selector over labels of classes)`)
+}
+
 // Guards against a run that stops at the first mistake or the first file.
 func TestTenMistakesInTwoFilesAreReportedTogether(t *testing.T) {
 	damaged := strings.NewReplacer(
--- a/internal/policy/items.go
+++ b/internal/policy/items.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/findings"
 	"github.com/auburndyke/auburndyke/internal/tomlstrict"
 )
 
@@ -40,6 +41,29 @@
 func regionID(r *Region) string      { return string(r.ID) }
 func ruleID(r *Rule) string          { return r.Name }
 
+// identity returns the kind and identifier of an item.
+func identity(item located) (ItemKind, string) {
+	switch x := item.(type) {
+	case *Tier:
+		return ItemTier, tierID(x)
+	case *ServiceLevel:
+		return ItemLevel, levelID(x)
+	case *Model:
+		return ItemModel, modelID(x)
+	case *Class:
+		return ItemClass, classID(x)
+	case *Customer:
+		return ItemCustomer, customerID(x)
+	case *Upstream:
+		return ItemUpstream, upstreamID(x)
+	case *Region:
+		return ItemRegion, regionID(x)
+	case *Rule:
+		return ItemRule, ruleID(x)
+	}
+	return ItemRouting, ""
+}
+
 // Encode writes the document as canonical TOML, which decodes to an equal
 // document.
 func (d *Document) Encode() []byte {
@@ -141,6 +165,36 @@
 	return next
 }
 
+// Apply returns a document in which the items of a TOML fragment are added or
+// replace the items of the same identifier. The findings are those of reading
+// the fragment; whether the result is consistent is left to Compile.
+func (d *Document) Apply(file string, fragment []byte) (*Document, findings.List) {
+	var list findings.List
+	part := &Document{}
+	part.Routing = d.Routing
+	tomlstrict.Decode(file, fragment, part, &list)
+	if list.HasErrors() {
+		return nil, list
+	}
+	next := d.SetRouting(part.Routing)
+	next = putAll(next, part.Tiers, (*Document).PutTier)
+	next = putAll(next, part.Levels, (*Document).PutLevel)
+	next = putAll(next, part.Models, (*Document).PutModel)
+	next = putAll(next, part.Classes, (*Document).PutClass)
+	next = putAll(next, part.Customers, (*Document).PutCustomer)
+	next = putAll(next, part.Upstreams, (*Document).PutUpstream)
+	next = putAll(next, part.Regions, (*Document).PutRegion)
+	next = putAll(next, part.Rules, (*Document).PutRule)
+	return next, list
+}
+
+func putAll[T any](d *Document, items []T, put func(*Document, T) *Document) *Document {
+	for _, item := range items {
+		d = put(d, item)
+	}
+	return d
+}
+
 // Remove returns a document without an item. It fails with *NotFoundError.
 // References to the item are left to Compile.
 func (d *Document) Remove(kind ItemKind, id string) (*Document, error) {
--- a/internal/policy/rulecheck.go
+++ b/internal/policy/rulecheck.go
@@ -14,7 +14,7 @@
 		c.conflicts[[2]int{rules[0], r}] = true
 		customer := c.doc.Customers[c.customers[customers].items[0]].ID
 		class := c.doc.Classes[c.classes[classes].items[0]].ID
-		file, line, column := b.At("precedence")
+		file, line, column := locate(b, "precedence")
 		c.list.Errorf(file, line, column, "different precedences, or the same tier and service level",
 			"rules %q and %q of precedence %d give customer %q and class %q different %s",
 			a.Name, b.Name, b.Precedence, customer, class, difference(a, b))
@@ -39,9 +39,9 @@
 func (c *compiler) checkSelectors() {
 	customers := union(c.customerRules, len(c.rules))
 	classes := union(c.classRules, len(c.rules))
-	unknownCustomers := anyRejected(c.doc.Customers)
-	unknownClasses := anyRejected(c.doc.Classes)
-	unknownUpstreams := anyRejected(c.doc.Upstreams)
+	unknownCustomers := anyRejected(c.doc.Customers) || c.doc.lost[ItemCustomer]
+	unknownClasses := anyRejected(c.doc.Classes) || c.doc.lost[ItemClass]
+	unknownUpstreams := anyRejected(c.doc.Upstreams) || c.doc.lost[ItemUpstream]
 	for r, rule := range c.rules {
 		c.checkSelector(rule, "customers", rule.Customers, customers.has(r) || unknownCustomers)
 		c.checkSelector(rule, "classes", rule.Classes, classes.has(r) || unknownClasses)
@@ -53,7 +53,7 @@
 	if matches || s.String() == "" {
 		return
 	}
-	file, line, column := rule.At(field)
+	file, line, column := locate(rule, field)
 	c.list.Warnf(file, line, column, "selector over labels of "+field, "%s selector %q of rule %q matches nothing", field, s, rule.Name)
 }
 
@@ -72,7 +72,10 @@
 // reportUnreached warns about customers, classes and default classes that no
 // rule reaches.
 func (c *compiler) reportUnreached() {
-	if len(c.rules) < len(c.doc.Rules) {
+	if len(c.rules) < len(c.doc.Rules) || c.doc.lost[ItemRule] {
+		return
+	}
+	if len(c.doc.Customers) == 0 || len(c.doc.Classes) == 0 {
 		return
 	}
 	classReached := make([]bool, len(c.doc.Classes))
@@ -86,20 +89,18 @@
 				classReached[j] = true
 			}
 		}
-		if !reached {
-			file, line, column := x.At("id")
+		if !reached && !x.Rejected("") {
+			file, line, column := locate(x, "id")
 			c.list.Warnf(file, line, column, "", "no rule reaches customer %q", x.ID)
-			continue
 		}
-		if j, ok := c.policy.index.classes[x.DefaultClass]; ok && row[j].Customer == nil {
-			file, line, column := x.At("default_class")
+		if j, ok := c.policy.index.classes[x.DefaultClass]; ok && reached && row[j].Customer == nil {
+			file, line, column := locate(x, "default_class")
 			c.list.Warnf(file, line, column, "", "no rule reaches customer %q with its default class %q", x.ID, x.DefaultClass)
 		}
 	}
 	for j := range c.doc.Classes {
-		if !classReached[j] {
-			x := &c.doc.Classes[j]
-			file, line, column := x.At("id")
+		if x := &c.doc.Classes[j]; !classReached[j] && !x.Rejected("") {
+			file, line, column := locate(x, "id")
 			c.list.Warnf(file, line, column, "", "no rule reaches class %q", x.ID)
 		}
 	}
--- a/internal/tomlstrict/decode.go
+++ b/internal/tomlstrict/decode.go
@@ -101,11 +101,13 @@
 
 // Decode reads a file into the struct that into points to. Values that are
 // already there stay unless the file sets them; slices of tables grow, so that
-// several files can be read into one struct.
-func Decode(file string, data []byte, into any, list *findings.List) {
-	root := parse(file, data, list)
+// several files can be read into one struct. It returns the names of tables
+// that are missing from the result because their headers could not be read.
+func Decode(file string, data []byte, into any, list *findings.List) (lost []string) {
+	root, lost := parse(file, data, list)
 	d := &decoder{file: file, list: list}
 	d.table(root, reflect.ValueOf(into).Elem(), "the file", nil, "")
+	return lost
 }
 
 type decoder struct {
--- a/internal/tomlstrict/tree.go
+++ b/internal/tomlstrict/tree.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sort"
 	"strings"
+	"unicode"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -61,11 +62,16 @@
 	list    *findings.List
 	root    *node
 	current *node
+	// suspect is the table that a syntax error at the next header may have
+	// cut short.
+	suspect *node
+	// lost names the tables whose headers could not be read.
+	lost []string
 }
 
-// parse reads a file. It goes on behind a syntax error at the next table
+// parse reads a file and names the tables whose headers could not be read. It goes on behind a syntax error at the next table
 // header, so that later mistakes are found in the same run.
-func parse(file string, data []byte, list *findings.List) *node {
+func parse(file string, data []byte, list *findings.List) (root *node, lost []string) {
 	b := &builder{file: file, data: data, list: list, root: newTable(keyPart{line: 1, column: 1})}
 	b.lines = lineOffsets(data)
 	b.current = b.root
@@ -76,7 +82,7 @@
 	if len(*list) == before {
 		b.crossCheck()
 	}
-	return b.root
+	return b.root, b.lost
 }
 
 func newTable(key keyPart) *node {
@@ -102,6 +108,7 @@
 	part := b.data[offset:len(b.data):len(b.data)]
 	p.Reset(part)
 	for p.NextExpression() {
+		b.confirmDamage()
 		b.expression(&p, offset, p.Expression())
 	}
 	err := p.Error()
@@ -113,14 +120,44 @@
 	if errors.As(err, &syntax) {
 		at += cap(part) - cap(syntax.Highlight)
 	}
+	return b.resumeAfter(offset, at, err)
+}
+
+// resumeAfter reports a syntax error and returns the offset of the next line to
+// read. A line that starts a table is tried on its own, because the value
+// before it may lack its closing bracket.
+func (b *builder) resumeAfter(start, at int, err error) int {
 	line, column := b.place(at)
-	b.list.Errorf(b.file, line, column, "", "syntax error: %s", err)
-	if !b.startsTable(b.lines[line-1]) {
+	found := findings.Finding{File: b.file, Line: line, Column: column, Severity: findings.Error, Message: "syntax error: " + err.Error()}
+	list := *b.list
+	repeated := len(list) > 0 && list[len(list)-1] == found
+	if !repeated {
+		*b.list = append(list, found)
+	}
+	lineStart := b.lines[line-1]
+	if lineStart > start && b.startsTable(lineStart) {
+		b.suspect = b.current
+		return lineStart
+	}
+	switch {
+	case b.startsTable(lineStart):
+		b.lost = append(b.lost, b.headerName(lineStart))
+	case !repeated:
 		b.current.damaged = true
 	}
+	b.suspect = nil
 	return b.nextHeader(line)
 }
 
+// confirmDamage marks the table before a header that turned out to be sound:
+// the syntax error in front of it belongs to that table.
+func (b *builder) confirmDamage() {
+	if b.suspect != nil {
+		b.suspect.damaged = true
+		b.suspect = nil
+	}
+}
+
 // nextHeader returns the offset of the first line behind line that starts a
 // table.
 func (b *builder) nextHeader(line int) int {
@@ -137,6 +174,18 @@
 	return bytes.HasPrefix(bytes.TrimLeft(b.data[offset:], " \t"), []byte("["))
 }
 
+// headerName guesses the first part of the name in an unreadable header.
+func (b *builder) headerName(offset int) string {
+	rest := bytes.TrimLeft(b.data[offset:], " \t[\"'")
+	end := bytes.IndexFunc(rest, func(r rune) bool {
+		return r != '_' && r != '-' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
+	})
+	if end < 0 {
+		end = len(rest)
+	}
+	return string(rest[:end])
+}
+
 // crossCheck lets go-toml decode the file too and reports what it rejects, so
 // that nothing passes here that other TOML readers refuse.
 func (b *builder) crossCheck() {
