--- a/internal/tomlstrict/decode.go
+++ b/internal/tomlstrict/decode.go
@@ -28,6 +28,7 @@
 type fieldPlace struct {
 	line, column int
 	rejected     bool
+	table        bool
 }
 
 // At returns the place of a field's value, or of the table when the field was
@@ -63,6 +64,21 @@
 	return false
 }
 
+// Leaves lists the paths of all values that are not tables, in order.
+func (p *Place) Leaves() []string {
+	if p == nil {
+		return nil
+	}
+	var paths []string
+	for path, f := range p.fields {
+		if !f.table {
+			paths = append(paths, path)
+		}
+	}
+	sort.Strings(paths)
+	return paths
+}
+
 // Absent reports that the value was read from a file that does not set a
 // field.
 func (p *Place) Absent(field string) bool {
@@ -85,11 +101,13 @@
 
 // Decode reads a file into the struct that into points to. Values that are
 // already there stay unless the file sets them; slices of tables grow, so that
-// several files can be read into one struct.
-func Decode(file string, data []byte, into any, list *findings.List) {
-	root := parse(file, data, list)
+// several files can be read into one struct. It returns the names of tables
+// that are missing from the result because their headers could not be read.
+func Decode(file string, data []byte, into any, list *findings.List) (lost []string) {
+	root, lost := parse(file, data, list)
 	d := &decoder{file: file, list: list}
 	d.table(root, reflect.ValueOf(into).Elem(), "the file", nil, "")
+	return lost
 }
 
 type decoder struct {
@@ -185,7 +203,7 @@
 	before := len(*d.list)
 	d.fill(n, v, f, place, path)
 	if place != nil {
-		place.fields[path] = fieldPlace{n.line, n.column, len(*d.list) > before}
+		place.fields[path] = fieldPlace{n.line, n.column, len(*d.list) > before, n.kind == kindTable}
 	}
 }
 
