Deepen routing and estimates, cut decision cost

Change: outliers are compared by first-token time at equal load, fits regress to the peers' median with age, probation restarts the fit; histograms halve on reaching the window or past it; routes of another policy are translated by upstream id; subsets sort ranges of weights only; decay uses a rational form.

--- /dev/null
+++ b/internal/estimate/estimate_test.go
@@ -0,0 +1,201 @@
+package estimate
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against quantiles off by more than a bucket and against histograms
+// that do not follow a change.
+func TestHistogramQuantilesAndDecay(t *testing.T) {
+	var h Histogram
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 5000 {
+		h.Observe(1 + rng.IntN(1000))
+	}
+	for _, q := range []float64{0.1, 0.5, 0.9, 0.99} {
+		got := float64(h.Quantile(q, 0))
+		assert.Assert(t, got > q*1000/1.3 && got < q*1000*1.3, "quantile %v is %v", q, got)
+	}
+	assert.Assert(t, math.Abs(h.Mean(0)-500) < 50)
+	assert.Assert(t, math.Abs(h.Mean(500)-750) < 80)
+	for range 2 * histogramWindow {
+		h.Observe(4000)
+	}
+	assert.Assert(t, h.Quantile(0.3, 0) >= 4000)
+}
+
+// Guards against bucket bounds that exclude the values they count.
+func TestBucketOfContainsValue(t *testing.T) {
+	for n := 1; n < 1<<17; n++ {
+		i := bucketOf(n)
+		assert.Assert(t, float64(n) <= upper[i] && (i == 0 || float64(n) > upper[i-1]), "value %d in bucket %d", n, i)
+	}
+}
+
+// Guards against predictions from a few samples of one customer, and against a
+// remaining length that ignores what was generated.
+func TestLengthsFallBack(t *testing.T) {
+	var l Lengths
+	k := LengthKey{"m", "class", "c"}
+	assert.Equal(t, l.Expected(k, 100), 100)
+	for range 100 {
+		l.Observe(LengthKey{"m", "class", "other"}, 400)
+		l.Observe(LengthKey{"m", "batch", "other"}, 4000)
+	}
+	l.Observe(k, 10)
+	assert.Assert(t, l.Expected(k, 0) > 300, "one sample must not decide")
+	assert.Assert(t, l.Expected(LengthKey{"m", "new", "c"}, 0) > 1500)
+	for range minSamples {
+		l.Observe(k, 10)
+	}
+	assert.Assert(t, l.Expected(k, 0) < 20)
+	assert.Assert(t, l.Remaining(k, 2000, 0) > 0)
+	assert.Equal(t, l.Remaining(k, 100, 100), 0)
+	assert.Equal(t, l.Quantile(k, 0.5, 5), 5)
+}
+
+// Guards against a fit that single stalls pull away and against one that does
+// not follow a lasting change.
+func TestFitIsRobustAndFollows(t *testing.T) {
+	var f fit
+	f.setPrior(priorFirst, priorFirstSlope)
+	rng := rand.New(rand.NewPCG(3, 4))
+	feed := func(n int, base, slope, stalls float64) {
+		for range n {
+			x := rng.Float64() * 20_000
+			y := (base + slope*x) * (0.9 + 0.2*rng.Float64())
+			if rng.Float64() < stalls {
+				y *= 50
+			}
+			f.observe(x, y)
+		}
+	}
+	feed(300, 0.2, 50e-6, 0.03)
+	assert.Assert(t, math.Abs(f.predict(10_000)-0.7) < 0.2, "predicted %v", f.predict(10_000))
+	feed(300, 0.4, 100e-6, 0.03)
+	assert.Assert(t, math.Abs(f.predict(10_000)-1.4) < 0.4, "predicted %v", f.predict(10_000))
+}
+
+// Guards against believing a report of an idle upstream that answers late or
+// does not answer.
+func TestObservedAnswersOutweighReports(t *testing.T) {
+	u := NewUpstream(start)
+	idle := func(now time.Time) { u.Report(now, ports.LoadReport{Slots: 8}) }
+	now := start
+	idle(now)
+	before := u.Predict(now, 100, 1).FirstToken
+	u.Start(now, 100)
+	now = now.Add(3 * time.Second)
+	idle(now)
+	assert.Assert(t, u.Predict(now, 100, 1).FirstToken >= 3*time.Second, "pending attempt waits")
+	for range 5 {
+		u.FirstToken(now, start, 100)
+		u.End(now, start, 100, true)
+		u.Start(start, 100)
+	}
+	u.End(now, start, 100, false)
+	idle(now)
+	assert.Assert(t, u.Predict(now, 100, 1).FirstToken > 5*before)
+	later := now.Add(5 * fitAge)
+	idle(later)
+	assert.Assert(t, u.Predict(later, 100, 1).FirstToken < 2*before, "tried again after a time")
+
+	for i := range 50 { // a known upstream that turns late
+		now = later.Add(time.Duration(i) * time.Second)
+		sent := now.Add(-200 * time.Millisecond)
+		if i >= 47 {
+			sent = now.Add(-2 * time.Second)
+		}
+		u.Start(sent, 100)
+		u.FirstToken(now, sent, 100)
+		u.End(now, sent, 100, true)
+	}
+	p := u.Predict(now, 100, 1)
+	assert.Assert(t, p.FirstToken > time.Second, "three late answers move it more than half the way: %+v", p)
+}
+
+// Guards against counting own work twice, against old reports, and against all
+// daemons trusting one stale report.
+func TestReportsAreWeightedByAge(t *testing.T) {
+	u := NewUpstream(start)
+	u.Start(start, 1000)
+	now := start.Add(time.Second)
+	u.Start(now, 500) // after the report was taken
+	u.Report(now, ports.LoadReport{ActiveTokens: 3000, Age: 500 * time.Millisecond})
+	got := u.Active(now)
+	assert.Assert(t, math.Abs(got-3500) < 1, "own 1500 and others 2000, got %v", got)
+	u.Report(now, ports.LoadReport{ActiveTokens: 9000, Age: 5 * time.Second})
+	assert.Equal(t, u.Active(now), got)
+	for range 20 {
+		now = now.Add(time.Second)
+		u.Report(now, ports.LoadReport{ActiveTokens: 3500})
+	}
+	u.Report(now.Add(1), ports.LoadReport{ActiveTokens: 1500}) // others seem idle
+	assert.Assert(t, u.Active(now.Add(1)) < 1600)
+	assert.Assert(t, u.Active(now.Add(10*time.Second)) > 3000, "an old report regresses to the mean")
+	u.Start(now, 1000)
+	assert.Assert(t, u.Predict(now, 0, 8).Load > u.Predict(now, 0, 1).Load+3000)
+}
+
+// Guards against data races between updates and predictions, and against
+// counters that do not return to zero.
+func TestUpstreamConcurrentUse(t *testing.T) {
+	u := NewUpstream(start)
+	var l Lengths
+	var group sync.WaitGroup
+	for g := range 8 {
+		group.Go(func() {
+			for i := range 2000 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				u.Start(now, 10)
+				p := u.Predict(now, 10, 4)
+				if i%2 == 0 {
+					u.FirstToken(now.Add(time.Millisecond), now, p.Load)
+				}
+				u.Interval(now, 20*time.Millisecond)
+				u.Report(now, ports.LoadReport{ActiveTokens: 100})
+				u.End(now, now, 10, i%2 == 0)
+				l.Observe(LengthKey{"m", "k", ""}, i+1)
+				l.Remaining(LengthKey{"m", "k", ""}, g, 0)
+			}
+		})
+	}
+	group.Wait()
+	assert.Equal(t, u.Own(), int64(0))
+	assert.Equal(t, u.pending.Load(), int64(0))
+	assert.Equal(t, u.pendingSum.Load(), int64(0))
+	assert.Assert(t, l.find(LengthKey{"m", "k", ""}).Count() < 8*2000)
+}
+
+func BenchmarkPredict(b *testing.B) {
+	u := NewUpstream(start)
+	u.Report(start, ports.LoadReport{ActiveTokens: 3000})
+	u.Start(start, 500)
+	u.FirstToken(start.Add(time.Second), start, 500)
+	b.ReportAllocs()
+	for b.Loop() {
+		u.Predict(start.Add(2*time.Second), 500, 4)
+	}
+}
+
+func BenchmarkRemaining(b *testing.B) {
+	var l Lengths
+	k := LengthKey{"m", "class", "c"}
+	for i := range 1000 {
+		l.Observe(k, i)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Remaining(k, 100, 2000)
+	}
+}
--- a/internal/estimate/fit.go
+++ b/internal/estimate/fit.go
@@ -31,18 +31,34 @@
 	base, slope, scale float
 	samples            atomic.Int64
 
-	update             sync.Mutex // never waited for
-	w, x, y, xx, xy    float64
-	priorBase, priorSl float64
+	priorBase, priorSlope float
+
+	forgotten       atomic.Bool
+	update          sync.Mutex // never waited for
+	w, x, y, xx, xy float64
 }
 
-func (f *fit) init(base, slope float64) {
-	f.priorBase, f.priorSl = base, slope
-	f.base.store(base)
-	f.slope.store(slope)
+// setPrior sets what is assumed without samples.
+func (f *fit) setPrior(base, slope float64) {
+	f.priorBase.store(base)
+	f.priorSlope.store(slope)
+}
+
+// forget drops all samples.
+func (f *fit) forget() {
+	f.forgotten.Store(true)
+	f.samples.Store(0)
+	f.scale.store(0)
+}
+
+func (f *fit) prior(x float64) float64 {
+	return f.priorBase.load() + f.priorSlope.load()*x
 }
 
 func (f *fit) predict(x float64) float64 {
+	if f.samples.Load() == 0 {
+		return f.prior(x)
+	}
 	return f.base.load() + f.slope.load()*x
 }
 
@@ -52,8 +68,11 @@
 		return
 	}
 	defer f.update.Unlock()
-	n := f.samples.Add(1)
+	if f.forgotten.CompareAndSwap(true, false) {
+		f.w, f.x, f.y, f.xx, f.xy = 0, 0, 0, 0, 0
+	}
 	residual := y - f.predict(x)
+	n := f.samples.Load() + 1
 	scale := f.scale.load()
 	if n > fitWarmup && math.Abs(residual) > outlierScales*scale {
 		residual = math.Copysign(outlierScales*scale, residual)
@@ -66,6 +85,7 @@
 	f.scale.store(max(scale, 0.01*math.Abs(f.predict(x)), 1e-9))
 	f.accumulate(x, y)
 	f.solve()
+	f.samples.Store(n)
 }
 
 func (f *fit) accumulate(x, y float64) {
@@ -81,7 +101,7 @@
 	variance := max(f.xx/f.w-mx*mx, 0)
 	covariance := f.xy/f.w - mx*my
 	pull := ridge * (mx*mx + 1)
-	slope := max((covariance+pull*f.priorSl)/(variance+pull), 0)
+	slope := max((covariance+pull*f.priorSlope.load())/(variance+pull), 0)
 	base := my - slope*mx
 	if base < 0 && mx > 0 {
 		base, slope = 0, my/mx
--- a/internal/estimate/histogram.go
+++ b/internal/estimate/histogram.go
@@ -26,8 +26,9 @@
 // buckets. Quantiles are exact to one bucket, about 19%. The zero value is
 // empty. All methods are safe for concurrent use.
 type Histogram struct {
-	total  atomic.Int64
-	counts [buckets]atomic.Int32
+	total   atomic.Int64
+	halving atomic.Bool
+	counts  [buckets]atomic.Int32
 }
 
 func bucketOf(n int) int {
@@ -45,12 +46,15 @@
 // Observe adds one value. Values below 1 count as 1.
 func (h *Histogram) Observe(n int) {
 	h.counts[bucketOf(n)].Add(1)
-	if h.total.Add(1) == histogramWindow {
+	// Samples that arrive while another goroutine halves may take the total
+	// past the window, so it is not compared for equality.
+	if h.total.Add(1) >= histogramWindow && h.halving.CompareAndSwap(false, true) {
 		h.halve()
+		h.halving.Store(false)
 	}
 }
 
-// halve is called by the one goroutine whose sample filled the window.
+// halve is called by one goroutine at a time.
 func (h *Histogram) halve() {
 	removed := int64(0)
 	for i := range h.counts {
--- a/internal/estimate/upstream.go
+++ b/internal/estimate/upstream.go
@@ -23,6 +23,11 @@
 	latenessMin    = 0.5
 	latenessMax    = 20.0
 
+	// fitAge is the age of the last observation at which the fit keeps 1/e of
+	// its weight against the peers' prior. Without it, an upstream that was
+	// slow once and then avoided would look slow forever.
+	fitAge = time.Minute
+
 	// reportMemory is the age at which a load report keeps 1/e of its weight.
 	reportMemory = 2 * time.Second
 	// othersGain is the weight of a new report in the long-term mean of the
@@ -45,8 +50,9 @@
 	first    fit
 	interval fit
 
-	lateness   float        // natural logarithm of observed by predicted
-	latenessAt atomic.Int64 // Unix ns
+	latenessLog float        // mean logarithm of observed by predicted, +0 is as predicted
+	lateness    float        // its exponential minus 1
+	latenessAt  atomic.Int64 // Unix ns
 
 	own        atomic.Int64 // active tokens of this daemon
 	pending    atomic.Int64 // attempts without a first token
@@ -63,11 +69,20 @@
 // NewUpstream returns an estimator without observations.
 func NewUpstream(now time.Time) *Upstream {
 	u := &Upstream{epoch: now.UnixNano()}
-	u.first.init(priorFirst, priorFirstSlope)
-	u.interval.init(priorInterval, priorIntervalSlope)
+	u.first.setPrior(priorFirst, priorFirstSlope)
+	u.interval.setPrior(priorInterval, priorIntervalSlope)
 	return u
 }
 
+// Forget drops the observations of an upstream that restarts or returns from
+// an ejection. Work in progress and reports stay.
+func (u *Upstream) Forget() {
+	u.first.forget()
+	u.interval.forget()
+	u.latenessLog.store(0)
+	u.lateness.store(0)
+}
+
 // Start records that this daemon sends an attempt of the given tokens.
 func (u *Upstream) Start(now time.Time, tokens int) {
 	u.addOwn(now, int64(tokens))
@@ -89,7 +104,7 @@
 func (u *Upstream) FirstToken(now, started time.Time, load float64) {
 	u.endPending(started)
 	observed := max(now.Sub(started), 0).Seconds()
-	u.recordLateness(now, observed, u.first.predict(load))
+	u.recordLateness(now, observed, u.fitted(now, load))
 	u.first.observe(load, observed)
 }
 
@@ -107,9 +122,11 @@
 
 func (u *Upstream) recordLateness(now time.Time, observed, predicted float64) {
 	ratio := min(max(observed/max(predicted, 1e-6), latenessMin), latenessMax)
-	old := u.lateness.load() * u.latenessWeight(now)
+	old := u.latenessLog.load() * u.latenessWeight(now)
+	log := old + latenessGain*(math.Log(ratio)-old)
 	// A lost update of a concurrent observation loses one sample.
-	u.lateness.store(old + latenessGain*(math.Log(ratio)-old))
+	u.latenessLog.store(log)
+	u.lateness.store(math.Expm1(log))
 	u.latenessAt.Store(now.UnixNano())
 }
 
@@ -117,8 +134,11 @@
 	return decay(now.UnixNano()-u.latenessAt.Load(), latenessMemory)
 }
 
+// decay falls from 1 like exp(-age/memory), but not as far for high ages. The
+// rational form takes a fifth of the time of math.Exp on the request path.
 func decay(age int64, memory time.Duration) float64 {
-	return math.Exp(-float64(max(age, 0)) / float64(memory))
+	x := float64(max(age, 0)) / float64(memory)
+	return 1 / (1 + x*(1+x*(1.0/2+x*(1.0/6+x*(1.0/24)))))
 }
 
 // addOwn changes the own active tokens and remembers them by time.
@@ -214,7 +234,7 @@
 func (u *Upstream) Predict(now time.Time, work, sharers int) Prediction {
 	load := float64(u.Own()) + u.others(now, sharers) + float64(work)
 	lateness := u.Lateness(now)
-	first := max(u.first.predict(load)*lateness, u.waited(now))
+	first := max(u.fitted(now, load)*lateness, u.waited(now))
 	return Prediction{
 		FirstToken: time.Duration(first * float64(time.Second)),
 		Interval:   time.Duration(u.interval.predict(load) * max(lateness, 1) * float64(time.Second)),
@@ -223,6 +243,31 @@
 	}
 }
 
+// FirstTokenAt predicts the first-token time at a given number of active
+// tokens, so that upstreams with different loads can be compared.
+func (u *Upstream) FirstTokenAt(now time.Time, load float64) time.Duration {
+	seconds := max(u.fitted(now, load)*u.Lateness(now), u.waited(now))
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// fitted is the fit's prediction in seconds, which regresses to the prior with
+// the time since the last observation.
+func (u *Upstream) fitted(now time.Time, load float64) float64 {
+	prior := u.first.prior(load)
+	weight := decay(now.UnixNano()-u.latenessAt.Load(), fitAge)
+	return prior + weight*(u.first.predict(load)-prior)
+}
+
+// FirstTokenFit returns the fit of first-token times in seconds and seconds
+// per active token.
+func (u *Upstream) FirstTokenFit() (base, slope float64) {
+	return u.first.base.load(), u.first.slope.load()
+}
+
+// SetPrior sets what is assumed of first-token times without recent
+// observations, normally the median fit of the upstream's peers.
+func (u *Upstream) SetPrior(base, slope float64) { u.first.setPrior(base, slope) }
+
 // waited is the mean time in seconds that pending attempts have waited.
 func (u *Upstream) waited(now time.Time) float64 {
 	n := u.pending.Load()
@@ -246,7 +291,11 @@
 // Lateness returns the recent ratio of observed to predicted first-token time;
 // 1 means as predicted.
 func (u *Upstream) Lateness(now time.Time) float64 {
-	return math.Exp(u.lateness.load() * u.latenessWeight(now))
+	excess := u.lateness.load()
+	if excess == 0 {
+		return 1
+	}
+	return 1 + excess*u.latenessWeight(now)
 }
 
 // Samples returns the number of first-token observations.
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/auburndyke/auburndyke/internal/estimate"
 )
 
 const (
@@ -50,14 +52,20 @@
 	return Keep
 }
 
+// proving reports whether an attempt now would be a probe.
+func (h *health) proving() bool { return healthPhase(h.phase.Load()) != healthy }
+
 // admit takes a probe when the upstream is on probation. An ejection that has
 // ended turns into a probation.
-func (h *health) admit(now time.Time) (probe, ok bool) {
+func (h *health) admit(now time.Time, e *estimate.Upstream) (probe, ok bool) {
 	if h.usable(now) != Keep {
 		return false, false
 	}
 	if h.phase.CompareAndSwap(int32(ejected), int32(probation)) {
 		h.good.Store(0)
+		h.errors.Store(0)
+		h.failures.Store(0)
+		e.Forget()
 	}
 	if healthPhase(h.phase.Load()) != probation {
 		return false, true
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,10 +15,13 @@
 	minTimes   = 5
 	// failuresInRow ejects regardless of the error rate.
 	failuresInRow = 5
-	// latenessFactor is how many times later than the median of its peers an
-	// upstream must be; errorExcess how far its error rate must exceed theirs.
+	// latenessFactor is how many times later than the median of its peers, at
+	// equal load, an upstream must be; errorExcess is how far its error rate
+	// must exceed theirs.
 	latenessFactor = 2.5
 	errorExcess    = 0.3
+	// minLateness keeps differences that callers cannot notice from ejecting.
+	minLateness = 50 * time.Millisecond
 	// maxEjected is the largest fraction of a peer group that is out at once.
 	maxEjected = 0.34
 	// forgiveAfter is how long after an ejection the backoff starts anew.
@@ -27,16 +31,17 @@
 // Ejection is one decision of outlier detection, for the decision log.
 type Ejection struct {
 	Upstream *Upstream
-	// Lateness and Errors are the upstream's values; the peers' medians follow.
-	Lateness, PeerLateness float64
-	Errors, PeerErrors     float64
+	// FirstToken is the predicted first-token time in seconds at the peers'
+	// median load, Errors the error rate; the peers' medians follow.
+	FirstToken, PeerFirstToken float64
+	Errors, PeerErrors         float64
 	// Spared is true when the floor kept the upstream in use.
 	Spared bool
 }
 
 type peer struct {
 	*Upstream
-	lateness, errors float64
+	first, errors float64
 }
 
 // SweepOutliers compares each upstream with its peers, which are those of the
@@ -58,7 +63,7 @@
 		if groups[k] == nil {
 			keys = append(keys, k)
 		}
-		groups[k] = append(groups[k], peer{u, u.State.Estimate.Lateness(now), float64(h.errors.Load()) / 1e6})
+		groups[k] = append(groups[k], peer{Upstream: u, errors: float64(h.errors.Load()) / 1e6})
 	}
 	var out []Ejection
 	for _, k := range keys {
@@ -76,27 +81,29 @@
 }
 
 func sweepGroup(now time.Time, group []peer, out []Ejection) []Ejection {
-	late, errs := make([]float64, len(group)), make([]float64, len(group))
+	sharePrior(group)
+	load := median(group, func(p peer) float64 { return p.State.Estimate.Active(now) })
 	gone := 0
-	for i, p := range group {
-		late[i], errs[i] = p.lateness, p.errors
-		if p.outOfUse() {
+	for i := range group {
+		group[i].first = group[i].State.Estimate.FirstTokenAt(now, load).Seconds()
+		if group[i].outOfUse() {
 			gone++
 		}
 	}
-	medianLate, medianErr := lowerMedian(late), lowerMedian(errs)
+	first := median(group, func(p peer) float64 { return p.first })
+	errs := median(group, func(p peer) float64 { return p.errors })
 	allowed := int(maxEjected * float64(len(group)))
 	if len(group) > 1 {
 		allowed = max(allowed, 1)
 	}
 	slices.SortStableFunc(group, func(a, b peer) int {
-		return -compare(a.badness(medianLate, medianErr), b.badness(medianLate, medianErr))
+		return cmp.Compare(b.badness(first, errs), a.badness(first, errs))
 	})
 	for _, p := range group {
-		if p.outOfUse() || !p.isOutlier(medianLate, medianErr) {
+		if p.outOfUse() || !p.isOutlier(first, errs) {
 			continue
 		}
-		e := Ejection{p.Upstream, p.lateness, medianLate, p.errors, medianErr, gone >= allowed}
+		e := Ejection{p.Upstream, p.first, first, p.errors, errs, gone >= allowed}
 		if !e.Spared {
 			p.State.health.eject(now)
 			gone++
@@ -106,36 +113,50 @@
 	return out
 }
 
+// sharePrior lets upstreams without recent observations be judged by the
+// median of their peers' fits.
+func sharePrior(group []peer) {
+	var known []peer
+	for _, p := range group {
+		if p.State.Estimate.Samples() >= minTimes {
+			known = append(known, p)
+		}
+	}
+	if len(known) == 0 {
+		return
+	}
+	base := median(known, func(p peer) float64 { b, _ := p.State.Estimate.FirstTokenFit(); return b })
+	slope := median(known, func(p peer) float64 { _, s := p.State.Estimate.FirstTokenFit(); return s })
+	for _, p := range group {
+		p.State.Estimate.SetPrior(base, slope)
+	}
+}
+
 func (p peer) outOfUse() bool { return healthPhase(p.State.health.phase.Load()) != healthy }
 
-func (p peer) badness(medianLate, medianErr float64) float64 {
-	return p.lateness/max(medianLate, 0.1) + 10*(p.errors-medianErr)
+func (p peer) badness(first, errs float64) float64 {
+	return p.first/max(first, 1e-3) + 10*(p.errors-errs)
 }
 
-func (p peer) isOutlier(medianLate, medianErr float64) bool {
+func (p peer) isOutlier(first, errs float64) bool {
 	h := &p.State.health
 	if h.failures.Load() >= failuresInRow {
 		return true
 	}
-	if h.results.Load() >= minResults && p.errors > medianErr+errorExcess {
+	if h.results.Load() >= minResults && p.errors > errs+errorExcess {
 		return true
 	}
-	return p.State.Estimate.Samples() >= minTimes && p.lateness > latenessFactor*max(medianLate, 1)
+	return p.State.Estimate.Samples() >= minTimes &&
+		p.first > latenessFactor*first && p.first > first+minLateness.Seconds()
 }
 
-// lowerMedian returns the lower median, so that in a group of two the better
-// upstream is the measure.
-func lowerMedian(v []float64) float64 {
+// median is the lower median, so that in a group of two the better upstream is
+// the measure.
+func median(group []peer, value func(peer) float64) float64 {
+	v := make([]float64, len(group))
+	for i, p := range group {
+		v[i] = value(p)
+	}
 	slices.Sort(v)
 	return v[(len(v)-1)/2]
 }
-
-func compare(a, b float64) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
--- a/internal/routing/pick_near_best.go
+++ b/internal/routing/pick_near_best.go
@@ -15,18 +15,41 @@
 // NearBestPicker samples among the candidates near the lowest cost, with a
 // weight that falls with the extra cost, so that daemons with the same view do
 // not all choose the same upstream. A remote upstream is sampled only when it
-// is better than each local one.
+// is better than each local one. Upstreams on probation get a small chance of
+// their own and are not sampled otherwise, unless no other is left.
 type NearBestPicker struct{}
 
+const (
+	// probeChance is the probability that a request probes an upstream on
+	// probation; probeChanceUrgent is that of requests of the first tier.
+	probeChance       = 0.05
+	probeChanceUrgent = 0.005
+)
+
+func chanceToProbe(q *Query) float64 {
+	if q.Route.Tier != nil && q.Route.Tier.Rank > 0 {
+		return probeChance
+	}
+	return probeChanceUrgent
+}
+
 // Pick implements Picker.
-func (NearBestPicker) Pick(_ *Query, c []Candidate, rng *rand.Rand) (int, int) {
+func (NearBestPicker) Pick(q *Query, c []Candidate, rng *rand.Rand) (int, int) {
 	best, local := math.Inf(1), math.Inf(1)
+	probe := -1
 	for i := range c {
+		if c[i].proving {
+			probe = i
+			continue
+		}
 		best = min(best, c[i].Cost)
 		if !c[i].Upstream.Remote {
 			local = min(local, c[i].Cost)
 		}
 	}
+	if probe >= 0 && (math.IsInf(best, 1) || rng.Float64() < chanceToProbe(q)) {
+		return probe, 1
+	}
 	band := nearSeconds + nearFraction*math.Abs(best)
 	total, near := 0.0, 0
 	for i := range c {
@@ -52,7 +75,7 @@
 
 // nearWeight falls linearly from 1 at the best cost to 0 past the band.
 func nearWeight(c *Candidate, best, local, band float64) float64 {
-	if c.Upstream.Remote && c.Cost >= local {
+	if c.proving || c.Upstream.Remote && c.Cost >= local {
 		return 0
 	}
 	return 1 - (c.Cost-best)/(band+1e-9)
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -39,17 +39,25 @@
 // and lossy like the cache events themselves. The zero value is empty. All
 // methods are safe for concurrent use.
 type PrefixSet struct {
-	entries [prefixEntries]atomic.Uint64
-	misses  atomic.Int64 // rate of wrong predictions, parts per million
+	entries atomic.Pointer[prefixTable] // nil until the first Add
+	misses  atomic.Int64                // rate of wrong predictions, parts per million
 	lastSeq atomic.Uint64
 }
 
-func (p *PrefixSet) entry(hash uint64) *atomic.Uint64 {
-	return &p.entries[hash%prefixEntries]
-}
+type prefixTable [prefixEntries]atomic.Uint64
 
 // Add records that a prefix is probably cached.
-func (p *PrefixSet) Add(hash uint64) { p.entry(hash).Store(hash) }
+func (p *PrefixSet) Add(hash uint64) {
+	t := p.entries.Load()
+	if t == nil {
+		p.entries.CompareAndSwap(nil, &prefixTable{})
+		t = p.entries.Load()
+	}
+	if t == nil {
+		return // cleared at the same moment
+	}
+	t[hash%prefixEntries].Store(hash)
+}
 
 // Apply applies one cache event. Events older than the latest are ignored;
 // gaps are tolerated, because Observe lowers the trust in what is missed.
@@ -67,7 +75,9 @@
 		p.Add(e.Prefix)
 		return
 	}
-	p.entry(e.Prefix).CompareAndSwap(e.Prefix, 0)
+	if t := p.entries.Load(); t != nil {
+		t[e.Prefix%prefixEntries].CompareAndSwap(e.Prefix, 0)
+	}
 }
 
 // LastSeq returns the sequence number of the latest event.
@@ -75,16 +85,18 @@
 
 // Clear forgets everything, for an engine that restarted.
 func (p *PrefixSet) Clear() {
-	for i := range p.entries {
-		p.entries[i].Store(0)
-	}
+	p.entries.Store(nil)
 	p.lastSeq.Store(0)
 }
 
 // Match returns the number of leading blocks that are probably cached.
 func (p *PrefixSet) Match(prefix []uint64) int {
+	t := p.entries.Load()
+	if t == nil {
+		return 0
+	}
 	for i, hash := range prefix {
-		if p.entry(hash).Load() != hash {
+		if t[hash%prefixEntries].Load() != hash {
 			return i
 		}
 	}
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -10,6 +10,9 @@
 // Request is one attempt that needs an upstream.
 type Request struct {
 	Route *policy.Route
+	// Policy is the policy that Route belongs to; its indexes are translated
+	// when another one is in force. Nil means the policy in force.
+	Policy *policy.Policy
 	// Kind is the kind of upstream wanted. Empty means KindEngine.
 	Kind domain.UpstreamKind
 	// Service is the service name for KindService.
@@ -65,6 +68,8 @@
 	Load float64
 	// CachedTokens is the expected part of the prompt in the prefix cache.
 	CachedTokens int
+
+	proving bool // on probation when it became a candidate
 }
 
 // Choice is the result of Pick.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -2,9 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
 )
 
 // Router runs the stages over the Table in force. All methods are safe for
@@ -53,8 +56,8 @@
 
 // Pick chooses an upstream for a request and takes a slot there, unless it is
 // a dry run. It returns false when no upstream can take the request now. The
-// caller releases Choice.Slot. The request's route must be of the policy of
-// the table in force.
+// caller releases Choice.Slot. A choice adds the request's prefix to what the
+// upstream is assumed to cache, because cache events arrive late.
 func (r *Router) Pick(now time.Time, req *Request, rng *rand.Rand) (Choice, bool) {
 	s, _ := r.scratch.Get().(*scratch)
 	if s == nil {
@@ -76,9 +79,7 @@
 			}
 			return c.choice(slot), true
 		}
-		if e := req.Explain; e != nil {
-			e.Excluded = append(e.Excluded, Exclusion{c.Upstream.ID, ReasonSlots})
-		}
+		s.query.exclude(c.Upstream.ID, ReasonSlots)
 		// Another request took the last slot in the meantime.
 		last := len(s.candidates) - 1
 		s.candidates[i] = s.candidates[last]
@@ -99,7 +100,13 @@
 		return nil, true
 	}
 	slot := c.Upstream.State.Acquire(now, c.Upstream.Share, req.Tokens(), c.Load)
-	return slot, slot != nil
+	if slot == nil {
+		return nil, false
+	}
+	for _, hash := range req.Prefix {
+		c.Upstream.State.Prefixes.Add(hash)
+	}
+	return slot, true
 }
 
 func (c *Candidate) choice(slot *Slot) Choice {
@@ -111,26 +118,64 @@
 	}
 }
 
+// sparseFactor is how many times longer than the table's members a route must
+// be for the members to be looked up in the route instead of the reverse.
+const sparseFactor = 8
+
 // filter fills the candidates with the route's upstreams that pass.
 func (r *Router) filter(s *scratch) {
 	q := &s.query
-	all := q.Table.upstreams
-	for _, i := range q.Route.Upstreams {
-		if i >= len(all) || all[i] == nil {
-			if q.Explain != nil && i < len(all) {
-				id := q.Table.Policy.Upstreams[i].ID
-				q.Explain.Excluded = append(q.Explain.Excluded, Exclusion{id, ReasonSubset})
+	t := q.Table
+	if q.Policy != nil && q.Policy != t.Policy {
+		r.filterTranslated(s)
+		return
+	}
+	if q.Explain == nil && len(t.members)*sparseFactor < len(q.Route.Upstreams) {
+		for _, u := range t.members {
+			if _, allowed := slices.BinarySearch(q.Route.Upstreams, u.Index); allowed {
+				r.consider(s, u)
 			}
-			continue
 		}
-		u := all[i]
-		if reason := r.check(q, u); reason != Keep {
-			if q.Explain != nil {
-				q.Explain.Excluded = append(q.Explain.Excluded, Exclusion{u.ID, reason})
-			}
+		return
+	}
+	for _, i := range q.Route.Upstreams {
+		switch {
+		case i >= len(t.upstreams):
+			// Only a route of another policy has such an index.
+		case t.upstreams[i] != nil:
+			r.consider(s, t.upstreams[i])
+		case q.Explain != nil:
+			q.exclude(t.Policy.Upstreams[i].ID, ReasonSubset)
+		}
+	}
+}
+
+// filterTranslated considers the upstreams of a route that was resolved under
+// another policy, such as that of a request that waited during a change.
+func (r *Router) filterTranslated(s *scratch) {
+	q := &s.query
+	for _, i := range q.Route.Upstreams {
+		id := q.Policy.Upstreams[i].ID
+		if u := q.Table.byID[id]; u != nil {
+			r.consider(s, u)
 			continue
 		}
-		s.candidates = append(s.candidates, Candidate{Upstream: u})
+		q.exclude(id, ReasonSubset)
+	}
+}
+
+// consider adds an upstream to the candidates if all filters keep it.
+func (r *Router) consider(s *scratch, u *Upstream) {
+	if reason := r.check(&s.query, u); reason != Keep {
+		s.query.exclude(u.ID, reason)
+		return
+	}
+	s.candidates = append(s.candidates, Candidate{Upstream: u, proving: u.State.health.proving()})
+}
+
+func (q *Query) exclude(id domain.UpstreamID, reason Reason) {
+	if q.Explain != nil {
+		q.Explain.Excluded = append(q.Explain.Excluded, Exclusion{id, reason})
 	}
 }
 
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -27,8 +27,7 @@
 	// Prefixes remembers what its prefix cache holds.
 	Prefixes PrefixSet
 
-	address string
-	slots   int
+	slots int
 
 	running      atomic.Int64
 	leaving      atomic.Bool
@@ -51,7 +50,6 @@
 func NewState(now time.Time, u *policy.Upstream) *State {
 	return &State{
 		Estimate: estimate.NewUpstream(now),
-		address:  u.Address,
 		slots:    u.Slots,
 	}
 }
@@ -73,6 +71,7 @@
 func (s *State) Report(now time.Time, r ports.LoadReport, sharers int) {
 	if old := s.incarnation.Swap(uint64(r.Incarnation)); old != 0 && old != uint64(r.Incarnation) {
 		s.Prefixes.Clear()
+		s.Estimate.Forget()
 		s.Warm(now)
 	}
 	s.Estimate.Report(now, r)
@@ -92,7 +91,9 @@
 	}
 }
 
-// limit is the number of slots that this daemon may hold now.
+// limit is the number of slots that this daemon may hold now: its share, or
+// more while a recent report shows room. A share of 0, which more daemons than
+// slots give, allows one slot while no recent report tells better.
 func (s *State) limit(now time.Time, share int) int64 {
 	if s.slots <= 0 {
 		return int64(1) << 40
@@ -100,6 +101,9 @@
 	limit := int64(share)
 	if now.UnixNano()-s.reportedAt.Load() < int64(borrowMaxAge) {
 		limit = max(limit, min(s.allowance.Load(), int64(s.slots)))
+		if limit == 0 {
+			return 0
+		}
 	}
 	return max(int64(float64(limit)*s.warmth(now)), 1)
 }
@@ -128,8 +132,7 @@
 	released atomic.Bool
 }
 
-// acquire takes a slot, or returns nil when the limit is reached. A probe is
-// also limited by the probation.
+// acquire counts one more running attempt unless the limit is reached.
 func (s *State) acquire(now time.Time, share int) bool {
 	for {
 		n := s.running.Load()
@@ -145,7 +148,7 @@
 // Acquire takes a slot for an attempt of the given tokens, expected to run at
 // load active tokens. It returns nil when no slot is free.
 func (s *State) Acquire(now time.Time, share, tokens int, load float64) *Slot {
-	probe, ok := s.health.admit(now)
+	probe, ok := s.health.admit(now, s.Estimate)
 	if !ok {
 		return nil
 	}
--- /dev/null
+++ b/internal/routing/state_test.go
@@ -0,0 +1,150 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// Guards against more slots in use than the limit, and against a slot released
+// twice, under concurrent use.
+func TestSlotsConcurrent(t *testing.T) {
+	const slots = 5
+	s := NewState(start, &policy.Upstream{Slots: slots})
+	var inUse, most, taken atomic.Int64
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 3000 {
+				slot := s.Acquire(start, slots, 10, 0)
+				if slot == nil {
+					continue
+				}
+				taken.Add(1)
+				n := inUse.Add(1)
+				for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+				}
+				inUse.Add(-1)
+				var again sync.WaitGroup
+				var first atomic.Int32
+				for range 2 {
+					again.Go(func() {
+						if slot.Release(start, ResultOK) {
+							first.Add(1)
+						}
+					})
+				}
+				again.Wait()
+				assert.Check(t, first.Load() == 1)
+			}
+		})
+	}
+	group.Wait()
+	assert.Assert(t, taken.Load() > 0 && most.Load() <= slots)
+	assert.Equal(t, s.Running(), 0)
+	assert.Equal(t, s.Estimate.Own(), int64(0))
+}
+
+// Guards against daemons that together borrow more than the reported room by
+// more than one slot each, and against borrowing on old reports.
+func TestBorrowing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sharers := rapid.IntRange(1, 8).Draw(t, "sharers")
+		slots := rapid.IntRange(1, 32).Draw(t, "slots")
+		u := &policy.Upstream{Slots: slots}
+		share := slots / sharers
+		states := make([]*State, sharers)
+		for i := range states {
+			states[i] = NewState(start, u)
+		}
+		now := start
+		for range rapid.IntRange(1, 5).Draw(t, "reports") {
+			now = now.Add(time.Second)
+			total := 0
+			for _, s := range states {
+				total += s.Running()
+			}
+			for _, s := range states {
+				s.Report(now, ports.LoadReport{Running: min(total, slots), Queued: max(total-slots, 0)}, sharers)
+			}
+			for _, s := range states {
+				for range rapid.IntRange(0, slots).Draw(t, "wanted") {
+					s.Acquire(now, share, 1, 0)
+				}
+				assert.Assert(t, s.Running() <= slots)
+			}
+			after := 0
+			for _, s := range states {
+				after += s.Running()
+			}
+			assert.Assert(t, after <= max(slots, total)+sharers+share*sharers)
+		}
+		s := NewState(start, u)
+		s.Report(start, ports.LoadReport{}, sharers)
+		later := start.Add(borrowMaxAge)
+		for range slots {
+			s.Acquire(later, share, 1, 0)
+		}
+		assert.Equal(t, s.Running(), max(share, 1))
+	})
+}
+
+// Guards against a new upstream that gets its whole share at once, and against
+// live state lost or mixed up on a new configuration.
+func TestTableKeepsStateAndStartsSlowly(t *testing.T) {
+	p, route := testPolicy(2, 100)
+	old := NewTable(start, nil, p, Site{Region: "a"})
+	next, _ := testPolicy(3, 100)
+	next.Upstreams[0], next.Upstreams[2] = next.Upstreams[2], next.Upstreams[0]
+	table := NewTable(start, old, next, Site{Region: "a", Left: map[domain.UpstreamID]bool{"u1": true}})
+	assert.Assert(t, table.State("u0") == old.State("u0"))
+	fresh := table.State("u2")
+	assert.Equal(t, fresh.limit(start.Add(warmup/10), 100), int64(10))
+	assert.Equal(t, fresh.limit(start.Add(warmup), 100), int64(100))
+
+	// A request resolved under the old policy must not reach what its indexes
+	// mean under the new one.
+	r := NewRouter(table)
+	q := &Request{Route: route, Policy: p, Model: "m", DryRun: true}
+	for range 50 {
+		c, ok := r.Pick(start, q, newRNG())
+		assert.Assert(t, ok && c.ID == "u0", "u1 has left and u2 is not in the route")
+	}
+}
+
+// Guards against prefixes that are forgotten or believed wrongly.
+func TestPrefixSet(t *testing.T) {
+	prompt := make([]byte, 3*PrefixBlockBytes+10)
+	prompt[2*PrefixBlockBytes] = 1
+	hashes := PrefixHashes(nil, prompt)
+	assert.Equal(t, len(hashes), 3)
+	var p PrefixSet
+	p.Apply(ports.CacheEvent{Seq: 1, Prefix: hashes[0], Stored: true})
+	p.Apply(ports.CacheEvent{Seq: 5, Prefix: hashes[1], Stored: true})
+	assert.Equal(t, p.Match(hashes), 2)
+	p.Apply(ports.CacheEvent{Seq: 4, Prefix: hashes[1]})
+	assert.Equal(t, p.Match(hashes), 2, "an older event must not undo a newer one")
+	p.Apply(ports.CacheEvent{Seq: 6, Prefix: hashes[0]})
+	assert.Equal(t, p.Match(hashes), 0)
+	for range 100 {
+		p.Observe(512, 0)
+	}
+	assert.Assert(t, p.Trust() < 0.05)
+
+	r, q := testRouter(9, 100)
+	q.Prefix, q.PromptTokens = hashes, 2000
+	rng := newRNG()
+	first, _ := r.Pick(start, q, rng)
+	first.Slot.Release(start, ResultOK)
+	second, _ := r.Pick(start, q, rng)
+	assert.Equal(t, second.ID, first.ID)
+	assert.Equal(t, second.CachedTokens, 3*PrefixBlockTokens)
+}
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -122,26 +122,63 @@
 	return x ^ x>>31
 }
 
+// greedy takes the pairs in the order of their weight. It sorts only ranges of
+// weights, of doubling width, and leaves out pairs of full daemons and
+// upstreams, because few of all pairs are ever taken.
 func (m *matching) greedy() {
-	type pair struct {
-		weight uint64
-		d, u   int32
+	if len(m.pairs) == 0 {
+		return
+	}
+	taken := float64(len(m.daemons) * m.size)
+	part := min(firstRange*taken/float64(len(m.pairs)), 1)
+	var buffer []pair
+	for low := uint64(0); ; {
+		high := uint64(math.MaxUint64)
+		if part < 1 {
+			high = uint64(part * math.MaxUint64)
+		}
+		buffer = m.open(buffer[:0], low, high)
+		for _, p := range buffer {
+			if m.held[p.d] < m.size && m.holders[p.u] < m.quota[p.u] {
+				m.set(int(p.d), int(p.u), true)
+			}
+		}
+		if part >= 1 {
+			return
+		}
+		low, part = high+1, part*2
 	}
-	all := make([]pair, 0, len(m.pairs))
+}
+
+// firstRange is the expected number of pairs in the first sorted range, in
+// pairs that will be taken.
+const firstRange = 2.0
+
+type pair struct {
+	weight uint64
+	d, u   int32
+}
+
+// open appends the pairs with a weight from low to high whose daemon and
+// upstream have room, in the order of their weight.
+func (m *matching) open(out []pair, low, high uint64) []pair {
 	for d := range m.daemons {
+		if m.held[d] >= m.size {
+			continue
+		}
 		for u := range m.upstreams {
-			all = append(all, pair{m.weight(d, u), int32(d), int32(u)})
+			if m.holders[u] >= m.quota[u] {
+				continue
+			}
+			if w := m.weight(d, u); w >= low && w <= high {
+				out = append(out, pair{w, int32(d), int32(u)})
+			}
 		}
 	}
-	slices.SortFunc(all, func(a, b pair) int {
+	slices.SortFunc(out, func(a, b pair) int {
 		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.d, b.d), cmp.Compare(a.u, b.u))
 	})
-	for _, p := range all {
-		d, u := int(p.d), int(p.u)
-		if m.held[d] < m.size && m.holders[u] < m.quota[u] {
-			m.set(d, u, true)
-		}
-	}
+	return out
 }
 
 // fill places what is left: a daemon d below its size and an upstream u below
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -38,7 +38,7 @@
 	PricePerGB float64
 	// Sharers is the number of daemons that use the upstream.
 	Sharers int
-	// Share is this daemon's share of the slots, at least 1.
+	// Share is this daemon's share of the slots, rounded down.
 	Share int
 	// Left excludes the upstream from new work.
 	Left bool
@@ -52,7 +52,7 @@
 	upstreams []*Upstream
 	// members lists the entries that are not nil, ascending.
 	members []*Upstream
-	states  map[domain.UpstreamID]*State
+	byID    map[domain.UpstreamID]*Upstream
 }
 
 // NewTable builds the snapshot for a policy. Live states are taken over from
@@ -62,7 +62,7 @@
 		Policy:    p,
 		Site:      site,
 		upstreams: make([]*Upstream, len(p.Upstreams)),
-		states:    map[domain.UpstreamID]*State{},
+		byID:      map[domain.UpstreamID]*Upstream{},
 	}
 	var subset map[domain.UpstreamID]bool
 	if site.Subset != nil {
@@ -79,7 +79,7 @@
 		}
 		e := newUpstream(u, i, site, home)
 		e.State = takeOver(now, previous, e)
-		t.states[u.ID] = e.State
+		t.byID[u.ID] = e
 		t.upstreams[i] = e
 		t.members = append(t.members, e)
 	}
@@ -95,7 +95,7 @@
 		Sharers:  max(site.Sharers[u.ID], 1),
 		Left:     u.Draining || site.Left[u.ID],
 	}
-	e.Share = max(u.Slots/e.Sharers, 1)
+	e.Share = u.Slots / e.Sharers
 	if e.Remote && home != nil {
 		e.RTT = home.RTT[u.Region]
 		e.PricePerGB = home.PricePerGB[u.Region]
@@ -105,8 +105,8 @@
 
 func takeOver(now time.Time, previous *Table, e *Upstream) *State {
 	if previous != nil {
-		if s := previous.states[e.ID]; s != nil && s.address == e.Address {
-			return s
+		if old := previous.byID[e.ID]; old != nil && old.Address == e.Address {
+			return old.State
 		}
 	}
 	s := NewState(now, e.Upstream)
@@ -117,7 +117,12 @@
 }
 
 // State returns the live state of an upstream in the table, or nil.
-func (t *Table) State(id domain.UpstreamID) *State { return t.states[id] }
+func (t *Table) State(id domain.UpstreamID) *State {
+	if u := t.byID[id]; u != nil {
+		return u.State
+	}
+	return nil
+}
 
 // Members returns the upstreams of the table in the order of the policy. The
 // slice must not be changed.
