--- a/internal/adapters/engineclient/client.go
+++ b/internal/adapters/engineclient/client.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -63,10 +65,17 @@
 
 // Close closes idle connections. Streams in use stay open.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.ResetPool()
 	c.probes.CloseIdleConnections()
 }
 
+// ResetPool closes idle connections, so that the next request opens a new one.
+// Use it when a connection to the upstream went silent, because others may be
+// silent too. A timed out request does so by itself.
+func (c *Client) ResetPool() {
+	c.transport.CloseIdleConnections()
+}
+
 // Generate starts an attempt. See ports.Engine. A response with another status
 // is a *StatusError.
 func (c *Client) Generate(ctx context.Context, req *ports.GenerateRequest) (ports.Stream, error) {
@@ -98,19 +107,19 @@
 // openStream sends a request whose answer is an event stream. Resumption uses
 // the probe transport, because a pooled connection may be silent.
 func (c *Client) openStream(ctx context.Context, method, path string, header http.Header, body []byte, attempt domain.AttemptID, first int) (ports.Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	client := c.http
 	if method == http.MethodGet {
 		client = c.probe
 	}
-	resp, err := c.send(ctx, client, method, path, header, body)
+	resp, err := c.send(ctx, client, method, path, header, bodyReader(body))
 	if err != nil {
-		cancel()
+		cancel(nil)
 		return nil, err
 	}
 	if err := checkStreamResponse(resp); err != nil {
 		_ = resp.Body.Close()
-		cancel()
+		cancel(nil)
 		return nil, err
 	}
 	return newStream(attempt, first, resp.Body, cancel, c.opts), nil
@@ -130,34 +139,41 @@
 
 // send returns the response or an error that wraps ErrNotSent or
 // ErrStreamBroken.
-func (c *Client) send(ctx context.Context, client *http.Client, method, path string, header http.Header, body []byte) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, client *http.Client, method, path string, header http.Header, body io.Reader) (*http.Response, error) {
 	ctx, tracker := httpsend.Track(ctx)
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bodyReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ports.ErrNotSent, err)
 	}
 	req.Header = header
-	// A body without GetBody keeps the transport from sending the request a
-	// second time after a write. It would do so for a request without a body
-	// that has an Idempotency-Key.
 	req.GetBody = nil
 	resp, err := client.Do(req)
 	if err != nil {
+		if timedOut(err) {
+			c.ResetPool()
+		}
 		return nil, sendError(tracker, err)
 	}
 	return resp, nil
 }
 
-// onceBody is a body that the transport cannot rewind, even when it is empty.
-type onceBody struct{ io.Reader }
+func timedOut(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
 
 func bodyReader(body []byte) io.Reader {
-	if len(body) == 0 {
-		return onceBody{http.NoBody}
+	if body == nil {
+		return nil
 	}
 	return bytes.NewReader(body)
 }
 
+// onceBody is a body that the transport cannot rewind. The transport would
+// send a request without a body twice if it has an Idempotency-Key and its
+// connection breaks after the first write.
+type onceBody struct{ io.Reader }
+
 func readPrefix(r io.Reader) []byte {
 	body, _ := io.ReadAll(io.LimitReader(r, maxErrorBody))
 	return body
@@ -221,7 +237,11 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	resp, err := c.send(ctx, c.http, method, path, header, body)
+	return c.callOn(ctx, c.http, method, path, header, body)
+}
+
+func (c *Client) callOn(ctx context.Context, client *http.Client, method, path string, header http.Header, body []byte) ([]byte, error) {
+	resp, err := c.send(ctx, client, method, path, header, bodyReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapters/engineclient/client_test.go
+++ b/internal/adapters/engineclient/client_test.go
@@ -37,10 +37,11 @@
 			Transport: httpsend.Options{Dial: pipe.Dial},
 		})
 		assert.NilError(t, err)
+		t.Cleanup(func() {
+			c.Close()
+			assert.NilError(t, e.Close())
+		})
 		test(t, e, c)
-		c.Close()
-		assert.NilError(t, e.Close())
-		synctest.Wait()
 	})
 }
 
--- a/internal/adapters/engineclient/control.go
+++ b/internal/adapters/engineclient/control.go
@@ -1,10 +1,12 @@
 package engineclient
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -15,15 +17,26 @@
 )
 
 // Cancel stops an attempt. An attempt that the engine does not know counts as
-// stopped.
+// stopped. A try that gets no response is repeated over a new connection,
+// because the reason for a cancellation is often a silent connection.
 func (c *Client) Cancel(ctx context.Context, attempt domain.AttemptID) error {
-	_, err := c.call(ctx, c.opts.CallTimeout, http.MethodDelete, streamPath(attempt), nil, nil)
+	_, err := c.call(ctx, c.opts.CallTimeout/2, http.MethodDelete, streamPath(attempt), nil, nil)
+	if err != nil && statusOf(err) == 0 && ctx.Err() == nil {
+		err = c.cancelAnew(ctx, attempt)
+	}
 	if status := statusOf(err); status == http.StatusNotFound || status == http.StatusGone {
 		return nil
 	}
 	return err
 }
 
+func (c *Client) cancelAnew(ctx context.Context, attempt domain.AttemptID) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout/2)
+	defer cancel()
+	_, err := c.callOn(ctx, c.probe, http.MethodDelete, streamPath(attempt), http.Header{}, nil)
+	return err
+}
+
 // statusOf returns the status of a *StatusError, or 0.
 func statusOf(err error) int {
 	var statusErr *StatusError
@@ -112,7 +125,11 @@
 	if req.IdempotencyKey != "" {
 		header.Set(headerIdempotency, req.IdempotencyKey)
 	}
-	resp, err := c.send(ctx, c.http, req.Method, req.Path, header, req.Body)
+	var body io.Reader = onceBody{http.NoBody}
+	if len(req.Body) > 0 {
+		body = bytes.NewReader(req.Body)
+	}
+	resp, err := c.send(ctx, c.http, req.Method, req.Path, header, body)
 	if err != nil {
 		return nil, err
 	}
@@ -120,9 +137,9 @@
 	if refused(resp) {
 		return nil, newStatusError(resp)
 	}
-	body, err := c.readBody(resp.Body)
+	answer, err := c.readBody(resp.Body)
 	if err != nil {
 		return nil, err
 	}
-	return &ports.ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return &ports.ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: answer}, nil
 }
--- a/internal/adapters/engineclient/options.go
+++ b/internal/adapters/engineclient/options.go
@@ -9,7 +9,8 @@
 // Options sets up a Client. Zero values take the defaults given with each
 // field.
 type Options struct {
-	// Transport holds pool sizes and connection timeouts.
+	// Transport holds pool sizes and connection timeouts. Its
+	// ResponseHeaderTimeout defaults to 30 s here.
 	Transport httpsend.Options
 	// IdleTimeout breaks a stream on which nothing arrives. It is a backstop
 	// behind the silence detection of the exchange. Default 60 s.
@@ -29,6 +30,7 @@
 }
 
 func (o Options) withDefaults() Options {
+	setDefault(&o.Transport.ResponseHeaderTimeout, 30*time.Second)
 	setDefault(&o.IdleTimeout, time.Minute)
 	setDefault(&o.CallTimeout, 2*time.Second)
 	setDefault(&o.TransferTimeout, 30*time.Second)
--- a/internal/adapters/engineclient/stream.go
+++ b/internal/adapters/engineclient/stream.go
@@ -27,6 +27,8 @@
 
 var doneMarker = []byte("[DONE]")
 
+var errIdle = errors.New("nothing arrived within the idle timeout")
+
 // eventStream implements ports.Stream. Event.Data stays valid after the next
 // Recv; the receiver must not append to it.
 type eventStream struct {
@@ -34,7 +36,7 @@
 	resumed bool
 	body    io.Closer
 	reader  *sseReader
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	idle    *time.Timer
 	timeout time.Duration
 	once    sync.Once
@@ -43,19 +45,20 @@
 	tokens int
 	seen   [rememberedEvents]uint64
 	first  int
+	chunk  wireChunk
 	arena  []byte
 	end    error
 }
 
 // newStream reads events from index first on.
-func newStream(attempt domain.AttemptID, first int, body io.ReadCloser, cancel context.CancelFunc, o Options) *eventStream {
+func newStream(attempt domain.AttemptID, first int, body io.ReadCloser, cancel context.CancelCauseFunc, o Options) *eventStream {
 	return &eventStream{
 		attempt: attempt,
 		resumed: first > 0,
 		body:    body,
 		reader:  newSSEReader(body, o.MaxLine, o.MaxEvent),
 		cancel:  cancel,
-		idle:    time.AfterFunc(o.IdleTimeout, cancel),
+		idle:    time.AfterFunc(o.IdleTimeout, func() { cancel(errIdle) }),
 		timeout: o.IdleTimeout,
 		next:    first,
 		first:   first,
@@ -163,6 +166,14 @@
 	Tokens *int `json:"tokens"`
 }
 
+// reset clears the chunk but keeps its memory. Decoding into a slice within
+// its capacity does not clear the old elements.
+func (c *wireChunk) reset() {
+	choices := c.Choices
+	clear(choices[:cap(choices)])
+	*c = wireChunk{Choices: choices[:0], Error: c.Error[:0]}
+}
+
 type wireChoice struct {
 	Text         string    `json:"text"`
 	Delta        wireDelta `json:"delta"`
@@ -185,8 +196,9 @@
 
 func (s *eventStream) decode(raw sseEvent) (ports.Event, error) {
 	event := ports.Event{Attempt: s.attempt, Index: s.next - 1, Data: s.keep(raw.data)}
-	var chunk wireChunk
-	if err := json.Unmarshal(raw.data, &chunk); err != nil {
+	chunk := &s.chunk
+	chunk.reset()
+	if err := json.Unmarshal(raw.data, chunk); err != nil {
 		return event, fmt.Errorf("%w: event %d: %w", ports.ErrStreamBroken, event.Index, err)
 	}
 	if len(chunk.Error) > 0 {
@@ -203,6 +215,9 @@
 	case event.Text != "":
 		event.Tokens = 1
 	}
+	if event.Tokens < 0 {
+		return event, fmt.Errorf("%w: event %d has %d tokens", ports.ErrStreamBroken, event.Index, event.Tokens)
+	}
 	s.tokens += event.Tokens
 	if chunk.Usage != nil {
 		event.CompletionTokens = chunk.Usage.CompletionTokens
@@ -264,7 +279,7 @@
 			s.drain()
 		}
 		_ = s.body.Close()
-		s.cancel()
+		s.cancel(nil)
 	})
 	return nil
 }
--- a/internal/adapters/platformclient/client.go
+++ b/internal/adapters/platformclient/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -16,7 +17,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/httpsend"
-	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
@@ -27,13 +27,16 @@
 	headerNotRun = "X-Not-Run"
 )
 
+var errUnauthorized = errors.New("credential was not accepted")
+
 // Options sets up a Client. Zero values take the defaults given with each
 // field.
 type Options struct {
 	// Name is sent in X-Client-Name.
 	Name string
-	// Token returns the bearer token. It is called for each request, so that a
-	// replaced credential takes effect. Nil sends none.
+	// Token returns the bearer token; see FileToken. It is called for each
+	// request, and a request that was rejected with 401 is sent again if the
+	// token has changed. Nil sends none.
 	Token func() (string, error)
 	// Transport holds pool sizes and connection timeouts.
 	Transport httpsend.Options
@@ -111,31 +114,53 @@
 	write  bool
 }
 
-// onceBody is a body that the transport cannot rewind and send again.
-type onceBody struct{ io.Reader }
-
 // send makes one try and returns the body of a successful response.
 func (c *Client) send(ctx context.Context, k call) ([]byte, error) {
+	token, err := c.token()
+	if err != nil {
+		return nil, err
+	}
+	body, err := c.sendAs(ctx, k, token)
+	if !errors.Is(err, errUnauthorized) {
+		return body, err
+	}
+	// The platform rejected the credential before any effect.
+	fresh, tokenErr := c.token()
+	if tokenErr != nil || fresh == token {
+		return nil, err
+	}
+	return c.sendAs(ctx, k, fresh)
+}
+
+func (c *Client) token() (string, error) {
+	if c.opts.Token == nil {
+		return "", nil
+	}
+	token, err := c.opts.Token()
+	if err != nil {
+		return "", fmt.Errorf("%w: bearer token: %w", ports.ErrUnavailable, err)
+	}
+	return token, nil
+}
+
+func (c *Client) sendAs(ctx context.Context, k call, token string) ([]byte, error) {
 	ctx, tracker := httpsend.Track(ctx)
-	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, onceBody{bytes.NewReader(k.body)})
+	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, bytes.NewReader(k.body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
 	}
-	req.ContentLength = int64(len(k.body))
+	if k.write {
+		// Without GetBody the transport cannot send a write twice.
+		req.GetBody = nil
+		req.Body = io.NopCloser(req.Body)
+	}
 	req.Header.Set(headerClient, c.opts.Name)
-	if c.opts.Token != nil {
-		token, err := c.opts.Token()
-		if err != nil {
-			return nil, fmt.Errorf("%w: bearer token: %w", ports.ErrUnavailable, err)
-		}
+	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		if tracker.NotSent() {
-			return nil, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
-		}
-		return nil, k.unclear(err)
+		return nil, c.sendError(tracker, k, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.opts.MaxBody+1))
@@ -148,6 +173,19 @@
 	return body, k.check(resp, body)
 }
 
+// sendError classifies a failure without a response. After a timeout the
+// pooled connections may be silent, so the next call opens a new one.
+func (c *Client) sendError(tracker *httpsend.Tracker, k call, err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		c.transport.CloseIdleConnections()
+	}
+	if tracker.NotSent() {
+		return fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
+	}
+	return k.unclear(err)
+}
+
 // unclear classifies a failure after the request may have been sent. A read
 // has no effect.
 func (k call) unclear(err error) error {
@@ -185,7 +223,9 @@
 		}
 	case http.StatusTooManyRequests:
 		return fmt.Errorf("%w: %w", ports.ErrThrottled, status)
-	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden:
+	case http.StatusUnauthorized:
+		return fmt.Errorf("%w: %w: %w", ports.ErrUnavailable, errUnauthorized, status)
+	case http.StatusBadRequest, http.StatusForbidden:
 		return fmt.Errorf("%w: %w", ports.ErrUnavailable, status)
 	case http.StatusServiceUnavailable:
 		if resp.Header.Get(headerNotRun) == "true" {
@@ -265,96 +305,3 @@
 	}
 	return nil
 }
-
-type rowsResponse struct {
-	Rows []ports.Row `json:"rows"`
-}
-
-type getRequest struct {
-	Keys []string `json:"keys"`
-}
-
-// Get implements ports.Table.
-func (c *Client) Get(ctx context.Context, keys ...string) ([]ports.Row, error) {
-	var answer rowsResponse
-	err := c.post(ctx, "/v1/table/get", getRequest{keys}, &answer)
-	return answer.Rows, err
-}
-
-type scanRequest struct {
-	Prefix string        `json:"prefix"`
-	After  string        `json:"after"`
-	Limit  int           `json:"limit"`
-	Since  ports.Version `json:"since"`
-}
-
-// Scan implements ports.Table.
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int, since ports.Version) ([]ports.Row, error) {
-	var answer rowsResponse
-	err := c.post(ctx, "/v1/table/scan", scanRequest{prefix, after, limit, since}, &answer)
-	return answer.Rows, err
-}
-
-type commitRequest struct {
-	Writes []ports.Write `json:"writes"`
-}
-
-type commitResponse struct {
-	Version ports.Version `json:"version"`
-}
-
-// Commit implements ports.Table. It is sent once.
-func (c *Client) Commit(ctx context.Context, writes ...ports.Write) (ports.Version, error) {
-	body, err := json.Marshal(commitRequest{writes})
-	if err != nil {
-		return 0, eris.Wrap(err, "platform request")
-	}
-	answer, err := c.write(ctx, call{method: http.MethodPost, path: "/v1/table/commit", body: body})
-	if err != nil {
-		return 0, err
-	}
-	var parsed commitResponse
-	if err := json.Unmarshal(answer, &parsed); err != nil || parsed.Version == 0 {
-		return 0, fmt.Errorf("%w: response %q has no version", ports.ErrUnknownOutcome, answer)
-	}
-	return parsed.Version, nil
-}
-
-// Put implements ports.Objects. It is sent once; repeating it is safe, because
-// a name is never reused for other content.
-func (c *Client) Put(ctx context.Context, name string, data []byte) error {
-	_, err := c.write(ctx, call{method: http.MethodPut, path: "/v1/objects/" + escape(name), body: data})
-	return err
-}
-
-// Read implements ports.Objects.
-func (c *Client) Read(ctx context.Context, name string) ([]byte, error) {
-	return c.read(ctx, call{method: http.MethodGet, path: "/v1/objects/" + escape(name)})
-}
-
-// escape keeps the slashes of a name.
-func escape(name string) string {
-	parts := strings.Split(name, "/")
-	for i := range parts {
-		parts[i] = url.PathEscape(parts[i])
-	}
-	return strings.Join(parts, "/")
-}
-
-// VMs implements ports.VMList.
-func (c *Client) VMs(ctx context.Context) ([]domain.VM, error) {
-	var vms []domain.VM
-	err := c.get(ctx, "/v1/vms", &vms)
-	return vms, err
-}
-
-type weightsResponse struct {
-	Size int64 `json:"size"`
-}
-
-// Size implements ports.WeightStore.
-func (c *Client) Size(ctx context.Context, artefact string) (int64, error) {
-	var answer weightsResponse
-	err := c.get(ctx, "/v1/weights/"+escape(artefact), &answer)
-	return answer.Size, err
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -241,7 +241,8 @@
 	hits := e.cache.use(prefixes, now)
 	a.cached = min(max(hits*e.cfg.BlockBytes/promptBytesPerToken, e.imported[a.id]), a.promptTokens)
 	a.entry.CachedTokens = a.cached
-	uncached := a.promptTokens - a.cached
+	// A preempted attempt computes its generated tokens' KV cache again.
+	uncached := a.promptTokens - a.cached + a.produced
 	e.ledger.prefill += uncached
 	a.readyAt = now.Add(e.scale(time.Duration(uncached) * e.cfg.PrefillPerToken))
 	a.entry.State = StateRunning
@@ -292,17 +293,20 @@
 		}
 		e.mu.Lock()
 		if e.incarnation == incarnation {
-			e.stepLocked(due)
+			e.stepLocked()
 		}
 		e.mu.Unlock()
 	}
 }
 
 // stepLocked produces one token for each attempt whose prefill is over.
-func (e *Engine) stepLocked(now time.Time) {
+func (e *Engine) stepLocked() {
 	if e.Faults().StopAnswering {
 		return
 	}
+	// The clock may be ahead of due, and later times must not be earlier than
+	// those already in the ledger.
+	now := time.Now()
 	batch := append([]*attempt{}, e.running...)
 	for _, a := range batch {
 		if now.Before(a.readyAt) {
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -96,6 +96,7 @@
 	role     domain.Role
 	applied  string
 	fencing  domain.FencingToken
+	received int
 }
 
 // holds reports whether a model or adapter can be served.
@@ -118,16 +119,17 @@
 		return false
 	}
 	e.content.fencing = max(e.content.fencing, o.Fencing)
+	e.content.received++
 	if e.cfg.OrderDelay == 0 {
 		e.content.apply(o)
 		return true
 	}
-	incarnation := e.incarnation
+	incarnation, number := e.incarnation, e.content.received
 	time.AfterFunc(e.scale(e.cfg.OrderDelay), func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		superseded := e.cfg.ChecksFencing && o.Fencing < e.content.fencing
-		if e.incarnation == incarnation && !superseded {
+		// A later order replaces one that is still being carried out.
+		if e.incarnation == incarnation && e.content.received == number {
 			e.content.apply(o)
 		}
 	})
--- a/internal/standin/netfault/listener.go
+++ b/internal/standin/netfault/listener.go
@@ -1,6 +1,7 @@
 package netfault
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -70,6 +71,23 @@
 	l.down.Store(down)
 }
 
+// Close stops the listener and ends silent connections that the server has
+// closed. The server closes the others.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	silent := []*conn{}
+	for c := range l.conns {
+		if c.silent.Load() {
+			silent = append(silent, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range silent {
+		_ = c.end()
+	}
+	return l.Listener.Close()
+}
+
 // Open returns the number of open connections.
 func (l *Listener) Open() int {
 	l.mu.Lock()
@@ -79,8 +97,9 @@
 
 type conn struct {
 	net.Conn
-	owner  *Listener
-	silent atomic.Bool
+	owner   *Listener
+	silent  atomic.Bool
+	closing atomic.Bool
 }
 
 // Read discards what arrives while the connection is silent.
@@ -101,7 +120,24 @@
 	return c.Conn.Write(p)
 }
 
+// Close hides the end of a silent connection from the peer, which the network
+// would not deliver either. The connection ends when the peer closes it, or
+// with the listener.
 func (c *conn) Close() error {
+	if c.silent.Load() && !c.closing.Swap(true) {
+		go func() {
+			_, _ = io.Copy(io.Discard, c.Conn)
+			_ = c.end()
+		}()
+		return nil
+	}
+	if c.closing.Load() {
+		return net.ErrClosed
+	}
+	return c.end()
+}
+
+func (c *conn) end() error {
 	c.owner.mu.Lock()
 	delete(c.owner.conns, c)
 	c.owner.mu.Unlock()
@@ -113,5 +149,5 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = c.Close()
+	_ = c.end()
 }
