Decode stream events with gjson

Cause: encoding/json took most of the client's time and allocations per token event.

Change: one pass over the event's fields with gjson, which is already a dependency through openai-go. A field of a wrong type breaks the stream, as before. BenchmarkLoopback measures the client against a reader that discards the same stream.

--- a/internal/adapters/engineclient/stream.go
+++ b/internal/adapters/engineclient/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -45,7 +44,7 @@
 	tokens int
 	seen   [rememberedEvents]uint64
 	first  int
-	chunk  wireChunk
+	parser *chunkParser
 	arena  []byte
 	end    error
 }
@@ -56,6 +55,7 @@
 		attempt: attempt,
 		resumed: first > 0,
 		body:    body,
+		parser:  newChunkParser(),
 		reader:  newSSEReader(body, o.MaxLine, o.MaxEvent),
 		cancel:  cancel,
 		idle:    time.AfterFunc(o.IdleTimeout, func() { cancel(errIdle) }),
@@ -157,76 +157,28 @@
 	return raw[:colon], index, nil
 }
 
-type wireChunk struct {
-	Choices []wireChoice    `json:"choices"`
-	Usage   *wireUsage      `json:"usage"`
-	Error   json.RawMessage `json:"error"`
-	// Tokens is the number of tokens in the event. Without it, an event with
-	// text counts as one token.
-	Tokens *int `json:"tokens"`
-}
-
-// reset clears the chunk but keeps its memory. Decoding into a slice within
-// its capacity does not clear the old elements.
-func (c *wireChunk) reset() {
-	choices := c.Choices
-	clear(choices[:cap(choices)])
-	*c = wireChunk{Choices: choices[:0], Error: c.Error[:0]}
-}
-
-type wireChoice struct {
-	Text         string    `json:"text"`
-	Delta        wireDelta `json:"delta"`
-	FinishReason string    `json:"finish_reason"`
-}
-
-type wireDelta struct {
-	Content string `json:"content"`
-}
-
-type wireUsage struct {
-	PromptTokens     int         `json:"prompt_tokens"`
-	CompletionTokens int         `json:"completion_tokens"`
-	Details          wireDetails `json:"prompt_tokens_details"`
-}
-
-type wireDetails struct {
-	CachedTokens int `json:"cached_tokens"`
-}
-
 func (s *eventStream) decode(raw sseEvent) (ports.Event, error) {
 	event := ports.Event{Attempt: s.attempt, Index: s.next - 1, Data: s.keep(raw.data)}
-	chunk := &s.chunk
-	chunk.reset()
-	if err := json.Unmarshal(raw.data, chunk); err != nil {
+	c, err := s.parser.parse(raw.data)
+	switch {
+	case err != nil:
 		return event, fmt.Errorf("%w: event %d: %w", ports.ErrStreamBroken, event.Index, err)
+	case c.failure != "":
+		return event, fmt.Errorf("%w: engine reported %s", ports.ErrStreamBroken, c.failure)
+	case c.finishReason != "" && !c.hasUsage:
+		return event, fmt.Errorf("%w: final event has no usage", ports.ErrStreamBroken)
 	}
-	if len(chunk.Error) > 0 {
-		return event, fmt.Errorf("%w: engine reported %s", ports.ErrStreamBroken, chunk.Error)
-	}
-	if len(chunk.Choices) > 0 {
-		event.Text = chunk.Choices[0].Text + chunk.Choices[0].Delta.Content
-		event.FinishReason = chunk.Choices[0].FinishReason
-	}
-	event.Final = event.FinishReason != ""
-	switch {
-	case chunk.Tokens != nil:
-		event.Tokens = *chunk.Tokens
-	case event.Text != "":
+	event.Text = c.text
+	event.Tokens = c.tokens
+	if !c.hasTokens && c.text != "" {
 		event.Tokens = 1
 	}
-	if event.Tokens < 0 {
-		return event, fmt.Errorf("%w: event %d has %d tokens", ports.ErrStreamBroken, event.Index, event.Tokens)
-	}
 	s.tokens += event.Tokens
-	if chunk.Usage != nil {
-		event.CompletionTokens = chunk.Usage.CompletionTokens
-		event.PromptTokens = chunk.Usage.PromptTokens
-		event.CachedTokens = chunk.Usage.Details.CachedTokens
-	}
-	if event.Final && chunk.Usage == nil {
-		return event, fmt.Errorf("%w: final event has no usage", ports.ErrStreamBroken)
-	}
+	event.Final = c.finishReason != ""
+	event.FinishReason = c.finishReason
+	event.CompletionTokens = c.completionTokens
+	event.PromptTokens = c.promptTokens
+	event.CachedTokens = c.cachedTokens
 	return event, nil
 }
 
--- a/internal/adapters/engineclient/stream_test.go
+++ b/internal/adapters/engineclient/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -70,6 +71,8 @@
 		{"wrong token count", a + b + sseFinal("r.0", 2, 3) + sseEnd, " a b", ports.ErrStreamBroken},
 		{"no usage", a + "id: r.0:1\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n" + sseEnd, " a", ports.ErrStreamBroken},
 		{"error event", a + "id: r.0:1\ndata: {\"error\":{\"message\":\"x\"}}\n\n", " a", ports.ErrStreamBroken},
+		{"text of another type", "id: r.0:0\ndata: {\"choices\":[{\"text\":1}]}\n\n", "", ports.ErrStreamBroken},
+		{"negative count", "id: r.0:0\ndata: {\"tokens\":-1}\n\n", "", ports.ErrStreamBroken},
 		{"malformed", a + "id: r.0:1\ndata: {\n\n", " a", ports.ErrStreamBroken},
 		{"long line", a + "data: " + strings.Repeat("x", 5000), " a", ports.ErrStreamBroken},
 		{"long event", a + strings.Repeat("data: xxxxxxxxxx\n", 1000), " a", ports.ErrStreamBroken},
@@ -173,3 +176,40 @@
 		_, _ = src.Read(buf)
 	}
 }
+
+// BenchmarkDecodeBaseline decodes the same event with encoding/json.
+func BenchmarkDecodeBaseline(b *testing.B) {
+	data := eventData()
+	var chunk struct {
+		Choices []struct {
+			Text  string `json:"text"`
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+			FinishReason string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := json.Unmarshal(data, &chunk); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkDecode measures the decoding of one event's JSON.
+func BenchmarkDecode(b *testing.B) {
+	data := eventData()
+	p := newChunkParser()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := p.parse(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func eventData() []byte {
+	_, data, _ := strings.Cut(sseToken("r.0", 0, " token"), "data: ")
+	return []byte(strings.TrimSpace(data))
+}
