--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -239,7 +239,7 @@
 	if ev.Final && ev.CompletionTokens != a.tokens {
 		// The caller has every event, so reading again would not help.
 		e.emitted += ev.Tokens
-		e.end(now, n, ResultMismatch)
+		e.abandon(now, n, ResultMismatch, domain.WasteMismatch)
 		e.fail(now, ReasonIncomplete, domain.WasteMismatch, ports.ErrMismatch)
 		return
 	}
--- a/internal/exchange/recovery.go
+++ b/internal/exchange/recovery.go
@@ -148,11 +148,7 @@
 			return e.finish(now)
 		}
 		e.abandon(now, r.moving, ResultCancelled, domain.WastePreempted)
-	case PurposeHedge:
-		if e.events > 0 {
-			return e.finish(now)
-		}
-	default:
+	case PurposeRetry, PurposeContinue:
 		e.retries++
 	}
 	e.start(now, upstream, r.purpose)
--- a/internal/exchange/runner_test.go
+++ b/internal/exchange/runner_test.go
@@ -257,3 +257,125 @@
 		})
 	}
 }
+
+// fastEngine generates events without waiting.
+type fastEngine struct {
+	fakeEngine
+	total int
+}
+
+func (f *fastEngine) Generate(_ context.Context, req *ports.GenerateRequest) (ports.Stream, error) {
+	return &fastStream{attempt: req.Attempt, total: f.total}, nil
+}
+
+type fastStream struct {
+	fakeStream
+	attempt domain.AttemptID
+	total   int
+	next    int
+}
+
+func (s *fastStream) Recv() (ports.Event, error) {
+	ev := ports.Event{Attempt: s.attempt, Index: s.next, Text: "w", Tokens: 1}
+	if s.next == s.total {
+		ev = ports.Event{Attempt: s.attempt, Index: s.next, Final: true, CompletionTokens: s.total}
+	}
+	s.next++
+	return ev, nil
+}
+
+type goneEmitter struct{ after int }
+
+func (g *goneEmitter) Emit(*ports.Event) error {
+	g.after--
+	if g.after < 0 {
+		return io.ErrClosedPipe
+	}
+	return nil
+}
+
+// wasteObserver sums wasted tokens by cause.
+type wasteObserver map[domain.WasteCause]int
+
+func (wasteObserver) AttemptStarted(int, domain.UpstreamID, Purpose)                  {}
+func (wasteObserver) FirstToken(domain.UpstreamID, time.Duration)                     {}
+func (wasteObserver) Interval(domain.UpstreamID, time.Duration, int)                  {}
+func (wasteObserver) AttemptEnded(int, domain.UpstreamID, Result, int, time.Duration) {}
+func (w wasteObserver) Wasted(cause domain.WasteCause, tokens int)                    { w[cause] += tokens }
+
+// TestRunnerEndings guards against a wrong outcome, uncounted waste and an
+// engine that keeps generating when a request ends early.
+func TestRunnerEndings(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		cfg      Config
+		leave    time.Duration
+		emits    int
+		engine   *fakeEngine
+		outcome  domain.Outcome
+		reason   Reason
+		cause    domain.WasteCause
+		cancels  int
+		complete bool
+	}{
+		{"caller leaves", Config{}, 110 * time.Millisecond, 99, &fakeEngine{}, domain.OutcomeRan, ReasonCallerGone, domain.WasteCallerGone, 1, false},
+		{"caller leaves before the first token", Config{}, 5 * time.Millisecond, 99, &fakeEngine{}, domain.OutcomeUnknown, ReasonCallerGone, "", 1, false},
+		{"caller refuses an event", Config{}, 0, 5, &fakeEngine{}, domain.OutcomeRan, ReasonCallerGone, domain.WasteCallerGone, 1, false},
+		{"caller refuses the final event", Config{}, 0, 40, &fakeEngine{}, domain.OutcomeRan, ReasonCallerGone, domain.WasteCallerGone, 0, false},
+		{"deadline", Config{Deadline: time.Date(2000, 1, 1, 0, 0, 0, 110e6, time.UTC)}, 0, 99, &fakeEngine{}, domain.OutcomeRan, ReasonDeadline, domain.WasteDeadline, 1, false},
+		{"no other upstream", Config{Repeatable: true}, 0, 99, &fakeEngine{breakAt: 5, gone: true}, domain.OutcomeRan, ReasonBroken, domain.WasteBroken, 1, false},
+		{"must not be repeated", Config{}, 0, 99, &fakeEngine{breakAt: 5, gone: true}, domain.OutcomeRan, ReasonBroken, domain.WasteBroken, 1, false},
+		{"refused everywhere", Config{}, 0, 99, &fakeEngine{openErr: ports.ErrRefused}, domain.OutcomeNotRun, ReasonRefused, "", 0, false},
+		{"not to be repeated, but resumed", Config{}, 0, 99, &fakeEngine{breakAt: 5}, domain.OutcomeRan, "", "", 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tc.engine.total, tc.engine.interval = 40, 20*time.Millisecond
+				tc.cfg.Request, tc.cfg.Resumable = "r", true
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if tc.leave > 0 {
+					time.AfterFunc(tc.leave, cancel)
+				}
+				waste := wasteObserver{}
+				outcome := NewRunner(RunnerConfig{
+					Config:   tc.cfg,
+					Emitter:  &goneEmitter{after: tc.emits},
+					Observer: waste,
+				}).Run(ctx, Assignment{Upstream: "a", Engine: tc.engine})
+				synctest.Wait()
+				assert.Equal(t, outcome.Outcome, tc.outcome)
+				assert.Equal(t, outcome.Reason, tc.reason)
+				assert.Equal(t, outcome.Complete, tc.complete)
+				assert.Equal(t, len(tc.engine.cancelled), tc.cancels)
+				want := wasteObserver{}
+				if tc.cause != "" {
+					want[tc.cause] = outcome.Tokens
+				}
+				assert.DeepEqual(t, waste, want)
+			})
+		})
+	}
+}
+
+// TestRunnerMovesFromDrainingUpstream guards against a stream that is cut off
+// when its upstream is returned.
+func TestRunnerMovesFromDrainingUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := &fakeEngine{total: 400, interval: 20 * time.Millisecond}
+		second := &fakeEngine{total: 400, interval: 20 * time.Millisecond}
+		emitter := &textEmitter{}
+		r := NewRunner(RunnerConfig{
+			Config:  Config{Request: "r", Repeatable: true, Resumable: true},
+			Emitter: emitter,
+			Picker:  &listPicker{{Upstream: "b", Engine: second}},
+		})
+		time.AfterFunc(1010*time.Millisecond, func() { r.Drain("a", time.Now().Add(5*time.Second)) })
+		outcome := r.Run(t.Context(), Assignment{Upstream: "a", Engine: first})
+		synctest.Wait()
+		assert.Assert(t, outcome.Complete, "%+v", outcome)
+		assert.Equal(t, emitter.String(), wholeText(400))
+		assert.Equal(t, second.started[0].SkipTokens, 150)
+		assert.Equal(t, len(first.cancelled), 1)
+	})
+}
