Let refusals and the first continuation pass the retry budget

Cause: with 3 of 12 engines reordering events, 25% of the streams broke at once while no new requests refilled the budget of 20%; 2 of 60 answers ended as upstream_failed. With full engines, 28 of 1,000 requests failed although their attempts had been refused before running. Change: attempts that were not sent or refused, and one continuation per request, do not draw on the budget; MaxRetries still bounds them. The development fleet edits the configuration before its engines start.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -88,7 +88,7 @@
 	}
 	for _, e := range routing.SweepOutliers(now, table) {
 		d.cfg.Log.Event(telemetry.UpstreamHealth).Str("upstream", string(e.Upstream.ID)).
-			Float64("lateness", e.Lateness).Float64("peer_lateness", e.PeerLateness).
+			Float64("first_token_seconds", e.FirstToken).Float64("peer_first_token_seconds", e.PeerFirstToken).
 			Float64("errors", e.Errors).Float64("peer_errors", e.PeerErrors).Bool("spared", e.Spared).Msg("")
 	}
 }
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -47,7 +47,7 @@
 	Platform       platform.Config
 	// Log receives the daemons' log. Nil discards it.
 	Log func(daemon string) *telemetry.Log
-	// Edit changes the configuration before it is proposed.
+	// Edit changes the configuration before anything starts.
 	Edit func(*policy.Document) *policy.Document
 }
 
@@ -117,6 +117,9 @@
 }
 
 func (f *Fleet) start(ctx context.Context) error {
+	if f.options.Edit != nil {
+		f.Document = f.options.Edit(f.Document)
+	}
 	if err := f.startPlatform(); err != nil {
 		return err
 	}
@@ -125,9 +128,6 @@
 			return err
 		}
 	}
-	if f.options.Edit != nil {
-		f.Document = f.options.Edit(f.Document)
-	}
 	if _, err := f.Propose(ctx, f.Document, "initial configuration"); err != nil {
 		return err
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -31,11 +31,13 @@
 	emitted int    // tokens sent to the caller
 	events  int    // events sent to the caller
 
-	retries  int
-	hedged   bool
-	hedgeAt  time.Time
-	recovery recovery
-	exclude  []domain.UpstreamID
+	retries int
+	hedged  bool
+	// continued means that the free continuation has been used.
+	continued bool
+	hedgeAt   time.Time
+	recovery  recovery
+	exclude   []domain.UpstreamID
 
 	armed   time.Time
 	actions []Action
--- a/internal/exchange/recovery.go
+++ b/internal/exchange/recovery.go
@@ -123,8 +123,7 @@
 // seek asks for an upstream when the retry budget allows it.
 func (e *Exchange) seek(now time.Time) {
 	r := &e.recovery
-	free := r.granted || r.purpose == PurposeMove || e.budget == nil
-	if !free && !e.budget.Withdraw(now) {
+	if !e.freeOfBudget() && !e.budget.Withdraw(now) {
 		e.unavailable(now)
 		return
 	}
@@ -133,6 +132,22 @@
 	e.push(Action{Kind: ActionPick, Purpose: r.purpose, Exclude: e.exclude})
 }
 
+// freeOfBudget reports whether the further attempt does not draw on the
+// budget. An attempt that was not sent or refused cost its upstream no work.
+// The first continuation of an answer is free, because an upstream that fails
+// can take more streams with it than the budget holds while no new requests
+// arrive; one per request keeps it from multiplying load.
+func (e *Exchange) freeOfBudget() bool {
+	r := &e.recovery
+	switch {
+	case r.granted, e.budget == nil, r.purpose == PurposeMove:
+		return true
+	case r.reason == ReasonNotSent, r.reason == ReasonRefused:
+		return r.purpose != PurposeHedge
+	}
+	return r.purpose == PurposeContinue && !e.continued
+}
+
 // Picked answers ActionPick with an upstream. Unless the returned actions
 // contain an ActionStart, the upstream is not used.
 func (e *Exchange) Picked(now time.Time, upstream domain.UpstreamID) []Action {
@@ -148,7 +163,10 @@
 			return e.finish(now)
 		}
 		e.abandon(now, r.moving, ResultCancelled, domain.WastePreempted)
-	case PurposeRetry, PurposeContinue:
+	case PurposeContinue:
+		e.retries++
+		e.continued = true
+	case PurposeRetry:
 		e.retries++
 	}
 	e.start(now, upstream, r.purpose)
