Bound syntax findings and apply fragments in one pass

Cause: a file that is no TOML gave one finding a line; Apply cloned the document once for each item; JSON output had null instead of empty lists.

--- a/internal/adapters/cli/cli_test.go
+++ b/internal/adapters/cli/cli_test.go
@@ -91,4 +91,7 @@
 	assert.Equal(t, report.Changes[0].Fields[0].Field, "upstreams")
 	assert.Equal(t, len(report.Impact), 3)
 	assert.Equal(t, len(report.Impact[0].Lost), 3)
+	out, code = run("config", "diff", "--output=json", base, base)
+	assert.Equal(t, code, ExitOK)
+	assert.Equal(t, out, "{\n  \"changes\": [],\n  \"impact\": []\n}\n")
 }
--- a/internal/adapters/cli/config.go
+++ b/internal/adapters/cli/config.go
@@ -33,10 +33,7 @@
 
 func writeCheck(w io.Writer, format output, list findings.List, summary string) error {
 	if format == outputJSON {
-		if list == nil {
-			list = findings.List{}
-		}
-		if err := writeJSON(w, checkReport{!list.HasErrors(), list}); err != nil {
+		if err := writeJSON(w, checkReport{!list.HasErrors(), orEmpty(list)}); err != nil {
 			return err
 		}
 		return findingsError(list)
@@ -161,11 +158,19 @@
 	}
 	report := diffReport{policy.Diff(oldDoc, newDoc), policy.Impact(oldPolicy, newPolicy)}
 	if format == outputJSON {
-		return writeJSON(w, report)
+		return writeJSON(w, diffReport{orEmpty(report.Changes), orEmpty(report.Impact)})
 	}
 	return writeDiff(w, report)
 }
 
+// orEmpty makes JSON show an empty list instead of null.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
 func writeDiff(w io.Writer, report diffReport) error {
 	p := &printer{w: w}
 	for _, c := range report.Changes {
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -31,6 +31,13 @@
 	return nil
 }
 
+// HasZone reports whether an availability zone belongs to a region. A daemon
+// whose settings name another place cannot tell near upstreams from remote ones.
+func (p *Policy) HasZone(region domain.Region, zone domain.AvailabilityZone) bool {
+	r := p.Regions[region]
+	return r != nil && slices.Contains(r.Zones, zone)
+}
+
 // Route returns what the rules give for a customer and class. It is false when
 // either does not exist or no rule matches. It does not allocate.
 func (p *Policy) Route(customer domain.CustomerID, class domain.ClassID) (*Route, bool) {
--- a/internal/policy/explain.go
+++ b/internal/policy/explain.go
@@ -62,7 +62,7 @@
 	if model != "" && p.Models[model] == nil {
 		return nil, &NotFoundError{ItemModel, string(model)}
 	}
-	e := &Explanation{Customer: customer, Class: class, Model: model, Adapter: adapter}
+	e := &Explanation{Customer: customer, Class: class, Model: model, Adapter: adapter, Rules: []RuleMatch{}}
 	if r, ok := p.Route(customer, class); ok {
 		e.Tier, e.Rank, e.Level = r.Tier.ID, r.Tier.Rank, r.Level.Name
 	}
--- a/internal/policy/items.go
+++ b/internal/policy/items.go
@@ -101,19 +101,27 @@
 	return next, nil
 }
 
-// put returns a document in which an item is added or replaced.
-func put[T any](d *Document, list func(*Document) *[]T, id func(*T) string, item T) *Document {
+// put returns a document in which items are added or replace the items of the
+// same identifier.
+func put[T any](d *Document, list func(*Document) *[]T, id func(*T) string, items ...T) *Document {
 	next := d.Clone()
-	items := list(next)
-	if i := find(*items, id, id(&item)); i >= 0 {
-		(*items)[i] = item
-	} else {
-		*items = append(*items, item)
-	}
+	putAll(list(next), id, items)
 	next.sort()
 	return next
 }
 
+func putAll[T any](list *[]T, id func(*T) string, items []T) {
+	at := positions(*list, id)
+	for i := range items {
+		if j, ok := at[id(&items[i])]; ok {
+			(*list)[j] = items[i]
+			continue
+		}
+		at[id(&items[i])] = len(*list)
+		*list = append(*list, items[i])
+	}
+}
+
 func remove[T any](d *Document, kind ItemKind, list func(*Document) *[]T, id func(*T) string, want string) (*Document, error) {
 	next := d.Clone()
 	items := list(next)
@@ -177,24 +185,18 @@
 		return nil, list
 	}
 	next := d.SetRouting(part.Routing)
-	next = putAll(next, part.Tiers, (*Document).PutTier)
-	next = putAll(next, part.Levels, (*Document).PutLevel)
-	next = putAll(next, part.Models, (*Document).PutModel)
-	next = putAll(next, part.Classes, (*Document).PutClass)
-	next = putAll(next, part.Customers, (*Document).PutCustomer)
-	next = putAll(next, part.Upstreams, (*Document).PutUpstream)
-	next = putAll(next, part.Regions, (*Document).PutRegion)
-	next = putAll(next, part.Rules, (*Document).PutRule)
+	putAll(&next.Tiers, tierID, part.Tiers)
+	putAll(&next.Levels, levelID, part.Levels)
+	putAll(&next.Models, modelID, part.Models)
+	putAll(&next.Classes, classID, part.Classes)
+	putAll(&next.Customers, customerID, part.Customers)
+	putAll(&next.Upstreams, upstreamID, part.Upstreams)
+	putAll(&next.Regions, regionID, part.Regions)
+	putAll(&next.Rules, ruleID, part.Rules)
+	next.sort()
 	return next, list
 }
 
-func putAll[T any](d *Document, items []T, put func(*Document, T) *Document) *Document {
-	for _, item := range items {
-		d = put(d, item)
-	}
-	return d
-}
-
 // Remove returns a document without an item. It fails with *NotFoundError.
 // References to the item are left to Compile.
 func (d *Document) Remove(kind ItemKind, id string) (*Document, error) {
--- a/internal/tomlstrict/tree.go
+++ b/internal/tomlstrict/tree.go
@@ -54,6 +54,9 @@
 	damaged bool
 }
 
+// maxSyntaxErrors bounds the findings about a file that is no TOML at all.
+const maxSyntaxErrors = 100
+
 // builder turns parser expressions into a tree of nodes.
 type builder struct {
 	file    string
@@ -65,6 +68,8 @@
 	// suspect is the table that a syntax error at the next header may have
 	// cut short.
 	suspect *node
+	// errors counts the syntax errors.
+	errors int
 	// lost names the tables whose headers could not be read.
 	lost []string
 }
@@ -78,6 +83,10 @@
 	before := len(*list)
 	for offset := 0; offset < len(data); {
 		offset = b.parseFrom(offset)
+		if b.errors >= maxSyntaxErrors {
+			list.Errorf(file, 0, 0, "", "too many syntax errors; the rest of the file was not read")
+			break
+		}
 	}
 	if len(*list) == before {
 		b.crossCheck()
@@ -133,6 +142,7 @@
 	repeated := len(list) > 0 && list[len(list)-1] == found
 	if !repeated {
 		*b.list = append(list, found)
+		b.errors++
 	}
 	lineStart := b.lines[line-1]
 	if lineStart > start && b.startsTable(lineStart) {
@@ -247,7 +257,7 @@
 			next = next.items[len(next.items)-1]
 		}
 		if next.kind != kindTable || next.closed {
-			b.list.Errorf(b.file, part.line, part.column, "", "key %q already holds a %s and cannot be extended", part.name, kindNames[next.kind])
+			b.list.Errorf(b.file, part.line, part.column, "", "key %q already has a value of type %s and cannot be extended", part.name, kindNames[next.kind])
 			return nil
 		}
 		n = next
@@ -298,7 +308,7 @@
 		parent.set(last.name, n)
 	}
 	if n.kind != kindArray || n.closed {
-		b.list.Errorf(b.file, last.line, last.column, "", "key %q already holds a %s; first at line %d", last.name, kindNames[n.kind], n.line)
+		b.list.Errorf(b.file, last.line, last.column, "", "key %q already has a value of type %s; first at line %d", last.name, kindNames[n.kind], n.line)
 		b.detached()
 		return
 	}
