Try selectors only on groups that have a required label value

Cause: rules that name customers one by one made compilation grow with the product of rules and customers. Change: index groups by label value and try a selector that requires certain values only on groups that have one of them; test concurrent use.

--- a/internal/policy/bench_test.go
+++ b/internal/policy/bench_test.go
@@ -5,16 +5,16 @@
 	"runtime"
 	"testing"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
 )
 
 // planned returns a configuration of the planned size: 2,000 customers, 20
-// classes, 2,500 upstreams, 8 tiers, 300 rules. With distinct set, a rule per
-// precedence names customers by identifier, so that no two customers share
-// their labels.
-func planned(t testing.TB, distinct bool) *Document {
+// classes, 2,500 upstreams, 8 tiers, 300 rules. The first customers, as many as
+// own says, have a rule that names them, so that they share no matching work.
+func planned(t testing.TB, own int) *Document {
 	d := &Document{Levels: []ServiceLevel{{Name: "l", Attainment: 0.95}}, Models: []Model{{ID: "m"}}}
 	d.Regions = []Region{{ID: "r", Zones: []domain.AvailabilityZone{"z"}}}
 	for i := range 8 {
@@ -40,18 +40,22 @@
 		})
 	}
 	for i := range 300 {
-		customers := fmt.Sprintf("group=%d", i%50)
-		if distinct && i%10 == 0 {
-			customers = fmt.Sprintf("id in (customer-%04d, customer-%04d)", i, i+1)
-		}
 		d.Rules = append(d.Rules, Rule{
 			Name: fmt.Sprintf("rule-%03d", i), Precedence: i / 50, Level: "l",
 			Tier:      domain.TierID(fmt.Sprintf("t%d", i/50)),
-			Customers: mustSelector(t, customers),
+			Customers: mustSelector(t, fmt.Sprintf("group=%d", i%50)),
 			Classes:   mustSelector(t, fmt.Sprintf("id in (c%02d, c%02d, c%02d)", i%20, (i+7)%20, (i/50+3)%20)),
 			Upstreams: mustSelector(t, fmt.Sprintf("pool in (%d, %d)", i%40, (i+1)%40)),
 		})
 	}
+	for i := range own {
+		d.Rules = append(d.Rules, Rule{
+			Name: fmt.Sprintf("own-%04d", i), Precedence: 10, Level: "l", Tier: "t0",
+			Customers: mustSelector(t, fmt.Sprintf("id=customer-%04d", i)),
+			Classes:   mustSelector(t, "id=c03"),
+			Upstreams: mustSelector(t, fmt.Sprintf("pool=%d", i%40)),
+		})
+	}
 	return d
 }
 
@@ -62,9 +66,9 @@
 }
 
 func BenchmarkCompile(b *testing.B) {
-	for _, distinct := range []bool{false, true} {
-		b.Run(fmt.Sprintf("distinct=%t", distinct), func(b *testing.B) {
-			d := planned(b, distinct)
+	for _, own := range []int{0, 50, 2000} {
+		b.Run(fmt.Sprintf("own=%d", own), func(b *testing.B) {
+			d := planned(b, own)
 			var p *Policy
 			b.ReportAllocs()
 			for b.Loop() {
@@ -93,7 +97,7 @@
 }
 
 func BenchmarkLoad(b *testing.B) {
-	text := planned(b, false).Encode()
+	text := planned(b, 0).Encode()
 	b.SetBytes(int64(len(text)))
 	b.ReportAllocs()
 	for b.Loop() {
@@ -103,7 +107,7 @@
 }
 
 func BenchmarkImpact(b *testing.B) {
-	d := planned(b, false)
+	d := planned(b, 0)
 	before, _ := Compile(d, 1)
 	next, _ := d.SetDraining("upstream-0007", true)
 	after, _ := Compile(next, 2)
@@ -114,7 +118,7 @@
 }
 
 func BenchmarkRoute(b *testing.B) {
-	p, _ := Compile(planned(b, false), 1)
+	p, _ := Compile(planned(b, 0), 1)
 	customers := make([]domain.CustomerID, 2000)
 	for i := range customers {
 		customers[i] = domain.CustomerID(fmt.Sprintf("customer-%04d", i))
@@ -127,6 +131,28 @@
 	})
 }
 
+// Guards against compiling or routing that changes a document or policy which
+// others read; the race detector sees such writes.
+func TestConcurrentUse(t *testing.T) {
+	d, p := load(t)
+	var group errgroup.Group
+	for range 4 {
+		group.Go(func() error {
+			next, err := d.SetLabel(ItemUpstream, "lesson-01", "rental", "night")
+			if err != nil {
+				return err
+			}
+			other, list := Compile(next, 2)
+			Impact(p, other)
+			for id := range p.Customers {
+				p.Route(id, "booking")
+			}
+			return list.Err()
+		})
+	}
+	assert.NilError(t, group.Wait())
+}
+
 // Guards against allocations on the request path.
 func TestRouteDoesNotAllocate(t *testing.T) {
 	_, p := load(t)
--- a/internal/policy/bitset.go
+++ b/internal/policy/bitset.go
@@ -9,6 +9,15 @@
 
 func newBitset(n int) bitset { return make(bitset, (n+wordBits-1)/wordBits) }
 
+// newBitsets returns count sets for members below n.
+func newBitsets(count, n int) []bitset {
+	sets := make([]bitset, count)
+	for i := range sets {
+		sets[i] = newBitset(n)
+	}
+	return sets
+}
+
 func (b bitset) set(i int) { b[i/wordBits] |= 1 << (i % wordBits) }
 
 func (b bitset) has(i int) bool { return b[i/wordBits]&(1<<(i%wordBits)) != 0 }
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -197,7 +197,7 @@
 	return c
 }
 
-// match evaluates each selector once per group. Rules that could not be read
+// match evaluates the selectors over the groups. Rules that could not be read
 // completely match nothing.
 func (c *compiler) match() {
 	c.rules = make([]*Rule, 0, len(c.doc.Rules))
@@ -207,38 +207,17 @@
 		}
 	}
 	slices.SortStableFunc(c.rules, byPrecedence)
-	c.customerRules = make([]bitset, len(c.customers))
-	for g := range c.customers {
-		c.customerRules[g] = matching(c.rules, ruleCustomers, c.customers[g].labels)
-	}
-	c.classRules = make([]bitset, len(c.classes))
-	for g := range c.classes {
-		c.classRules[g] = matching(c.rules, ruleClasses, c.classes[g].labels)
-	}
-	c.ruleUpstreams = make([]bitset, len(c.rules))
-	for r, rule := range c.rules {
-		c.ruleUpstreams[r] = newBitset(len(c.upstreams))
-		for g := range c.upstreams {
-			if rule.Upstreams.Matches(c.upstreams[g].labels) {
-				c.ruleUpstreams[r].set(g)
-			}
-		}
-	}
+	c.customerRules = newBitsets(len(c.customers), len(c.rules))
+	eachMatch(c.rules, ruleCustomers, c.customers, func(r, g int) { c.customerRules[g].set(r) })
+	c.classRules = newBitsets(len(c.classes), len(c.rules))
+	eachMatch(c.rules, ruleClasses, c.classes, func(r, g int) { c.classRules[g].set(r) })
+	c.ruleUpstreams = newBitsets(len(c.rules), len(c.upstreams))
+	eachMatch(c.rules, ruleUpstreams, c.upstreams, func(r, g int) { c.ruleUpstreams[r].set(g) })
 }
 
 // byPrecedence orders rules with the highest precedence first.
 func byPrecedence(a, b *Rule) int { return cmp.Compare(b.Precedence, a.Precedence) }
 
-func matching(rules []*Rule, selector func(*Rule) Selector, labels map[string]string) bitset {
-	set := newBitset(len(rules))
-	for r, rule := range rules {
-		if selector(rule).Matches(labels) {
-			set.set(r)
-		}
-	}
-	return set
-}
-
 // buildRoutes decides each pair of customer group and class group and writes
 // the routes of all their members.
 func (c *compiler) buildRoutes() {
--- a/internal/policy/group.go
+++ b/internal/policy/group.go
@@ -57,6 +57,46 @@
 	return set
 }
 
+// eachMatch calls found for each rule and group that match. A selector that
+// requires certain values of a label is tried only on groups that have one of
+// them; otherwise rules that name items one by one would make the cost grow
+// with the product of rules and items.
+func eachMatch(rules []*Rule, selector func(*Rule) Selector, groups []group, found func(rule, group int)) {
+	all := make([]int, len(groups))
+	byLabel := map[label][]int{}
+	for g := range groups {
+		all[g] = g
+		for key, value := range groups[g].labels {
+			byLabel[label{key, value}] = append(byLabel[label{key, value}], g)
+		}
+	}
+	for r, rule := range rules {
+		s := selector(rule)
+		for _, g := range candidates(s, all, byLabel) {
+			if s.Matches(groups[g].labels) {
+				found(r, g)
+			}
+		}
+	}
+}
+
+type label struct{ key, value string }
+
+// candidates returns a superset of the groups that a selector matches.
+func candidates(s Selector, all []int, byLabel map[label][]int) []int {
+	best := all
+	for _, required := range s.required() {
+		var groups []int
+		for _, value := range required.values {
+			groups = append(groups, byLabel[label{required.key, value}]...)
+		}
+		if len(groups) < len(best) {
+			best = groups
+		}
+	}
+	return best
+}
+
 func customerLabel(c *Customer, key string) (string, bool) {
 	switch key {
 	case labelID:
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"k8s.io/apimachinery/pkg/labels"
+	"k8s.io/apimachinery/pkg/selection"
 )
 
 // Selector chooses customers, classes or upstreams by their labels, in the
@@ -58,6 +59,28 @@
 	}
 }
 
+// requirement demands that a label has one of several values.
+type requirement struct {
+	key    string
+	values []string
+}
+
+// required lists the requirements that demand certain values.
+func (s Selector) required() []requirement {
+	if s.selector == nil {
+		return nil
+	}
+	var list []requirement
+	requirements, _ := s.selector.Requirements()
+	for _, r := range requirements {
+		switch r.Operator() {
+		case selection.In, selection.Equals, selection.DoubleEquals:
+			list = append(list, requirement{r.Key(), r.ValuesUnsorted()})
+		}
+	}
+	return list
+}
+
 func (s Selector) matchesView(view labels.Labels) bool {
 	return s.selector == nil || s.selector.Matches(view)
 }
