--- a/internal/adapters/engineclient/faults_test.go
+++ b/internal/adapters/engineclient/faults_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -244,3 +245,55 @@
 		assert.Equal(t, report.Incarnation, domain.Incarnation(2))
 	})
 }
+
+// Guards against a receiver that stays blocked after its stream was given up.
+func TestCloseUnblocksRecv(t *testing.T) {
+	inBubble(t, engine.Config{}, func(t *testing.T, e *engine.Engine, c *engineclient.Client) {
+		s, err := c.Generate(t.Context(), generate("r.0", body("close", 100)))
+		assert.NilError(t, err)
+		e.SetFaults(engine.Faults{StopAnswering: true})
+		start := time.Now()
+		time.AfterFunc(time.Second, func() { _ = s.Close() })
+		_, _, err = drain(s)
+		assert.Assert(t, errors.Is(err, ports.ErrStreamBroken), "%v", err)
+		assert.Equal(t, time.Since(start), time.Second)
+	})
+}
+
+// Guards against crossed, lost or repeated tokens when many streams run at
+// once, some of them cut and resumed.
+func TestManyStreams(t *testing.T) {
+	inBubble(t, engine.Config{Slots: 250}, func(t *testing.T, e *engine.Engine, c *engineclient.Client) {
+		e.SetFaults(engine.Faults{TruncateAfter: 7, Duplicate: true, Only: "cut"})
+		var wg sync.WaitGroup
+		for i := range 250 {
+			wg.Go(func() {
+				id := domain.NewAttemptID(domain.RequestID([]string{"cut", "whole"}[i%2]), i)
+				text, err := generateWhole(t, c, id, body(string(id), 0))
+				assert.Check(t, errors.Is(err, io.EOF), "%v", err)
+				want, _ := engine.Expected(body(string(id), 0))
+				assert.Check(t, text == want.Text)
+			})
+		}
+		wg.Wait()
+	})
+}
+
+// generateWhole resumes the stream until it ends well or cannot be resumed.
+func generateWhole(t *testing.T, c *engineclient.Client, id domain.AttemptID, b []byte) (string, error) {
+	text, index := "", -1
+	s, err := c.Generate(t.Context(), generate(string(id), b))
+	for err == nil {
+		var part string
+		var last ports.Event
+		part, last, err = drain(s)
+		text += part
+		if last.Attempt != "" {
+			index = last.Index
+		}
+		if errors.Is(err, ports.ErrStreamBroken) {
+			s, err = c.Resume(t.Context(), id, index)
+		}
+	}
+	return text, err
+}
--- a/internal/adapters/engineclient/stream.go
+++ b/internal/adapters/engineclient/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,7 +27,10 @@
 
 var doneMarker = []byte("[DONE]")
 
-var errIdle = errors.New("nothing arrived within the idle timeout")
+var (
+	errIdle   = errors.New("nothing arrived within the idle timeout")
+	errClosed = errors.New("stream was closed")
+)
 
 // eventStream implements ports.Stream. Event.Data stays valid after the next
 // Recv; the receiver must not append to it.
@@ -47,6 +51,8 @@
 	parser *chunkParser
 	arena  []byte
 	end    error
+	// complete is set when Recv will not read again.
+	complete atomic.Bool
 }
 
 // newStream reads events from index first on.
@@ -77,6 +83,7 @@
 	}
 	if event.Final {
 		s.end = io.EOF
+		s.complete.Store(true)
 	}
 	return event, nil
 }
@@ -223,23 +230,28 @@
 	}
 }
 
-// Close releases the connection. A connection whose stream ended is reused.
+// Close releases the connection. A connection whose stream ended is reused. It
+// may be called while Recv waits, which then fails.
 func (s *eventStream) Close() error {
 	s.once.Do(func() {
 		s.idle.Stop()
-		if errors.Is(s.end, io.EOF) {
+		if s.complete.Load() {
 			s.drain()
 		}
+		s.cancel(errClosed)
 		_ = s.body.Close()
-		s.cancel(nil)
 	})
 	return nil
 }
 
+// drainTimeout bounds the wait for the end of a finished response. Opening a
+// new connection costs less than a longer wait.
+const drainTimeout = 50 * time.Millisecond
+
 // drain reads the end of a finished body, which lets the transport reuse the
 // connection.
 func (s *eventStream) drain() {
-	s.idle.Reset(s.timeout)
+	s.idle.Reset(drainTimeout)
 	_, _ = s.reader.in.Peek(1)
 	s.idle.Stop()
 }
--- a/internal/adapters/platformclient/client.go
+++ b/internal/adapters/platformclient/client.go
@@ -216,7 +216,9 @@
 	status := fmt.Errorf("platform answered %d %s: %s", resp.StatusCode, f.Error.Code, f.Error.Message)
 	switch resp.StatusCode {
 	case http.StatusConflict:
-		return &ports.ConflictError{Keys: f.Error.Keys}
+		if f.Error.Code == "conflict" {
+			return &ports.ConflictError{Keys: f.Error.Keys}
+		}
 	case http.StatusNotFound:
 		if f.Error.Code == "not_found" {
 			return fmt.Errorf("%w: %w", ports.ErrNotFound, status)
--- a/internal/adapters/platformclient/client_test.go
+++ b/internal/adapters/platformclient/client_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +142,117 @@
 		assert.DeepEqual(t, vms, []domain.VM{{Name: "vm1"}})
 	})
 }
+
+// Guards against a client that stays locked out after its credential was
+// replaced, and against one that takes a rejected write for an unknown one.
+func TestCredentialReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pipe := netfault.NewPipe()
+		p := platform.New(platform.Config{Credentials: []string{"one"}})
+		p.Start(pipe)
+		path := filepath.Join(t.TempDir(), "token")
+		assert.NilError(t, os.WriteFile(path, []byte("one\n"), 0o600))
+		read := platformclient.FileToken(path)
+		replace := ""
+		c, err := platformclient.New("http://platform", platformclient.Options{
+			Transport: httpsend.Options{Dial: pipe.Dial},
+			Token: func() (string, error) {
+				token, err := read()
+				// The file changes between the reading and the request.
+				if replace != "" {
+					assert.NilError(t, os.WriteFile(path, []byte(replace), 0o600))
+				}
+				return token, err
+			},
+		})
+		assert.NilError(t, err)
+		t.Cleanup(func() {
+			c.Close()
+			assert.NilError(t, p.Close())
+		})
+		commit := func(key string) error {
+			_, err := c.Commit(t.Context(), ports.Write{Key: key})
+			return err
+		}
+		assert.NilError(t, commit("a"))
+		p.SetCredentials("two")
+		assert.ErrorIs(t, commit("b"), ports.ErrUnavailable)
+		replace = "two"
+		assert.NilError(t, commit("b"))
+		assert.NilError(t, os.Remove(path))
+		replace = ""
+		assert.ErrorIs(t, commit("c"), ports.ErrUnavailable)
+		assert.Equal(t, p.Counters().Writes, 2)
+	})
+}
+
+// Guards against reads that are not repeated, writes that are, and calls that
+// stay on silent connections.
+func TestSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pipe := netfault.NewPipe()
+		p := platform.New(platform.Config{})
+		p.Start(pipe)
+		c, err := platformclient.New("http://platform", platformclient.Options{Transport: httpsend.Options{Dial: pipe.Dial}})
+		assert.NilError(t, err)
+		t.Cleanup(func() {
+			c.Close()
+			assert.NilError(t, p.Close())
+		})
+		_, err = c.Commit(t.Context(), ports.Write{Key: "a"})
+		assert.NilError(t, err)
+		assert.Equal(t, p.Silence(), 1)
+		rows, err := c.Get(t.Context(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), 1)
+		assert.Equal(t, p.Silence(), 1)
+		_, err = c.Commit(t.Context(), ports.Write{Key: "b"})
+		assert.ErrorIs(t, err, ports.ErrUnknownOutcome)
+		assert.Equal(t, p.Counters().Writes, 1)
+	})
+}
+
+// Guards against a status or body that is taken for more than it states.
+func TestErrorMapping(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		header string
+		body   string
+		write  error
+		read   error
+	}{
+		{"refused", 503, "true", "", ports.ErrUnavailable, ports.ErrUnavailable},
+		{"gateway", 503, "", "", ports.ErrUnknownOutcome, ports.ErrUnavailable},
+		{"server error", 500, "true", "", ports.ErrUnknownOutcome, ports.ErrUnavailable},
+		{"redirect", 307, "", "", ports.ErrUnknownOutcome, ports.ErrUnavailable},
+		{"throttled", 429, "", "", ports.ErrThrottled, ports.ErrThrottled},
+		{"forbidden", 403, "", "", ports.ErrUnavailable, ports.ErrUnavailable},
+		{"foreign 404", 404, "", "<html>", ports.ErrUnknownOutcome, ports.ErrUnavailable},
+		{"foreign 409", 409, "", "<html>", ports.ErrUnknownOutcome, ports.ErrUnavailable},
+		{"not found", 404, "", `{"error":{"code":"not_found"}}`, ports.ErrNotFound, ports.ErrNotFound},
+		{"empty answer", 200, "", "", ports.ErrUnknownOutcome, ports.ErrUnavailable},
+		{"cut answer", 200, "", `{"version":`, ports.ErrUnknownOutcome, ports.ErrUnavailable},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Not-Run", k.header)
+				w.WriteHeader(k.status)
+				_, _ = io.WriteString(w, k.body)
+			}))
+			defer server.Close()
+			c, err := platformclient.New(server.URL, platformclient.Options{Backoff: time.Microsecond})
+			assert.NilError(t, err)
+			defer c.Close()
+			_, err = c.Commit(t.Context(), ports.Write{Key: "a"})
+			assert.ErrorIs(t, err, k.write)
+			_, err = c.Get(t.Context(), "a")
+			assert.ErrorIs(t, err, k.read)
+		})
+	}
+	c, err := platformclient.New("http://127.0.0.1:1", platformclient.Options{})
+	assert.NilError(t, err)
+	_, err = c.Commit(t.Context(), ports.Write{Key: "a"})
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
+}
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -36,8 +36,9 @@
 	Rows   []ports.Row
 	// Version is the version of a successful commit.
 	Version ports.Version
-	// Err is what the caller saw. The effect of a commit with
-	// ports.ErrUnknownOutcome is open.
+	// Err is what an in-process caller saw. The effect of a commit with
+	// ports.ErrUnknownOutcome is open. A caller over HTTP may know less, for
+	// example after its own timeout.
 	Err error
 }
 
