Split the stand-ins by concern and test the HTTP fault switches

Cause: engine.go and service.go each held several concerns, POST /faults was tested for the engine only, and a case of TestNotSent depended on whether the server closed before or during the first write.

Change: files split without other changes; httpsend looks through TLS connections; tests for POST /faults of service and platform and for the cancellation of a queued attempt. The server of TestNotSent now waits a second of virtual time before it closes, so that the write is always under way. The expected result is the same.

Conclusion: no change of behaviour besides TLS.

--- a/internal/adapters/httpsend/httpsend.go
+++ b/internal/adapters/httpsend/httpsend.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -103,7 +104,11 @@
 
 func (t *Tracker) gotConn(info httptrace.GotConnInfo) {
 	u := use{}
-	if c, ok := info.Conn.(*conn); ok {
+	inner := info.Conn
+	if encrypted, ok := inner.(*tls.Conn); ok {
+		inner = encrypted.NetConn()
+	}
+	if c, ok := inner.(*conn); ok {
 		u = use{conn: c, mark: c.writeCalls()}
 	}
 	t.mu.Lock()
--- a/internal/adapters/httpsend/httpsend_test.go
+++ b/internal/adapters/httpsend/httpsend_test.go
@@ -44,12 +44,13 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	// serve reads n bytes of a request and closes the connection.
+	// serve reads n bytes of a request and closes the connection a second later.
 	serve := func(n int64) DialFunc {
 		return func(context.Context, string, string) (net.Conn, error) {
 			client, server := net.Pipe()
 			go func() {
 				_, _ = io.CopyN(io.Discard, server, n)
+				time.Sleep(time.Second)
 				_ = server.Close()
 			}()
 			return client, nil
--- a/internal/adapters/platformclient/client_test.go
+++ b/internal/adapters/platformclient/client_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,7 +202,9 @@
 		})
 		_, err = c.Commit(t.Context(), ports.Write{Key: "a"})
 		assert.NilError(t, err)
-		assert.Equal(t, p.Silence(), 1)
+		req := httptest.NewRequest(http.MethodPost, "/faults", strings.NewReader(`{"lose_next":3,"silence":true}`))
+		p.ServeHTTP(httptest.NewRecorder(), req)
+		assert.Equal(t, p.Faults().LoseNext, 3)
 		rows, err := c.Get(t.Context(), "a")
 		assert.NilError(t, err)
 		assert.Equal(t, len(rows), 1)
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -8,6 +8,10 @@
 // each answer byte for byte (see Expected). A ledger records each attempt and
 // each computed token.
 //
+// Besides the upstream protocol it serves GET /ledger, GET /faults and
+// POST /faults. The body of POST /faults has the fields of Faults, which keep
+// their value when absent, and "crash" and "silence", which act once.
+//
 // All timing goes through the time package, so an Engine behind in-memory
 // connections works under testing/synctest.
 package engine
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -136,6 +136,25 @@
 	})
 }
 
+// Guards against a cancelled request that keeps its place in the queue.
+func TestCancelQueued(t *testing.T) {
+	inBubble(t, engine.Config{Slots: 1}, func(t *testing.T, e *engine.Engine, client *http.Client) {
+		wait := submit(t, client, prompt("a", 0, 10), prompt("b", 1, 10), prompt("c", 2, 10))
+		id := string(e.Ledger().Attempts[1].Attempt)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodDelete, "http://e/v1/streams/"+id, nil)
+		assert.NilError(t, err)
+		resp, err := client.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusNoContent)
+		wait()
+		attempts := e.Ledger().Attempts
+		assert.Equal(t, attempts[1].State, engine.StateCancelled)
+		assert.Equal(t, attempts[1].Generated, 0)
+		assert.Equal(t, attempts[2].State, engine.StateFinished)
+	})
+}
+
 // Guards against tokens computed for a caller that will not come back.
 func TestOrphanIsAbandoned(t *testing.T) {
 	inBubble(t, engine.Config{OrphanTime: time.Second}, func(t *testing.T, e *engine.Engine, client *http.Client) {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -12,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
-	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/netfault"
 )
 
@@ -35,67 +34,6 @@
 	LoadLag time.Duration
 }
 
-// Faults are the lasting fault switches. The zero value is a healthy service.
-type Faults struct {
-	// Refuse answers calls with 503 and X-Not-Run before running them.
-	Refuse bool `json:"refuse"`
-	// LoseAnswers closes the connection after the execution.
-	LoseAnswers bool `json:"lose_answers"`
-	// CrashBefore ends the process before the execution of the next call,
-	// CrashAfter behind it. The switch clears itself.
-	CrashBefore bool `json:"crash_before"`
-	CrashAfter  bool `json:"crash_after"`
-	// StopAnswering accepts calls, runs nothing and never answers.
-	StopAnswering bool `json:"stop_answering"`
-	// Down closes all connections and accepts no new ones.
-	Down bool `json:"down"`
-	// Slow is added to Config.Latency.
-	Slow time.Duration `json:"slow_ns"`
-	// Deduplicate answers a repeated idempotency key from the first execution.
-	Deduplicate bool `json:"deduplicate"`
-	// FalseIdle makes load reports show an idle service.
-	FalseIdle bool `json:"false_idle"`
-}
-
-// Execution is the ledger's record of one execution.
-type Execution struct {
-	Attempt        domain.AttemptID   `json:"attempt"`
-	IdempotencyKey string             `json:"idempotency_key"`
-	Incarnation    domain.Incarnation `json:"incarnation"`
-	Method         string             `json:"method"`
-	Path           string             `json:"path"`
-	At             time.Time          `json:"at"`
-	// Answered is false when a fault kept the answer back.
-	Answered bool `json:"answered"`
-}
-
-// Ledger is everything that the service did, across its crashes.
-type Ledger struct {
-	Executions []Execution `json:"executions"`
-	Received   int         `json:"received"`
-	Refused    int         `json:"refused"`
-	Replayed   int         `json:"replayed"`
-}
-
-// ByKey returns the number of executions of each idempotency key.
-func (l Ledger) ByKey() map[string]int {
-	out := make(map[string]int)
-	for _, x := range l.Executions {
-		out[x.IdempotencyKey]++
-	}
-	return out
-}
-
-// Answer is the body of a response.
-type Answer struct {
-	// Execution counts the executions from 1.
-	Execution      int    `json:"execution"`
-	IdempotencyKey string `json:"idempotency_key,omitempty"`
-	Path           string `json:"path"`
-	// Digest is the xxhash64 of the request body.
-	Digest uint64 `json:"digest"`
-}
-
 // Service is one stand-in service. It is an http.Handler; Start serves it on a
 // listener.
 type Service struct {
@@ -113,11 +51,6 @@
 	samples     []loadSample
 }
 
-type loadSample struct {
-	at      time.Time
-	running int
-}
-
 // New returns an idle service with incarnation 1.
 func New(cfg Config) *Service {
 	if cfg.Slots == 0 {
@@ -149,52 +82,6 @@
 	s.handler.ServeHTTP(w, r)
 }
 
-// Faults returns the switches in force.
-func (s *Service) Faults() Faults {
-	return *s.faults.Load()
-}
-
-// SetFaults replaces the switches.
-func (s *Service) SetFaults(f Faults) {
-	s.faults.Store(&f)
-	if l := s.listener.Load(); l != nil {
-		l.SetDown(f.Down)
-		if f.Down {
-			l.Drop()
-		}
-	}
-}
-
-// Silence makes all open connections silent for good; new ones work. It needs
-// Start.
-func (s *Service) Silence() int {
-	if l := s.listener.Load(); l != nil {
-		return l.Silence()
-	}
-	return 0
-}
-
-// Crash drops all connections and remembered answers, and starts a new
-// incarnation. The ledger is kept.
-func (s *Service) Crash() {
-	s.mu.Lock()
-	s.incarnation++
-	s.answers = make(map[string]Answer)
-	s.mu.Unlock()
-	if l := s.listener.Load(); l != nil {
-		l.Drop()
-	}
-}
-
-// Ledger returns a copy of the ledger.
-func (s *Service) Ledger() Ledger {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := s.ledger
-	out.Executions = append([]Execution{}, s.ledger.Executions...)
-	return out
-}
-
 func (s *Service) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /load", s.unlessStopped(s.handleLoad))
@@ -224,27 +111,6 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func (s *Service) handleFaults(w http.ResponseWriter, r *http.Request) {
-	cmd := struct {
-		Faults
-		Crash   bool `json:"crash"`
-		Silence bool `json:"silence"`
-	}{Faults: s.Faults()}
-	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-	_ = http.NewResponseController(w).Flush()
-	s.SetFaults(cmd.Faults)
-	if cmd.Silence {
-		s.Silence()
-	}
-	if cmd.Crash {
-		s.Crash()
-	}
-}
-
 // handleCall runs a call even when its caller gives up, as a service that has
 // begun its work would.
 func (s *Service) handleCall(w http.ResponseWriter, r *http.Request) {
@@ -299,19 +165,6 @@
 	f(&s.ledger)
 }
 
-// takeSwitch returns a self-clearing switch and clears it.
-func (s *Service) takeSwitch(field func(*Faults) *bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f := s.Faults()
-	on := *field(&f)
-	if on {
-		*field(&f) = false
-		s.faults.Store(&f)
-	}
-	return on
-}
-
 func (s *Service) remembered(r *http.Request, faults Faults) (Answer, bool) {
 	key := r.Header.Get(headerIdempotency)
 	s.mu.Lock()
@@ -338,35 +191,3 @@
 	s.answers[key] = answer
 	return answer
 }
-
-func (s *Service) track(change int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	s.running += change
-	s.samples = append(s.samples, loadSample{now, s.running})
-	for len(s.samples) > 1 && now.Sub(s.samples[1].at) >= s.cfg.LoadLag {
-		s.samples = s.samples[1:]
-	}
-}
-
-func (s *Service) handleLoad(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	taken := time.Now().Add(-s.cfg.LoadLag)
-	running := 0
-	for _, sample := range s.samples {
-		if sample.at.After(taken) {
-			break
-		}
-		running = sample.running
-	}
-	if s.Faults().FalseIdle {
-		running = 0
-	}
-	report := ports.LoadReport{
-		Upstream: s.cfg.ID, Incarnation: s.incarnation, Taken: taken, Age: s.cfg.LoadLag,
-		Running: min(running, s.cfg.Slots), Queued: max(0, running-s.cfg.Slots), Slots: s.cfg.Slots,
-	}
-	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, report)
-}
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
 	"github.com/auburndyke/auburndyke/internal/adapters/httpsend"
+	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/netfault"
 	"github.com/auburndyke/auburndyke/internal/standin/service"
@@ -80,7 +81,8 @@
 	}
 }
 
-// Guards against a stand-in that hides a double execution by default.
+// Guards against a stand-in that hides a double execution by default, and
+// against fault switches that work by Go method only.
 func TestDeduplicationIsOptional(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pipe := netfault.NewPipe()
@@ -102,6 +104,15 @@
 		report, err := client.Load(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, report.Slots, 16)
+		_, err = client.Call(t.Context(), &ports.ServiceRequest{
+			Method: http.MethodPost, Path: "/faults", Body: []byte(`{"refuse":true,"crash":true}`),
+		})
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.DeepEqual(t, s.Faults(), service.Faults{Refuse: true, Deduplicate: true})
+		report, err = client.Load(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, report.Incarnation, domain.Incarnation(2))
 		client.Close()
 		assert.NilError(t, s.Close())
 	})
