Let in-process writes take effect after their caller gave up

Cause: over HTTP a slow write took effect late, in process it was dropped, so tests in virtual time never met that case.

Change: a write whose context ends while it is on its way is applied when it would have arrived. Values are copied at the call.

Conclusion: both forms of the platform stand-in now behave alike here; the test runs against both.

--- a/internal/adapters/platformclient/client_test.go
+++ b/internal/adapters/platformclient/client_test.go
@@ -1,6 +1,7 @@
 package platformclient_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -115,6 +116,28 @@
 	})
 }
 
+// Guards against tests that never meet a write that takes effect after its
+// caller gave up.
+func TestWriteTakesEffectLate(t *testing.T) {
+	eachClient(t, platform.Config{}, func(t *testing.T, p *platform.Platform, c ports.Platform) {
+		p.SetFaults(platform.Faults{Slow: 20 * time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		value := []byte("late")
+		_, err := c.Commit(ctx, ports.Write{Key: "a", Value: value})
+		assert.ErrorIs(t, err, ports.ErrUnknownOutcome)
+		copy(value, "used")
+		p.SetFaults(platform.Faults{})
+		rows, err := c.Get(t.Context(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), 0)
+		time.Sleep(20 * time.Second)
+		rows, err = c.Get(t.Context(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, string(rows[0].Value), "late")
+	})
+}
+
 // Guards against objects whose content changes under their name, and against
 // a VM list without lag.
 func TestObjectsVMsWeights(t *testing.T) {
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -72,7 +72,9 @@
 
 // do runs effect under the platform's lock, with latency, limits and faults
 // around it. A write whose fate the caller cannot know fails with
-// ports.ErrUnknownOutcome.
+// ports.ErrUnknownOutcome. A write that is on its way when its caller gives up
+// takes effect later, so effect must not share memory with the caller unless
+// do succeeds.
 func (c *Client) do(ctx context.Context, a access, effect func() error) error {
 	p := c.platform
 	faults := p.Faults()
@@ -81,7 +83,11 @@
 		return interrupted(a, "platform unreachable")
 	}
 	half := (p.cfg.Latency + faults.slowness(a.service)) / 2
+	arrival := time.Now().Add(half)
 	if sleep(ctx, half) != nil {
+		if a.write {
+			time.AfterFunc(time.Until(arrival), func() { _, _ = p.apply(a, effect) })
+		}
 		return interrupted(a, "request timed out")
 	}
 	lost, err := p.apply(a, effect)
@@ -183,25 +189,36 @@
 
 // Commit implements ports.Table.
 func (c *Client) Commit(ctx context.Context, writes ...ports.Write) (ports.Version, error) {
+	writes = cloneWrites(writes)
 	op := Operation{Kind: KindCommit, Call: time.Now(), Writes: writes}
 	p := c.platform
-	op.Err = c.do(ctx, access{ServiceTable, true, p.limits.write}, func() error {
-		version, err := p.table.commit(writes)
+	var version ports.Version
+	op.Err = c.do(ctx, access{ServiceTable, true, p.limits.write}, func() (err error) {
+		version, err = p.table.commit(writes)
 		if err != nil {
 			p.counters.Conflicts++
 		}
-		op.Version = version
 		return err
 	})
-	if op.Err != nil {
-		op.Version = 0
+	if op.Err == nil {
+		op.Version = version
 	}
 	c.observe(op)
 	return op.Version, op.Err
 }
 
+// cloneWrites protects a write that takes effect late from its caller.
+func cloneWrites(writes []ports.Write) []ports.Write {
+	out := slices.Clone(writes)
+	for i := range out {
+		out[i].Value = bytes.Clone(out[i].Value)
+	}
+	return out
+}
+
 // Put implements ports.Objects.
 func (c *Client) Put(ctx context.Context, name string, data []byte) error {
+	data = bytes.Clone(data)
 	p := c.platform
 	return c.do(ctx, access{ServiceObjects, true, p.limits.write}, func() error {
 		return p.put(name, data)
