Predict queueing at upstreams and bound each queue

Cause: in a trial simulation (8 daemons, 12 engines of 8 slots, reports every 1 s with 0.3 s lag) requests waited at full engines while others had room, because the load fit knows no slots; and a tier without queue_tokens was unbounded. Change: the number of requests at an upstream is estimated like its active tokens, and the expected wait for a slot is part of the first-token time; report memory 2 s to 0.5 s; a QueueTokens of 0 means 200,000.

--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -189,7 +189,7 @@
 type tier struct {
 	rank      int
 	share     float64
-	bound     int64 // cumulative bound of this and all lower tiers; 0 is none
+	bound     int64 // of the waiting tokens of this and all lower tiers
 	preempts  bool
 	tokens    int64
 	sheddable int64
--- a/internal/admission/helpers_test.go
+++ b/internal/admission/helpers_test.go
@@ -11,9 +11,12 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// testTiers returns n tiers with the given bound and share each. The first
-// half preempts.
+// testTiers returns n tiers with the given bound and share each; a bound of 0
+// is out of reach. The first half preempts.
 func testTiers(n, queueTokens int, share float64) []policy.Tier {
+	if queueTokens == 0 {
+		queueTokens = 1 << 40
+	}
 	tiers := make([]policy.Tier, n)
 	for i := range tiers {
 		tiers[i] = policy.Tier{
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -15,6 +15,9 @@
 	// lateShare is the share of a tier's dispatched tokens that requests past
 	// their target receive at least, so that they are served eventually.
 	lateShare = 0.1
+	// defaultQueueTokens replaces a QueueTokens of zero, so that no queue grows
+	// without bound.
+	defaultQueueTokens = 200_000
 	// floorShare replaces a minimum share below it. Without it a tier with
 	// share zero could wait forever behind higher tiers.
 	floorShare = 0.01
@@ -75,7 +78,7 @@
 	}
 	sum := 0.0
 	for i, t := range q.tiers {
-		t.share, t.preempts, t.bound = floorShare, false, 0
+		t.share, t.preempts = floorShare, false
 		if i < len(tiers) {
 			t.share = max(floorShare, tiers[i].MinShare)
 			t.preempts = tiers[i].Preempts
@@ -88,12 +91,21 @@
 		}
 	}
 	bound := int64(0)
-	for i := len(tiers) - 1; i >= 0 && tiers[i].QueueTokens > 0; i-- {
-		bound += int64(tiers[i].QueueTokens)
+	for i := len(q.tiers) - 1; i >= 0; i-- {
+		if i < len(tiers) {
+			bound += queueTokens(tiers[i])
+		}
 		q.tiers[i].bound = bound
 	}
 }
 
+func queueTokens(t policy.Tier) int64 {
+	if t.QueueTokens > 0 {
+		return int64(t.QueueTokens)
+	}
+	return defaultQueueTokens
+}
+
 func newTier(rank int) *tier {
 	return &tier{
 		rank:      rank,
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -22,7 +22,7 @@
 	for i := len(q.tiers) - 1; i >= 0; i-- {
 		t := q.tiers[i]
 		below += t.tokens
-		if i > r.Rank || t.bound == 0 || below == 0 {
+		if i > r.Rank || below == 0 {
 			continue
 		}
 		worst = max(worst, min(below, below+r.tokens()-t.bound))
--- a/internal/estimate/upstream.go
+++ b/internal/estimate/upstream.go
@@ -29,7 +29,9 @@
 	fitAge = time.Minute
 
 	// reportMemory is the age at which a load report keeps 1/e of its weight.
-	reportMemory = 2 * time.Second
+	// A longer memory lets daemons gather at an upstream that was idle when it
+	// reported; a shorter one wastes fresh reports.
+	reportMemory = 500 * time.Millisecond
 	// othersGain is the weight of a new report in the long-term mean of the
 	// other daemons' load.
 	othersGain = 0.1
@@ -54,16 +56,14 @@
 	lateness    float        // its exponential minus 1
 	latenessAt  atomic.Int64 // Unix ns
 
-	own        atomic.Int64 // active tokens of this daemon
+	tokens   gauge // active tokens
+	requests gauge // requests running or queued at the upstream
+
 	pending    atomic.Int64 // attempts without a first token
 	pendingSum atomic.Int64 // sum of their start times, µs since epoch
 	epoch      int64        // Unix ns
-	history    [historySteps]atomic.Uint64
 
-	reportedAt   atomic.Int64 // Unix ns; 0 before the first report
-	othersReport float
-	othersMean   float
-	ownReported  atomic.Int64 // own tokens when the report was taken
+	reportedAt atomic.Int64 // Unix ns; 0 before the first report
 }
 
 // NewUpstream returns an estimator without observations.
@@ -85,7 +85,7 @@
 
 // Start records that this daemon sends an attempt of the given tokens.
 func (u *Upstream) Start(now time.Time, tokens int) {
-	u.addOwn(now, int64(tokens))
+	u.add(now, int64(tokens), 1)
 	u.pending.Add(1)
 	u.pendingSum.Add(u.micros(now))
 }
@@ -93,7 +93,7 @@
 // End records that an attempt is over. The started time is that of Start;
 // answered tells whether FirstToken was called for it.
 func (u *Upstream) End(now, started time.Time, tokens int, answered bool) {
-	u.addOwn(now, -int64(tokens))
+	u.add(now, -int64(tokens), -1)
 	if !answered {
 		u.endPending(started)
 	}
@@ -141,72 +141,34 @@
 	return 1 / (1 + x*(1+x*(1.0/2+x*(1.0/6+x*(1.0/24)))))
 }
 
-// addOwn changes the own active tokens and remembers them by time.
-func (u *Upstream) addOwn(now time.Time, tokens int64) {
-	own := max(u.own.Add(tokens), 0)
-	step := uint64(u.step(now.UnixNano()))
-	u.history[step%historySteps].Store(step<<32 | uint64(uint32(own)))
-}
-
-func (u *Upstream) step(ns int64) int64 {
-	return 1 + max(ns-u.epoch, 0)/int64(historyStep) // 0 marks an empty entry
-}
-
-// ownAt returns the own active tokens at an earlier time. Without a record
-// since then, they are the present ones.
-func (u *Upstream) ownAt(ns int64) int64 {
-	wanted := u.step(ns)
-	for step := wanted; step >= 0 && wanted-step < historySteps; step-- {
-		v := u.history[step%historySteps].Load()
-		if v != 0 && int64(v>>32) == step {
-			return int64(uint32(v))
-		}
-	}
-	return u.own.Load()
+func (u *Upstream) add(now time.Time, tokens, requests int64) {
+	step := u.step(now.UnixNano())
+	u.tokens.add(step, tokens)
+	u.requests.add(step, requests)
 }
 
 // Report applies a load report that arrived now. Reports that were taken
 // before the latest one are ignored.
 func (u *Upstream) Report(now time.Time, r ports.LoadReport) {
 	taken := now.UnixNano() - int64(max(r.Age, 0))
-	if previous := u.reportedAt.Load(); taken < previous {
+	previous := u.reportedAt.Load()
+	if taken < previous {
 		return
 	}
-	own := u.ownAt(taken)
-	others := max(float64(r.ActiveTokens)-float64(own), 0)
-	if u.reportedAt.Load() == 0 {
-		u.othersMean.store(others)
-	}
-	mean := u.othersMean.load()
-	u.othersMean.store(mean + othersGain*(others-mean))
-	u.othersReport.store(others)
-	u.ownReported.Store(own)
+	step := u.step(taken)
+	u.tokens.report(step, r.ActiveTokens, previous == 0)
+	u.requests.report(step, r.Running+r.Queued, previous == 0)
 	u.reportedAt.Store(taken)
 }
 
 // Own returns the active tokens of this daemon.
-func (u *Upstream) Own() int64 { return max(u.own.Load(), 0) }
+func (u *Upstream) Own() int64 { return u.tokens.current() }
 
 // Active returns the expected active tokens of all daemons. It is the sum of
 // the own ones and of the other daemons' last reported load, which regresses
 // to its long-term mean with the age of the report.
 func (u *Upstream) Active(now time.Time) float64 {
-	return float64(u.Own()) + u.others(now, 1)
-}
-
-// others estimates the active tokens of the other daemons. A number of sharers
-// above 1 adds the growth that they are assumed to have had since the report,
-// so that a stale report of an idle upstream does not attract all daemons.
-func (u *Upstream) others(now time.Time, sharers int) float64 {
-	at := u.reportedAt.Load()
-	own := float64(u.Own())
-	if at == 0 {
-		return own * herdFactor * float64(max(sharers-1, 0))
-	}
-	weight := decay(now.UnixNano()-at, reportMemory)
-	others := weight*u.othersReport.load() + (1-weight)*u.othersMean.load()
-	growth := max(own-float64(u.ownReported.Load()), 0)
-	return others + growth*herdFactor*float64(max(sharers-1, 0))
+	return u.tokens.total(u.reportWeight(now), 1)
 }
 
 // ReportAge returns the age of the latest report, or false without any.
@@ -222,6 +184,8 @@
 	// Load is the active tokens that the prediction assumes; FirstToken takes
 	// it back as the explanation of the observed time.
 	Load float64
+	// Requests is the expected number of requests at the upstream.
+	Requests float64
 	// Lateness is the recent ratio of observed to predicted first-token time;
 	// 1 means as predicted.
 	Lateness float64
@@ -232,13 +196,15 @@
 // Observed answers outweigh reports: recent lateness scales the prediction,
 // and it is never below the mean time that attempts already wait.
 func (u *Upstream) Predict(now time.Time, work, sharers int) Prediction {
-	load := float64(u.Own()) + u.others(now, sharers) + float64(work)
+	weight := u.reportWeight(now)
+	load := u.tokens.total(weight, sharers) + float64(work)
 	lateness := u.Lateness(now)
 	first := max(u.fitted(now, load)*lateness, u.waited(now))
 	return Prediction{
 		FirstToken: time.Duration(first * float64(time.Second)),
 		Interval:   time.Duration(u.interval.predict(load) * max(lateness, 1) * float64(time.Second)),
 		Load:       load,
+		Requests:   u.requests.total(weight, sharers),
 		Lateness:   lateness,
 	}
 }
--- a/internal/routing/score_latency.go
+++ b/internal/routing/score_latency.go
@@ -1,6 +1,11 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/estimate"
+)
 
 const (
 	// missWeight prices each second by which a first token is predicted to
@@ -20,7 +25,8 @@
 	u := c.Upstream
 	p := u.State.Estimate.Predict(q.Now, q.PromptTokens, u.Sharers)
 	c.FirstToken, c.Interval, c.Load = p.FirstToken, p.Interval, p.Load
-	first := p.FirstToken + u.RTT
+	c.FirstToken += queueWait(q, u, p)
+	first := c.FirstToken + u.RTT
 	cost := first.Seconds()
 	if !q.Deadline.IsZero() {
 		late := first - q.Deadline.Sub(q.Now)
@@ -38,3 +44,27 @@
 func clampSeconds(d time.Duration) float64 {
 	return min(max(d, 0), time.Minute).Seconds()
 }
+
+// occupancySpread is the standard deviation, in square roots of the expected
+// requests, that is assumed of the requests at an upstream.
+const occupancySpread = 0.5
+
+// queueWait is the expected wait at the upstream for a free slot. The excess
+// of the expected requests over the slots is smoothed, because the other
+// daemons' part is not known exactly: a nearly full upstream costs some.
+func queueWait(q *Query, u *Upstream, p estimate.Prediction) time.Duration {
+	if u.Slots <= 0 {
+		return 0
+	}
+	spread := occupancySpread * math.Sqrt(p.Requests+1)
+	x := (p.Requests + 1 - float64(u.Slots)) / spread
+	if x < -6 {
+		return 0
+	}
+	excess := x
+	if x < 30 {
+		excess = math.Log1p(math.Exp(x))
+	}
+	run := p.FirstToken + time.Duration(q.AnswerTokens)*p.Interval
+	return time.Duration(excess * spread * float64(run) / float64(u.Slots))
+}
