Test order within a customer, victims and sampling

Change: tests for the order within a customer, preempted work at the head, victims' tiers, a class refusal that gives back, and sampling near the best.

--- a/internal/admission/limiter_test.go
+++ b/internal/admission/limiter_test.go
@@ -86,5 +86,7 @@
 		p, _ := l.Admit(start, "c", "k", 1)
 		assert.Assert(t, p != nil)
 	}
+	_, refusal := l.Admit(start, "c", "k", 1)
+	assert.Equal(t, refusal, Refusal{Kind: LimitConcurrent, Class: "k", RetryAfter: time.Second})
 	assert.Equal(t, l.customers["c"].running.Load(), int64(3))
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -108,3 +108,35 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, q.Len(), 9)
 }
+
+// Guards against an order within a customer other than preempted work first,
+// then the earliest deadline among requests that can meet theirs.
+func TestOrderWithinCustomer(t *testing.T) {
+	q := NewQueue(testTiers(2, 0, 0))
+	dues := map[int]time.Duration{0: 30 * time.Second, 1: 0, 2: 10 * time.Second, 3: 2 * time.Second, 4: 20 * time.Second}
+	for id := range len(dues) {
+		r := newRequest(id, 1, "c", 100)
+		if dues[id] > 0 {
+			r.Deadline = start.Add(dues[id])
+		}
+		q.Offer(start, r)
+	}
+	var order []string
+	now := start
+	for i := range len(dues) + 1 {
+		d, _ := q.Next(now, nil)
+		order = append(order, string(d.Request.ID))
+		switch i {
+		case 0: // 3, the most urgent, is preempted later
+			now = now.Add(5 * time.Second)
+			late := newRequest(9, 1, "c", 100)
+			late.Deadline, late.FirstToken = now.Add(time.Second), 0
+			q.Offer(now, late)
+			now = now.Add(2 * time.Second) // 9 has missed its target
+			q.Requeue(now, d.Request)
+		}
+	}
+	assert.DeepEqual(t, order, []string{"3", "3", "2", "4", "0", "1"})
+	d, _ := q.Next(now, nil)
+	assert.Assert(t, d.Request.ID == "9" && d.Late)
+}
--- a/internal/admission/shed_test.go
+++ b/internal/admission/shed_test.go
@@ -114,12 +114,18 @@
 	_, ok = q.Preempt(start)
 	assert.Assert(t, !ok, "one victim at a time")
 	q.Requeue(start, victim)
+	soon := newRequest(9, 3, string(victim.Customer), 100)
+	soon.Deadline = start.Add(time.Second)
+	q.Offer(start, soon)
 	d, _ = q.Next(start, nil)
-	assert.Equal(t, d.Request, urgent)
+	assert.Assert(t, d.Request == urgent)
 
 	victim.preemptions = maxPreemptions
 	d, _ = q.Next(start, nil)
-	assert.Equal(t, d.Request, victim)
-	candidate, _ := ChooseVictim(start, []*Request{victim}, Need{Request: urgent, SlotWait: time.Hour})
-	assert.Assert(t, candidate == nil, "preempted too often already")
+	assert.Assert(t, d.Request == victim, "preempted work goes to the head")
+	same, higher := newRequest(6, 1, "c", 100), newRequest(7, 0, "c", 100)
+	need := newRequest(8, 1, "c", 100)
+	need.Deadline = start.Add(time.Second)
+	candidate, _ := ChooseVictim(start, []*Request{victim, same, higher}, Need{Request: need, SlotWait: time.Hour})
+	assert.Assert(t, candidate == nil, "preempted too often, or not of a lower tier")
 }
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -76,3 +76,25 @@
 	c, ok := r.Pick(start.Add(5*time.Second), q, rng)
 	assert.Assert(t, ok && c.Remote, "local upstreams answer late")
 }
+
+// Guards against sampling a remote upstream that is no better than a local
+// one, and against always choosing the same of near-equal upstreams.
+func TestNearBestSamples(t *testing.T) {
+	local, remote := &Upstream{State: &State{}}, &Upstream{State: &State{}, Remote: true}
+	candidates := []Candidate{
+		{Upstream: local, Cost: 0.200},
+		{Upstream: remote, Cost: 0.201},
+		{Upstream: local, Cost: 0.205},
+		{Upstream: local, Cost: 0.900},
+	}
+	q := &Query{Request: &Request{}}
+	rng := newRNG()
+	var picked [4]int
+	for range 1000 {
+		i, near := NearBestPicker{}.Pick(q, candidates, rng)
+		assert.Equal(t, near, 2)
+		picked[i]++
+	}
+	assert.Assert(t, picked[1] == 0 && picked[3] == 0)
+	assert.Assert(t, picked[0] > picked[2] && picked[2] > 250, "%v", picked)
+}
