--- a/internal/recordtest/claims_test.go
+++ b/internal/recordtest/claims_test.go
@@ -213,6 +213,25 @@
 	})
 }
 
+// Guards against a key that stays blocked by a call that was refused while
+// its claim was still under way.
+func TestRefusedCallFreesItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, newTable())
+		a, b := f.daemon("a", nil), f.daemon("b", nil)
+		ctx, disconnect := context.WithCancel(t.Context())
+		plan := nth(0, late)
+		f.tab.plan = func(op string) fault {
+			disconnect()
+			return plan(op)
+		}
+		assert.Equal(t, a.Begin(ctx, f.request(booking, "body")).Verdict, claims.Refused)
+		time.Sleep(2 * lateness)
+		assert.Equal(t, f.attempt(t.Context(), b, booking).Verdict, claims.Granted)
+		closeAll(a, b)
+	})
+}
+
 // Guards against a second run when duplicates of many calls go through many
 // daemons while the table misbehaves.
 func TestRacingDuplicatesRunOnce(t *testing.T) {
--- a/internal/recordtest/table_test.go
+++ b/internal/recordtest/table_test.go
@@ -98,8 +98,9 @@
 	return effect()
 }
 
-func (t *table) Get(ctx context.Context, keys ...string) (rows []ports.Row, err error) {
-	err = t.enter(ctx, "get", func() error {
+func (t *table) Get(ctx context.Context, keys ...string) ([]ports.Row, error) {
+	var rows []ports.Row
+	err := t.enter(ctx, "get", func() error {
 		t.reads++
 		for _, k := range keys {
 			if row, ok := t.rows[k]; ok {
@@ -114,8 +115,9 @@
 	return rows, nil
 }
 
-func (t *table) Scan(ctx context.Context, prefix, after string, limit int, since ports.Version) (rows []ports.Row, err error) {
-	err = t.enter(ctx, "scan", func() error {
+func (t *table) Scan(ctx context.Context, prefix, after string, limit int, since ports.Version) ([]ports.Row, error) {
+	var rows []ports.Row
+	err := t.enter(ctx, "scan", func() error {
 		for k, row := range t.rows {
 			if strings.HasPrefix(k, prefix) && k > after && row.Version > since {
 				rows = append(rows, row)
@@ -123,12 +125,16 @@
 		}
 		return nil
 	})
+	if err != nil {
+		return nil, err
+	}
 	slices.SortFunc(rows, func(a, b ports.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows[:min(limit, len(rows))], err
+	return rows[:min(limit, len(rows))], nil
 }
 
-func (t *table) Commit(ctx context.Context, writes ...ports.Write) (version ports.Version, err error) {
-	err = t.enter(ctx, "commit", func() error {
+func (t *table) Commit(ctx context.Context, writes ...ports.Write) (ports.Version, error) {
+	var version ports.Version
+	err := t.enter(ctx, "commit", func() error {
 		t.commits++
 		var failed []string
 		for _, w := range writes {
@@ -151,7 +157,10 @@
 		}
 		return nil
 	})
-	return version, err
+	if err != nil {
+		return 0, err
+	}
+	return version, nil
 }
 
 func (t *table) Put(ctx context.Context, name string, data []byte) error {
@@ -161,15 +170,19 @@
 	})
 }
 
-func (t *table) Read(ctx context.Context, name string) (data []byte, err error) {
-	err = t.enter(ctx, "read", func() error {
+func (t *table) Read(ctx context.Context, name string) ([]byte, error) {
+	var data []byte
+	err := t.enter(ctx, "read", func() error {
 		var ok bool
 		if data, ok = t.objects[name]; !ok {
 			return ports.ErrNotFound
 		}
 		return nil
 	})
-	return data, err
+	if err != nil {
+		return nil, err
+	}
+	return data, nil
 }
 
 // setPlan replaces the fault plan.
