Share free slots by lot and give up the excess

Cause: each of 8 daemons borrowed at least one slot of an engine with any free slot, and an excess lasted because each daemon refilled its own part of it. Change: a fraction of a free slot is granted by a lot over daemon, upstream and report; when an engine has more requests than slots, each daemon's allowance shrinks by its part. Site.Daemon tells daemons apart.

--- a/internal/replay/daemon.go
+++ b/internal/replay/daemon.go
@@ -48,6 +48,7 @@
 			sharers[r.policy.Upstreams[i].ID] = len(r.trace.Header.Daemons)
 		}
 		site := routing.Site{
+			Daemon:  domain.DaemonID(id),
 			Region:  domain.Region(region),
 			Zone:    domain.AvailabilityZone(region + "-a"),
 			Sharers: sharers,
--- /dev/null
+++ b/internal/routing/borrow_test.go
@@ -0,0 +1,42 @@
+package routing
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// TestDaemonsBorrowAboutTheRoom guards against daemons that each take the last
+// free slot, and against an excess that lasts because every daemon refills its
+// own part of it.
+func TestDaemonsBorrowAboutTheRoom(t *testing.T) {
+	const daemons = 8
+	now := time.Unix(1_000_000, 0)
+	p := &policy.Policy{Upstreams: []policy.Upstream{{ID: "u", Slots: 6}}}
+	var states []*State
+	for i := range daemons {
+		site := Site{Daemon: domain.DaemonID("d" + strconv.Itoa(i)), Sharers: map[domain.UpstreamID]int{"u": daemons}}
+		states = append(states, NewTable(now, nil, p, site).State("u"))
+	}
+	borrowed := func(running, held int) (sum int64) {
+		for i := range 500 {
+			taken := now.Add(time.Duration(i) * time.Second)
+			for _, s := range states {
+				s.running.Store(int64(held))
+				s.Report(taken, ports.LoadReport{Taken: taken, Slots: 6, Running: running}, daemons)
+				sum += s.limit(taken, 0) - int64(held)
+			}
+		}
+		return sum / 500
+	}
+	assert.Assert(t, borrowed(4, 0) <= 3, "2 slots are free")
+	assert.Assert(t, borrowed(4, 0) >= 1, "2 slots are free")
+	assert.Equal(t, borrowed(6, 0), int64(0))
+	assert.Equal(t, borrowed(16, 2), int64(-16), "16 requests on 6 slots")
+}
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -1,9 +1,12 @@
 package routing
 
 import (
+	"encoding/binary"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/estimate"
 	"github.com/auburndyke/auburndyke/internal/policy"
@@ -28,6 +31,8 @@
 	Prefixes PrefixSet
 
 	slots int
+	// lot differs between daemons, so that they draw different lots.
+	lot uint64
 
 	running      atomic.Int64
 	leaving      atomic.Bool
@@ -79,18 +84,34 @@
 	if slots == 0 {
 		slots = int64(s.slots)
 	}
-	// Each sharer borrows an equal part of the free slots until the next
-	// report, so that all of them together exceed the room by less than one
-	// slot each.
-	room := max(slots-int64(r.Running)-int64(r.Queued), 0)
-	n := int64(max(sharers, 1))
-	s.allowance.Store(s.running.Load() + (room+n-1)/n)
+	s.allowance.Store(s.allowed(&r, slots, int64(max(sharers, 1))))
 	s.reportedAt.Store(now.UnixNano() - int64(max(r.Age, 0)))
 	if len(r.Models) > 0 {
 		s.content.Store(&content{models: r.Models, adapters: r.Adapters, role: r.Role})
 	}
 }
 
+// allowed is the number of slots that this daemon may hold until the next
+// report. Free slots are shared equally; a fraction of a slot is granted by
+// lot, so that all daemons together claim about the room and not one slot each.
+// When more requests are on the upstream than it has slots, each daemon gives
+// up its part of the excess.
+func (s *State) allowed(r *ports.LoadReport, slots, sharers int64) int64 {
+	own := s.running.Load()
+	load := int64(r.Running) + int64(r.Queued)
+	room := slots - load
+	if room < 0 {
+		return max(own-(own*-room+load-1)/load, 0)
+	}
+	extra := room / sharers
+	var taken [8]byte
+	binary.LittleEndian.PutUint64(taken[:], uint64(r.Taken.UnixNano())^s.lot)
+	if int64(xxhash.Sum64(taken[:])%uint64(sharers)) < room%sharers {
+		extra++
+	}
+	return own + extra
+}
+
 // limit is the number of slots that this daemon may hold now: its share, or
 // more while a recent report shows room. A share of 0, which more daemons than
 // slots give, allows one slot while no recent report tells better.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,12 +4,17 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
 )
 
 // Site says where this daemon is and what it may use.
 type Site struct {
+	// Daemon is this daemon. Daemons that share upstreams need different ids,
+	// or they borrow the same slots.
+	Daemon domain.DaemonID
 	Region domain.Region
 	Zone   domain.AvailabilityZone
 	// Subset lists the upstreams that this daemon uses; nil means all.
@@ -78,7 +83,7 @@
 			continue
 		}
 		e := newUpstream(u, i, site, home)
-		e.State = takeOver(now, previous, e)
+		e.State = takeOver(now, previous, e, site.Daemon)
 		t.byID[u.ID] = e
 		t.upstreams[i] = e
 		t.members = append(t.members, e)
@@ -103,13 +108,14 @@
 	return e
 }
 
-func takeOver(now time.Time, previous *Table, e *Upstream) *State {
+func takeOver(now time.Time, previous *Table, e *Upstream, daemon domain.DaemonID) *State {
 	if previous != nil {
 		if old := previous.byID[e.ID]; old != nil && old.Address == e.Address {
 			return old.State
 		}
 	}
 	s := NewState(now, e.Upstream)
+	s.lot = xxhash.Sum64String(string(daemon) + "/" + string(e.ID))
 	if previous != nil {
 		s.Warm(now)
 	}
