Give the remainder of an upstream's slots to daemons by rank

Cause: 8 daemons on engines with 6 slots had no share at all, so at overload the daemons that had borrowed first kept the slots and others starved. Change: Site.Ranks decides which daemons hold the slots that are left over; the shares of all daemons add up to the slots and are even over upstreams.

--- a/internal/replay/daemon.go
+++ b/internal/replay/daemon.go
@@ -32,7 +32,7 @@
 	waking  bool
 }
 
-func newDaemon(r *run, id, region string) *daemon {
+func newDaemon(r *run, rank int, id, region string) *daemon {
 	d := &daemon{
 		run:     r,
 		id:      id,
@@ -43,15 +43,18 @@
 		rng:     newRand(r.seed, string(r.name)+"/"+id),
 	}
 	if r.name != PolicyOracle {
-		sharers := map[domain.UpstreamID]int{}
+		sharers, ranks := map[domain.UpstreamID]int{}, map[domain.UpstreamID]int{}
 		for i := range r.policy.Upstreams {
-			sharers[r.policy.Upstreams[i].ID] = len(r.trace.Header.Daemons)
+			id := r.policy.Upstreams[i].ID
+			sharers[id] = len(r.trace.Header.Daemons)
+			ranks[id] = rank
 		}
 		site := routing.Site{
 			Daemon:  domain.DaemonID(id),
 			Region:  domain.Region(region),
 			Zone:    domain.AvailabilityZone(region + "-a"),
 			Sharers: sharers,
+			Ranks:   ranks,
 		}
 		d.router = newRouter(r.name, routing.NewTable(r.clock.now(), nil, r.policy, site))
 	}
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -55,10 +55,10 @@
 
 func (r *run) startDaemons() {
 	if r.name == PolicyOracle {
-		r.daemons = []*daemon{newDaemon(r, "oracle", "")}
+		r.daemons = []*daemon{newDaemon(r, 0, "oracle", "")}
 	} else {
-		for _, spec := range r.trace.Header.Daemons {
-			r.daemons = append(r.daemons, newDaemon(r, spec.ID, spec.Region))
+		for rank, spec := range r.trace.Header.Daemons {
+			r.daemons = append(r.daemons, newDaemon(r, rank, spec.ID, spec.Region))
 		}
 	}
 	for i, d := range r.daemons {
--- a/internal/routing/borrow_test.go
+++ b/internal/routing/borrow_test.go
@@ -40,3 +40,22 @@
 	assert.Equal(t, borrowed(6, 0), int64(0))
 	assert.Equal(t, borrowed(16, 2), int64(-16), "16 requests on 6 slots")
 }
+
+// TestSharesAddUpToTheSlots guards against daemons that hold more slots
+// together than an upstream has, and against daemons without any.
+func TestSharesAddUpToTheSlots(t *testing.T) {
+	const daemons, upstreams = 8, 12
+	totals := map[int]int{}
+	for index := range upstreams {
+		sum := 0
+		for rank := range daemons {
+			n := share(6, daemons, rank, index)
+			totals[rank] += n
+			sum += n
+		}
+		assert.Equal(t, sum, 6)
+	}
+	for rank := range daemons {
+		assert.Equal(t, totals[rank], 6*upstreams/daemons)
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -22,6 +22,10 @@
 	// Sharers is the number of daemons that use each upstream, this one
 	// included. Missing entries and values below 1 count as 1.
 	Sharers map[domain.UpstreamID]int
+	// Ranks is the position (from 0) of this daemon among the sharers of each
+	// upstream, in an order that they agree on. It decides who holds the slots
+	// that are left when the slots are divided by the sharers.
+	Ranks map[domain.UpstreamID]int
 	// Left lists upstreams whose leave was accepted or listed; they receive no
 	// new work.
 	Left map[domain.UpstreamID]bool
@@ -43,7 +47,7 @@
 	PricePerGB float64
 	// Sharers is the number of daemons that use the upstream.
 	Sharers int
-	// Share is this daemon's share of the slots, rounded down.
+	// Share is the number of slots that this daemon holds; more are borrowed.
 	Share int
 	// Left excludes the upstream from new work.
 	Left bool
@@ -100,7 +104,7 @@
 		Sharers:  max(site.Sharers[u.ID], 1),
 		Left:     u.Draining || site.Left[u.ID],
 	}
-	e.Share = u.Slots / e.Sharers
+	e.Share = share(u.Slots, e.Sharers, site.Ranks[u.ID], index)
 	if e.Remote && home != nil {
 		e.RTT = home.RTT[u.Region]
 		e.PricePerGB = home.PricePerGB[u.Region]
@@ -108,6 +112,18 @@
 	return e
 }
 
+// share is the number of slots that the daemon of a rank holds. The remainder
+// goes to successive ranks, beginning where the upstream before ended, so that
+// the shares of all daemons add up to the slots and are even over upstreams.
+func share(slots, sharers, rank, index int) int {
+	rest := slots % sharers
+	first := index * rest % sharers
+	if (rank-first+sharers)%sharers < rest {
+		return slots/sharers + 1
+	}
+	return slots / sharers
+}
+
 func takeOver(now time.Time, previous *Table, e *Upstream, daemon domain.DaemonID) *State {
 	if previous != nil {
 		if old := previous.byID[e.ID]; old != nil && old.Address == e.Address {
