Lend only slots beyond a reserve and refill none while an upstream is full

Change: one free slot per upstream is not lent, and without room the limit is the daemon's own share.

--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -16,6 +16,8 @@
 const (
 	// borrowMaxAge is the age of a load report up to which slots are borrowed.
 	borrowMaxAge = 3 * time.Second
+	// slotReserve is the number of free slots per upstream that are not lent.
+	slotReserve = 1
 	// refusalPause keeps new work away from an upstream that refused some.
 	refusalPause = 250 * time.Millisecond
 	// warmup is how long the limit of a new or returning upstream grows.
@@ -92,16 +94,14 @@
 }
 
 // allowed is the number of slots that this daemon may hold until the next
-// report. Free slots are shared equally; a fraction of a slot is granted by
-// lot, so that all daemons together claim about the room and not one slot each.
-// When more requests are on the upstream than it has slots, each daemon gives
-// up its part of the excess.
+// report, if that is more than its share. Free slots beyond a reserve for their
+// holders are lent in equal parts; a fraction of a slot is granted by lot, so
+// that all daemons together borrow about the room and not one slot each. While
+// there is none, borrowed slots are not filled again.
 func (s *State) allowed(r *ports.LoadReport, slots, sharers int64) int64 {
-	own := s.running.Load()
-	load := int64(r.Running) + int64(r.Queued)
-	room := slots - load
-	if room < 0 {
-		return max(own-(own*-room+load-1)/load, 0)
+	room := slots - int64(r.Running) - int64(r.Queued) - slotReserve
+	if room <= 0 {
+		return 0
 	}
 	extra := room / sharers
 	var taken [8]byte
@@ -109,7 +109,7 @@
 	if int64(xxhash.Sum64(taken[:])%uint64(sharers)) < room%sharers {
 		extra++
 	}
-	return own + extra
+	return s.running.Load() + extra
 }
 
 // limit is the number of slots that this daemon may hold now: its share, or
