Reserve a preempted slot for the request that needs it

Cause: after a preemption, Next could give the freed slot to a lower tier that was owed its minimum share, so work was preempted for nothing and the urgent request missed its target. Change: the request that work was preempted for is dispatched first, as long as it can meet its target; the random traces check it.

--- a/internal/admission/preempt.go
+++ b/internal/admission/preempt.go
@@ -115,7 +115,7 @@
 	for range b.lines {
 		r := l.head(q.epoch)
 		l = l.next
-		if r == nil || r.Deadline.IsZero() || r.victim != nil || r.missed(now) {
+		if r == nil || r.Deadline.IsZero() || r.victim != nil || r.reserved || r.missed(now) {
 			continue
 		}
 		if best == nil || r.latestStart().Before(best.latestStart()) {
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -17,6 +17,8 @@
 	ids     int
 	waiting map[*Request]bool
 	running []*Request
+	// promised holds the requests that work was preempted for.
+	promised map[*Request]bool
 }
 
 func (tr *trace) offer() {
@@ -51,7 +53,7 @@
 	}
 	if d.Preempt != nil {
 		assert.Assert(tr.t, d.Preempt.Rank > r.Rank)
-		tr.stop(d.Preempt)
+		defer tr.stop(d.Preempt, r)
 	}
 	if d.Action == ActionQueue {
 		tr.waiting[r] = true
@@ -66,8 +68,9 @@
 	}
 }
 
-// stop preempts a running request.
-func (tr *trace) stop(v *Request) {
+// stop preempts a running request for a waiting one.
+func (tr *trace) stop(v, r *Request) {
+	tr.promised[r] = true
 	assert.Assert(tr.t, tr.q.Requeue(tr.now, v))
 	assert.Assert(tr.t, v.preemptions <= maxPreemptions)
 	tr.forget(v)
@@ -94,6 +97,11 @@
 		return
 	}
 	assert.Assert(tr.t, tr.waiting[d.Request])
+	for r := range tr.promised {
+		given := !tr.waiting[r] || r.missed(tr.now) || tr.promised[d.Request] || group != 2 && r.Group != group
+		assert.Assert(tr.t, given, "a freed slot went to tier %d instead of %d", d.Request.Rank, r.Rank)
+	}
+	delete(tr.promised, d.Request)
 	delete(tr.waiting, d.Request)
 	tr.running = append(tr.running, d.Request)
 }
@@ -105,7 +113,7 @@
 	}
 	assert.Assert(tr.t, d.Preempt.Rank > d.Request.Rank)
 	assert.Assert(tr.t, tr.q.tiers[d.Request.Rank].preempts && !d.Request.missed(tr.now))
-	tr.stop(d.Preempt)
+	tr.stop(d.Preempt, d.Request)
 }
 
 func (tr *trace) end() {
@@ -164,7 +172,7 @@
 // lower-tier work) and the bookkeeping on random traces.
 func TestUrgentWorkNeverYieldsToLowerTiers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		tr := &trace{t: t, q: NewQueue(testTiers(4, 500, 0.1)), now: start, waiting: map[*Request]bool{}}
+		tr := &trace{t: t, q: NewQueue(testTiers(4, 500, 0.1)), now: start, waiting: map[*Request]bool{}, promised: map[*Request]bool{}}
 		steps := []func(){tr.offer, tr.offer, tr.offer, tr.dispatch, tr.preempt, tr.end, tr.leave, tr.pass}
 		for range 120 {
 			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -42,7 +43,9 @@
 // shares add up to less than 1. So no credit exceeds (n+1)*L, and a tier with
 // share s and waiting work that can be placed receives at least
 // s*W - (n+1)*L of any W dispatched tokens. Its next request starts after at
-// most (n+2)*L/s dispatched tokens.
+// most (n+2)*L/s dispatched tokens. Dispatches to slots that a preemption freed
+// come on top; each lower-tier dispatch can lead to one of them at most, and
+// each request to maxPreemptions.
 type Queue struct {
 	tiers   []*tier
 	groups  map[uint64]*group
@@ -55,6 +58,8 @@
 	drained rate // tokens dispatched
 	ended   rate // requests finished
 	running int
+	// reserved lists requests whose victim gave its slot back, oldest first.
+	reserved []*Request
 }
 
 // NewQueue returns an empty queue for the tiers of a policy, by rank.
@@ -185,6 +190,9 @@
 
 // choose returns the request to place next and why.
 func (q *Queue) choose(now time.Time) (*Request, Reason) {
+	if r := q.firstReserved(now); r != nil {
+		return r, ReasonWouldMiss
+	}
 	var owed, strict *Request
 	credit := 0.0
 	for _, t := range q.tiers {
@@ -205,6 +213,22 @@
 	return strict, ReasonTierOrder
 }
 
+// firstReserved returns the first request with a freed slot whose group is not
+// blocked and that can still meet its target. Without it, a tier below its minimum share could take the slot that
+// was freed for a more urgent request.
+func (q *Queue) firstReserved(now time.Time) *Request {
+	q.reserved = slices.DeleteFunc(q.reserved, func(r *Request) bool { 
+		r.reserved = r.reserved && !r.missed(now)
+		return !r.reserved
+	})
+	for _, r := range q.reserved {
+		if r.flow.group.blocked != q.epoch {
+			return r
+		}
+	}
+	return nil
+}
+
 func (q *Queue) dispatch(now time.Time, r *Request, reason Reason) Decision {
 	t := q.tiers[r.Rank]
 	d := Decision{Action: ActionDispatch, Reason: reason, Request: r, Late: r.late}
@@ -217,9 +241,7 @@
 	q.charge(t, r)
 	r.flow.line.deficit -= float64(r.tokens())
 	q.remove(r)
-	if r.victim != nil {
-		r.victim.beneficiary, r.victim = nil, nil
-	}
+	q.release(r)
 	q.drained.add(now, float64(r.tokens()))
 	r.state, r.dispatched = stateRunning, now
 	r.runIndex = len(t.running)
@@ -299,13 +321,17 @@
 	return true
 }
 
-// release ends a pending preemption that r takes part in.
+// release ends a pending preemption that r takes part in. The slot of a victim
+// is reserved for the request that it was preempted for.
 func (q *Queue) release(r *Request) {
+	r.reserved = false
 	if r.victim != nil {
 		r.victim.beneficiary, r.victim = nil, nil
 	}
-	if r.beneficiary != nil {
-		r.beneficiary.victim, r.beneficiary = nil, nil
+	if b := r.beneficiary; b != nil {
+		b.victim, r.beneficiary = nil, nil
+		b.reserved = true
+		q.reserved = append(q.reserved, b)
 	}
 }
 
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -50,6 +50,7 @@
 	preemptions int
 	beneficiary *Request // the request that this one is preempted for
 	victim      *Request // the running request that is preempted for this one
+	reserved    bool     // the slot of a victim was freed for this one
 	dispatched  time.Time
 	cust        *customer
 	flow        *flow
