--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -217,7 +217,7 @@
 // blocked and that can still meet its target. Without it, a tier below its minimum share could take the slot that
 // was freed for a more urgent request.
 func (q *Queue) firstReserved(now time.Time) *Request {
-	q.reserved = slices.DeleteFunc(q.reserved, func(r *Request) bool { 
+	q.reserved = slices.DeleteFunc(q.reserved, func(r *Request) bool {
 		r.reserved = r.reserved && !r.missed(now)
 		return !r.reserved
 	})
