--- a/internal/recordtest/claims_test.go
+++ b/internal/recordtest/claims_test.go
@@ -233,31 +233,76 @@
 }
 
 // Guards against a second run when duplicates of many calls go through many
-// daemons while the table misbehaves.
+// daemons, directly or through a shared batcher, while the table misbehaves.
 func TestRacingDuplicatesRunOnce(t *testing.T) {
+	for _, batched := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, newTable())
+			f.tab.latency = 2 * time.Millisecond
+			rng := f.seed()
+			f.tab.plan = func(string) fault {
+				if rng.IntN(4) == 0 {
+					return fault(rng.IntN(int(faultsCount)))
+				}
+				return none
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			var committer claims.Committer
+			if batched {
+				b := claims.NewBatcher(f.tab)
+				committer = b
+				go func() { _ = b.Run(ctx) }()
+			}
+			var daemons []*claims.Claims
+			var wg sync.WaitGroup
+			for i := range 5 {
+				d := f.daemon(fmt.Sprint("d", i), committer)
+				daemons = append(daemons, d)
+				for k := range 40 {
+					wg.Go(func() {
+						f.attempt(t.Context(), d, claims.Key{Customer: "c", Key: fmt.Sprint(k)})
+					})
+				}
+			}
+			wg.Wait()
+			closeAll(daemons...)
+			assert.Equal(t, f.ledge.max(), 1)
+			assert.Assert(t, batched || len(f.ledge.runs) > 30, "%d of 40 keys ran", len(f.ledge.runs))
+			stop()
+			synctest.Wait()
+		})
+	}
+}
+
+// Guards against rows that are kept for ever, and against a sweep that turns
+// a call which may have run into one that may run again.
+func TestSweepKeepsWhatMayHaveRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, newTable())
-		f.tab.latency = 2 * time.Millisecond
-		rng := f.seed()
-		f.tab.plan = func(string) fault {
-			if rng.IntN(4) == 0 {
-				return fault(rng.IntN(int(faultsCount)))
-			}
-			return none
+		a, b := f.daemon("a", nil), f.daemon("b", nil)
+		for k := range 1200 {
+			f.attempt(t.Context(), b, claims.Key{Customer: "done", Key: fmt.Sprint(k)})
 		}
-		var daemons []*claims.Claims
-		var wg sync.WaitGroup
-		for i := range 5 {
-			d := f.daemon(fmt.Sprint("d", i), nil)
-			daemons = append(daemons, d)
-			for k := range 40 {
-				wg.Go(func() {
-					f.attempt(t.Context(), d, claims.Key{Customer: "c", Key: fmt.Sprint(k)})
-				})
+		f.ledge.run(booking.Key) // a dispatches and dies
+		assert.Equal(t, a.Begin(t.Context(), f.request(booking, "body")).Verdict, claims.Granted)
+		f.gone.Store(claims.Owner{Daemon: "a", Incarnation: 1}, true)
+		sweeper := claims.NewSweeper(f.tab, func(o claims.Owner) bool { return o.Daemon == "a" }, claims.Limits{})
+		sweep := func() (total int) {
+			for {
+				n, last, err := sweeper.Step(t.Context())
+				assert.NilError(t, err)
+				total += n
+				if last {
+					return total
+				}
 			}
 		}
-		wg.Wait()
-		closeAll(daemons...)
-		assert.Equal(t, f.ledge.max(), 1)
+		time.Sleep(23 * time.Hour)
+		assert.Equal(t, sweep(), 1)
+		time.Sleep(2 * time.Hour)
+		assert.Equal(t, f.attempt(t.Context(), b, booking).Verdict, claims.SettledUnknown)
+		assert.Equal(t, sweep(), 1200)
+		assert.Equal(t, len(f.tab.rows), 1)
+		closeAll(a, b)
 	})
 }
--- a/internal/recordtest/config_test.go
+++ b/internal/recordtest/config_test.go
@@ -185,3 +185,36 @@
 		assert.Assert(t, got.Repeated)
 	})
 }
+
+// Guards against content that compaction makes unreadable, and against a
+// roll-forward that rewrites history instead of adding to it.
+func TestCompactionAndRollForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := newTable()
+		p := configlog.NewProposer(tab, lineMerger{}, seeder(t))
+		for r := range 150 {
+			_, err := p.Propose(t.Context(), change(fmt.Sprint(r+1), domain.Revision(r), fmt.Sprintf("x=%d\n", r+1)))
+			assert.NilError(t, err)
+			time.Sleep(time.Hour)
+		}
+		assert.NilError(t, configlog.Compact(t.Context(), tab, configlog.Retention{Deltas: 10, History: 100 * time.Hour}))
+		records, err := configlog.History(t.Context(), tab, 0, 1000)
+		assert.NilError(t, err)
+		assert.Equal(t, len(records), 100)
+		for _, r := range records {
+			assert.Equal(t, r.Delta != nil, r.Revision > 140)
+			doc, err := configlog.ReadRevision(t.Context(), tab, r.Revision)
+			assert.NilError(t, err)
+			assert.Equal(t, string(doc.Content), fmt.Sprintf("x=%d\n", r.Revision))
+		}
+		got, err := p.RollForward(t.Context(), 60, configlog.Change{ID: "back", Author: "operator"})
+		assert.NilError(t, err)
+		assert.Equal(t, got.Document.Revision, domain.Revision(151))
+		assert.Equal(t, string(got.Document.Content), "x=60\n")
+		_, err = p.RollForward(t.Context(), 1, configlog.Change{ID: "gone", Author: "operator"})
+		assert.ErrorIs(t, err, configlog.ErrBaseUnknown)
+		time.Sleep(1000 * time.Hour)
+		assert.NilError(t, configlog.Compact(t.Context(), tab, configlog.Retention{History: time.Hour}))
+		assert.DeepEqual(t, history(t, tab), []string{"back"}) // the head stays
+	})
+}
