Let the first attempt after a broken stream pass the retry budget

Cause: when 3 of 12 engines crashed before the first token of most of 60 streams, one daemon lost more streams than its budget of 9 and 3 requests ended as upstream_failed after 10 s (seen once in two -race runs of go test ./internal/dev under load).

--- a/internal/exchange/doc.go
+++ b/internal/exchange/doc.go
@@ -6,7 +6,7 @@
 // answer late, while the caller must see each token once and the whole answer
 // or an accurate outcome. It does harm when it repeats work that an overloaded
 // fleet cannot carry, so retries and hedges draw on a Budget; attempts that
-// cost no work and the first continuation of an answer do not. Its signals
+// cost no work and the first one after a broken stream do not. Its signals
 // are the events of the attempts: their identity, index and token counts, the
 // distribution of intervals within each stream, and probes.
 //
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -33,11 +33,11 @@
 
 	retries int
 	hedged  bool
-	// continued means that the free continuation has been used.
-	continued bool
-	hedgeAt   time.Time
-	recovery  recovery
-	exclude   []domain.UpstreamID
+	// replaced means that the free attempt after a broken stream was used.
+	replaced bool
+	hedgeAt  time.Time
+	recovery recovery
+	exclude  []domain.UpstreamID
 
 	armed   time.Time
 	actions []Action
--- a/internal/exchange/recovery.go
+++ b/internal/exchange/recovery.go
@@ -134,18 +134,25 @@
 
 // freeOfBudget reports whether the further attempt does not draw on the
 // budget. An attempt that was not sent or refused cost its upstream no work.
-// The first continuation of an answer is free, because an upstream that fails
-// can take more streams with it than the budget holds while no new requests
-// arrive; one per request keeps it from multiplying load.
+// The first attempt after a broken stream is free as well: a crash can take
+// more streams with it than the budget holds while no new requests arrive, and
+// one free attempt per request keeps it from multiplying load. Silence draws on
+// the budget, because an overloaded upstream shows it too.
 func (e *Exchange) freeOfBudget() bool {
 	r := &e.recovery
 	switch {
 	case r.granted, e.budget == nil, r.purpose == PurposeMove:
 		return true
-	case r.reason == ReasonNotSent, r.reason == ReasonRefused:
-		return r.purpose != PurposeHedge
+	case r.purpose == PurposeHedge:
+		return false
+	}
+	switch r.reason {
+	case ReasonNotSent, ReasonRefused:
+		return true
+	case ReasonBroken, ReasonMismatch:
+		return !e.replaced
 	}
-	return r.purpose == PurposeContinue && !e.continued
+	return false
 }
 
 // Picked answers ActionPick with an upstream. Unless the returned actions
@@ -163,11 +170,9 @@
 			return e.finish(now)
 		}
 		e.abandon(now, r.moving, ResultCancelled, domain.WastePreempted)
-	case PurposeContinue:
-		e.retries++
-		e.continued = true
-	case PurposeRetry:
+	case PurposeRetry, PurposeContinue:
 		e.retries++
+		e.replaced = e.replaced || r.reason == ReasonBroken || r.reason == ReasonMismatch
 	}
 	e.start(now, upstream, r.purpose)
 	return e.finish(now)
