Apply customer and class limits on the request path

Cause: limits in the configuration had no effect. Change: the gateway admits each request through admission.Limiter and corrects the token buckets by the real work; a revision is decoded and compiled once.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -27,13 +27,8 @@
 // none that does not.
 func (d *Daemon) enforce(doc configlog.Document) {
 	name := fmt.Sprintf("revision-%d", doc.Revision)
-	document, list := policy.Decode(name, doc.Content)
-	if list.HasErrors() {
-		d.rejectRevision(doc, list)
-		return
-	}
-	compiled, list := policy.Compile(document, doc.Revision)
-	if list.HasErrors() {
+	_, compiled, list := policy.Load(doc.Revision, policy.Source{Name: name, Data: doc.Content})
+	if compiled == nil {
 		d.rejectRevision(doc, list)
 		return
 	}
@@ -61,8 +56,10 @@
 // apply puts the policy and the view of the fleet in force on the request
 // path.
 func (d *Daemon) apply(now time.Time) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	if p := d.policy.Load(); p != nil {
-		d.gateway.Apply(now, p, d.site(p))
+		d.gateway.Apply(now, p, d.site(p), 1)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,7 @@
 	backends *backends
 	policy   atomic.Pointer[policy.Policy]
 	rebuild  chan struct{}
+	applying sync.Mutex // serializes changes of the request path's snapshot
 	callers  *http.Server
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,9 +47,14 @@
 		AnswerTokens: 1,
 		Bytes:        int64(len(c.Body)),
 	}
+	permit, failure := j.limit()
+	if failure != nil {
+		return nil, failure
+	}
 	j.enqueue("service/" + c.Service)
 	observer := newObserver(j, nil)
 	response, failure := j.runCall(ctx, c, observer)
+	permit.Release(observer.spent())
 	observer.finish(failure)
 	return response, failure
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/admission"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/estimate"
@@ -45,6 +46,7 @@
 	router  *routing.Router
 	lengths estimate.Lengths
 	budget  *exchange.Budget
+	limiter atomic.Pointer[admission.Limiter]
 
 	unready  atomic.Pointer[string] // reason; nil means ready
 	stopping atomic.Bool
@@ -103,11 +105,14 @@
 // Table returns the routing table in force; nil before the first Apply.
 func (g *Gateway) Table() *routing.Table { return g.router.Table() }
 
-// Apply puts a policy and this daemon's view of the fleet in force.
-func (g *Gateway) Apply(now time.Time, p *policy.Policy, site routing.Site) {
+// Apply puts a policy and this daemon's view of the fleet in force. Limits are
+// shared equally among the given number of daemons. It is not called
+// concurrently.
+func (g *Gateway) Apply(now time.Time, p *policy.Policy, site routing.Site, daemons int) {
 	previous := g.router.Table()
 	table := routing.NewTable(now, previous, p, site)
 	g.router.SetTable(table)
+	g.limiter.Store(admission.NewLimiter(g.limiter.Load(), p, daemons))
 	if previous == nil || previous.Policy != p {
 		g.configurePools(now, p)
 	}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -24,9 +24,14 @@
 	if failure := j.generation(r); failure != nil {
 		return failure
 	}
+	permit, failure := j.limit()
+	if failure != nil {
+		return failure
+	}
 	j.enqueue("model/" + string(r.Model))
 	observer := newObserver(j, sink)
 	failure = j.runGeneration(ctx, r, observer)
+	permit.Release(observer.spent())
 	observer.finish(failure)
 	return failure
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -49,6 +49,18 @@
 	return &job{gateway: g, id: id, policy: p, route: route, arrived: time.Now()}, nil
 }
 
+// limit applies the customer's and the class's limits.
+func (j *job) limit() (*admission.Permit, *domain.Failure) {
+	permit, refusal := j.gateway.limiter.Load().Admit(j.arrived, j.route.Customer.ID, j.route.Class.ID, j.query.Tokens())
+	if permit != nil {
+		return permit, nil
+	}
+	j.gateway.logLimited(j, refusal)
+	f := domain.NotRun(domain.CodeRateLimited, "the limit "+refusal.Kind.String()+" of this customer or class is exhausted")
+	f.RetryAfter = refusal.RetryAfter
+	return nil, f
+}
+
 // enqueue prepares the request for its pool.
 func (j *job) enqueue(name string) {
 	j.pool = j.gateway.pool(name, j.policy.Tiers)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -119,6 +119,18 @@
 	line.Msg("")
 }
 
+func (g *Gateway) logLimited(j *job, r admission.Refusal) {
+	g.metrics.Counter(metricShed, "rank", rankLabel(j.route.Tier.Rank), "reason", r.Kind.String()).Inc(1)
+	g.log.Event(telemetry.RequestShed).
+		Str("request", string(j.id)).
+		Str("reason", r.Kind.String()).
+		Str("customer", string(r.Customer)).
+		Str("class", string(r.Class)).
+		Int("rank", j.route.Tier.Rank).
+		Dur("retry_after", r.RetryAfter).
+		Msg("")
+}
+
 func rankLabel(rank int) string { return string(rune('0' + min(max(rank, 0), 9))) }
 
 var purposeEvents = map[exchange.Purpose]telemetry.Event{
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -194,6 +194,14 @@
 	return level.WholeAnswer == 0 || total <= level.WholeAnswer
 }
 
+// spent is the work that counts against the limits, in tokens.
+func (o *observer) spent() int {
+	if o.attempts == 0 {
+		return 0
+	}
+	return o.job.query.PromptTokens + o.tokens
+}
+
 // finish reports the end of the request.
 func (o *observer) finish(failure *domain.Failure) {
 	j := o.job
