State when to call Next and guard the picker

Cause: the daemon has to know which events make work placeable; costs that compare with nothing would have left the picker without a choice. Change: comment on Queue.Next; the picker falls back to the first candidate. Conclusion: no change for finite costs.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -170,7 +170,9 @@
 // Next removes and returns the request to dispatch. The ready function places
 // a request, normally by Router.Pick, and returns false when no upstream of
 // its group has room; nil accepts all. It must not call the Queue. The second
-// result is false when nothing can be dispatched.
+// result is false when nothing can be dispatched. Call Next until it returns
+// false whenever a request was offered, finished or put back, and whenever
+// upstreams may have room again (load report, new table, end of a pause).
 func (q *Queue) Next(now time.Time, ready func(*Request) bool) (Decision, bool) {
 	q.epoch++
 	q.blocked = 0
--- a/internal/routing/pick_near_best.go
+++ b/internal/routing/pick_near_best.go
@@ -59,7 +59,7 @@
 		}
 	}
 	point := rng.Float64() * total
-	chosen := -1
+	chosen := 0
 	for i := range c {
 		w := nearWeight(&c[i], best, local, band)
 		if w <= 0 {
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -129,6 +129,7 @@
 type Reason uint8
 
 const (
+	// Keep does not exclude.
 	Keep Reason = iota
 	// ReasonSubset: outside the daemon's subset.
 	ReasonSubset
