--- a/internal/replay/generate.go
+++ b/internal/replay/generate.go
@@ -169,7 +169,7 @@
 func maravalBay() deployment {
 	h := Header{ZoneHop: 0.5, RegionHop: 5, ClientHop: 0.2, PricePerGB: 0.02}
 	h.place([]string{"north-coast", "port-city", "east-coast"}, "lesson", 12, EngineSpec{
-		Slots: 6, Step: 30, StepPerRequest: 1.5, Prefill: 0.15, ReportEvery: 500, ReportLag: 300,
+		Slots: 6, Step: 30, StepPerRequest: 1.5, Prefill: 0.15, ReportEvery: 1000, ReportLag: 300,
 	})
 	h.Tiers = standardTiers("guest", "instructor", "summary")
 	h.Classes = []ClassSpec{
@@ -190,7 +190,7 @@
 func fryline() deployment {
 	h := Header{ZoneHop: 0.25, RegionHop: 5.5, ClientHop: 0.8, PricePerGB: 0.08}
 	h.place([]string{"leinster", "munster", "connacht"}, "assistant", 10, EngineSpec{
-		Slots: 6, Step: 28, StepPerRequest: 1.8, Prefill: 0.15, ReportEvery: 500, ReportLag: 400,
+		Slots: 6, Step: 28, StepPerRequest: 1.8, Prefill: 0.15, ReportEvery: 1000, ReportLag: 400,
 	})
 	h.Tiers = standardTiers("opening", "office", "batch")
 	h.Classes = []ClassSpec{
