Let daemons of the upstream's region borrow first

Change: a daemon in the upstream's region is four times as likely to be lent a free slot; the expected sum stays the room. Upstream.Report applies a report with that weight.

--- a/internal/replay/daemon.go
+++ b/internal/replay/daemon.go
@@ -43,24 +43,35 @@
 		rng:     newRand(r.seed, string(r.name)+"/"+id),
 	}
 	if r.name != PolicyOracle {
-		sharers, ranks := map[domain.UpstreamID]int{}, map[domain.UpstreamID]int{}
-		for i := range r.policy.Upstreams {
-			id := r.policy.Upstreams[i].ID
-			sharers[id] = len(r.trace.Header.Daemons)
-			ranks[id] = rank
-		}
-		site := routing.Site{
-			Daemon:  domain.DaemonID(id),
-			Region:  domain.Region(region),
-			Zone:    domain.AvailabilityZone(region + "-a"),
-			Sharers: sharers,
-			Ranks:   ranks,
-		}
+		site := r.site(rank, id, region)
 		d.router = newRouter(r.name, routing.NewTable(r.clock.now(), nil, r.policy, site))
 	}
 	return d
 }
 
+// site lets all daemons share all engines.
+func (r *run) site(rank int, id, region string) routing.Site {
+	site := routing.Site{
+		Daemon:  domain.DaemonID(id),
+		Region:  domain.Region(region),
+		Zone:    domain.AvailabilityZone(region + "-a"),
+		Sharers: map[domain.UpstreamID]int{},
+		Locals:  map[domain.UpstreamID]int{},
+		Ranks:   map[domain.UpstreamID]int{},
+	}
+	for i := range r.policy.Upstreams {
+		u := &r.policy.Upstreams[i]
+		site.Sharers[u.ID] = len(r.trace.Header.Daemons)
+		site.Ranks[u.ID] = rank
+		for _, other := range r.trace.Header.Daemons {
+			if other.Region == string(u.Region) {
+				site.Locals[u.ID]++
+			}
+		}
+	}
+	return site
+}
+
 // sweep expires, preempts and dispatches until the trace has ended.
 func (d *daemon) sweep() {
 	d.work()
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -106,8 +106,7 @@
 			continue
 		}
 		r.clock.after(report.Age+r.hop(d.region, e.spec.Region), func() {
-			state := d.router.Table().State(report.Upstream)
-			state.Report(r.clock.now(), report, len(r.daemons))
+			d.router.Table().Members()[e.index].Report(r.clock.now(), report)
 			d.wake()
 		})
 	}
--- a/internal/routing/borrow_test.go
+++ b/internal/routing/borrow_test.go
@@ -61,3 +61,13 @@
 		assert.Equal(t, totals[rank], 6*upstreams/daemons)
 	}
 }
+
+// TestLocalDaemonsBorrowFirst guards against remote daemons that take the room
+// of a region, and against weights that lend more than the room.
+func TestLocalDaemonsBorrowFirst(t *testing.T) {
+	local, remote := borrowers(8, 3, false), borrowers(8, 3, true)
+	assert.Assert(t, remote >= 3*local, "local %d, remote %d", local, remote)
+	lent := 3/float64(local) + 5/float64(remote)
+	assert.Assert(t, lent > 0.8 && lent <= 1, "%.2f of the room", lent)
+	assert.Equal(t, borrowers(8, 0, true), 8)
+}
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -73,8 +73,8 @@
 // Warm starts a slow start: the limit grows from one slot to the full share.
 func (s *State) Warm(now time.Time) { s.warmFrom.Store(now.UnixNano()) }
 
-// Report applies a load report that arrived now, where sharers daemons use
-// the upstream. A new incarnation forgets the prefix cache and starts slowly.
+// Report applies a load report that arrived now, where sharers daemons borrow
+// free slots of the upstream alike. A new incarnation forgets the prefix cache and starts slowly.
 func (s *State) Report(now time.Time, r ports.LoadReport, sharers int) {
 	if old := s.incarnation.Swap(uint64(r.Incarnation)); old != 0 && old != uint64(r.Incarnation) {
 		s.Prefixes.Clear()
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
 // Site says where this daemon is and what it may use.
@@ -22,6 +23,9 @@
 	// Sharers is the number of daemons that use each upstream, this one
 	// included. Missing entries and values below 1 count as 1.
 	Sharers map[domain.UpstreamID]int
+	// Locals is the number of sharers in the region of each upstream; they
+	// borrow before others. Missing entries count as 0.
+	Locals map[domain.UpstreamID]int
 	// Ranks is the position (from 0) of this daemon among the sharers of each
 	// upstream, in an order that they agree on. It decides who holds the slots
 	// that are left when the slots are divided by the sharers.
@@ -49,10 +53,17 @@
 	Sharers int
 	// Share is the number of slots that this daemon holds; more are borrowed.
 	Share int
+	// Borrowers is the number of daemons that borrow like this one and would
+	// borrow as much together as all sharers do.
+	Borrowers int
 	// Left excludes the upstream from new work.
 	Left bool
 }
 
+// localWeight is how many times as likely a daemon in the upstream's region is
+// to borrow a free slot as one in another region.
+const localWeight = 4
+
 // Table is an immutable snapshot of the upstreams that one daemon may use.
 type Table struct {
 	Policy *policy.Policy
@@ -104,6 +115,7 @@
 		Sharers:  max(site.Sharers[u.ID], 1),
 		Left:     u.Draining || site.Left[u.ID],
 	}
+	e.Borrowers = borrowers(e.Sharers, site.Locals[u.ID], e.Remote)
 	e.Share = share(u.Slots, e.Sharers, site.Ranks[u.ID], index)
 	if e.Remote && home != nil {
 		e.RTT = home.RTT[u.Region]
@@ -112,6 +124,22 @@
 	return e
 }
 
+// Report applies a load report that arrived now; see State.Report.
+func (u *Upstream) Report(now time.Time, r ports.LoadReport) {
+	u.State.Report(now, r, u.Borrowers)
+}
+
+func borrowers(sharers, locals int, remote bool) int {
+	if locals < 1 || locals >= sharers {
+		return sharers
+	}
+	weights := localWeight*locals + sharers - locals
+	if remote {
+		return weights
+	}
+	return (weights + localWeight - 1) / localWeight
+}
+
 // share is the number of slots that the daemon of a rank holds. The remainder
 // goes to successive ranks, beginning where the upstream before ended, so that
 // the shares of all daemons add up to the slots and are even over upstreams.
