Connect the daemons: membership, mesh, drains, subsets

Cause: each daemon worked alone: configuration came by polling only, an upstream could not be drained, and every daemon used every upstream. Change: internal/daemon drives membership, mesh, drain and the drain lease on one goroutine; revisions spread as deltas; the request path counts an attempt before it checks for leaving; a daemon that hears neither platform nor peers starts no new work; subsets and slot shares follow the roster. An unavailable claim is answered unknown, because an earlier call with the key may have run.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -40,7 +40,9 @@
 	Table ports.Table
 	// Committer takes the writes of claims.
 	Committer Committer
-	Owner     Owner
+	// Owner returns the current run of this daemon. It is asked for each call,
+	// because a daemon that was paused past its lease joins again as another.
+	Owner func() Owner
 	// Gone tells which owners have ended. Nil means that none is known to.
 	Gone   Gone
 	Limits Limits
@@ -77,7 +79,7 @@
 	if c.pending.Load() >= maxPending {
 		return Decision{Verdict: Refused, Err: eris.Wrap(ports.ErrUnavailable, "too many outcomes are not stored yet")}
 	}
-	core := NewClaim(request, c.cfg.Owner, c.cfg.Gone, c.cfg.Limits, c.cfg.Seed())
+	core := NewClaim(request, c.cfg.Owner(), c.cfg.Gone, c.cfg.Limits, c.cfg.Seed())
 	var event ClaimEvent = Started{}
 	for {
 		action := core.Step(time.Now(), event)
@@ -169,7 +171,7 @@
 // fence records that a call was not dispatched although its claim may still
 // be written.
 func (c *Claims) fence(request Request) {
-	c.settle(newFence(request, c.cfg.Owner, c.cfg.Seed()))
+	c.settle(newFence(request, c.cfg.Owner(), c.cfg.Seed()))
 }
 
 func (c *Claims) settle(core *Settlement) <-chan Settled {
--- a/internal/configlog/delta.go
+++ b/internal/configlog/delta.go
@@ -19,6 +19,10 @@
 	Insert []byte `json:"insert,omitempty"`
 }
 
+// DeltaBetween returns the smallest single replacement that turns from into
+// to, or nil when its text exceeds 4 KiB.
+func DeltaBetween(from, to []byte) *Delta { return deltaBetween(from, to) }
+
 // deltaBetween returns the smallest single replacement that turns from into
 // to, or nil when its text exceeds maxDeltaBytes.
 func deltaBetween(from, to []byte) *Delta {
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -8,7 +8,6 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/policy"
-	"github.com/auburndyke/auburndyke/internal/routing"
 )
 
 func (d *Daemon) configurationHooks() configlog.Hooks {
@@ -34,6 +33,9 @@
 	}
 	d.policy.Store(compiled)
 	d.apply(time.Now())
+	d.cluster.upstreamsChanged(compiled)
+	d.cluster.announce(d.previous, doc)
+	d.previous = doc
 	d.cfg.Metrics.Gauge("auburndyke_revision").Update(float64(doc.Revision))
 	d.cfg.Log.Event(telemetry.ConfigurationInForce).Uint64("revision", uint64(doc.Revision)).
 		Str("digest", string(doc.Digest)).Int("upstreams", len(compiled.Upstreams)).Msg("")
@@ -59,13 +61,16 @@
 	d.applying.Lock()
 	defer d.applying.Unlock()
 	if p := d.policy.Load(); p != nil {
-		d.gateway.Apply(now, p, d.site(p), 1)
+		d.gateway.Apply(now, p, d.site(p), d.liveDaemons())
 	}
 }
 
-// site describes this daemon's place in the fleet.
-func (d *Daemon) site(*policy.Policy) routing.Site {
-	return routing.Site{Region: d.cfg.Region, Zone: d.cfg.Zone}
+// requestRebuild asks for a new routing table without waiting for it.
+func (d *Daemon) requestRebuild() {
+	select {
+	case d.rebuild <- struct{}{}:
+	default:
+	}
 }
 
 func (d *Daemon) rebuildLoop(ctx context.Context) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/gateway"
+	"github.com/auburndyke/auburndyke/internal/membership"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
 )
@@ -34,6 +35,10 @@
 	// Callers accepts callers' connections.
 	Callers net.Listener
 	Caller  callerhttp.Options
+	// Peers exchanges frames with other daemons.
+	Peers ports.PeerTransport
+	// PeerAddress is the IP:port that other daemons connect to.
+	PeerAddress string
 	// Platform is the platform's client.
 	Platform ports.Platform
 	// Upstream sets up the clients of upstreams.
@@ -58,6 +63,8 @@
 	watcher  *configlog.Watcher
 	backends *backends
 	policy   atomic.Pointer[policy.Policy]
+	previous configlog.Document // enforced before; used by the watcher's goroutine
+	cluster  *cluster
 	rebuild  chan struct{}
 	applying sync.Mutex // serializes changes of the request path's snapshot
 	callers  *http.Server
@@ -73,9 +80,11 @@
 	}
 	d := &Daemon{cfg: cfg, backends: newBackends(cfg.Upstream), rebuild: make(chan struct{}, 1)}
 	d.seeds.Store(cfg.Seed)
+	d.cluster = newCluster(d, cfg.Peers)
 	d.claims = claims.New(claims.Config{
 		Table: cfg.Platform,
-		Owner: claims.Owner{Daemon: cfg.ID},
+		Owner: d.cluster.owner,
+		Gone:  func(o claims.Owner) bool { return d.cluster.gone(o.Daemon, o.Incarnation) },
 		Seed:  d.rng,
 	})
 	d.gateway = gateway.New(gateway.Options{
@@ -84,6 +93,7 @@
 		Log:     cfg.Log,
 		Metrics: cfg.Metrics,
 		Seed:    cfg.Seed,
+		Fresh:   d.cluster.evidence.fresh,
 	})
 	d.watcher = configlog.NewWatcher(cfg.Platform, cfg.ID, cfg.Region, d.rng(), d.configurationHooks())
 	d.callers = callerhttp.NewServer(d.gateway, cfg.Caller)
@@ -150,12 +160,13 @@
 
 // loops lists the background work of the daemon.
 func (d *Daemon) loops() []func(context.Context) error {
-	return []func(context.Context) error{
+	loops := []func(context.Context) error{
 		d.watcher.Run,
 		d.rebuildLoop,
 		d.pumpLoop,
 		d.loadLoop,
 	}
+	return append(loops, d.cluster.loops()...)
 }
 
 // shutdown waits for requests in progress, up to the bound.
@@ -173,3 +184,6 @@
 	d.claims.Close(bound)
 	d.cfg.Log.Event(telemetry.ShutdownComplete).Int("cut", cut).Msg("")
 }
+
+// Roster returns the daemons that this one knows.
+func (d *Daemon) Roster() *membership.View { return d.cluster.view.Load() }
--- /dev/null
+++ b/internal/daemon/drains.go
@@ -0,0 +1,227 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/drain"
+	"github.com/auburndyke/auburndyke/internal/membership"
+	"github.com/auburndyke/auburndyke/internal/mesh"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// errNoFence answers orders to refuse new work: the upstream protocol has no
+// such order, so acceptance rests on the daemons' acknowledgements.
+var errNoFence = errors.New("upstream takes no order to refuse new work")
+
+// Drain starts the drain of an upstream and waits until its leave is accepted
+// or refused. A zero deadline means that nothing is moved. It fails with the
+// typed errors of package drain.
+func (d *Daemon) Drain(ctx context.Context, upstream domain.UpstreamID, deadline time.Time, force bool) error {
+	return d.cluster.order(ctx, upstream, drain.LeaveRequested{Upstream: upstream, Deadline: deadline, Force: force})
+}
+
+// Undrain ends a drain.
+func (d *Daemon) Undrain(ctx context.Context, upstream domain.UpstreamID) error {
+	answer := make(chan error, 1)
+	d.cluster.mailbox.post(func() {
+		d.cluster.waiting[upstream] = append(d.cluster.waiting[upstream], answer)
+		d.cluster.drive(d.cluster.controller.Handle(time.Now(), drain.UndrainRequested{Upstream: upstream}))
+		d.cluster.answer(upstream, nil)
+	})
+	return await(ctx, answer)
+}
+
+// Drains returns the drains that this daemon knows.
+func (d *Daemon) Drains() []drain.Status { return *d.cluster.drains.Load() }
+
+func (c *cluster) order(ctx context.Context, upstream domain.UpstreamID, event drain.Event) error {
+	answer := make(chan error, 1)
+	c.mailbox.post(func() {
+		c.waiting[upstream] = append(c.waiting[upstream], answer)
+		c.drive(c.controller.Handle(time.Now(), event))
+	})
+	return await(ctx, answer)
+}
+
+func await(ctx context.Context, answer <-chan error) error {
+	select {
+	case err := <-answer:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (c *cluster) answer(upstream domain.UpstreamID, err error) {
+	for _, waiting := range c.waiting[upstream] {
+		waiting <- err
+	}
+	delete(c.waiting, upstream)
+}
+
+// shareWithDrains gives facts to the drain cores.
+func (c *cluster) shareWithDrains(now time.Time, facts []ports.Fact) {
+	c.drive(c.controller.Handle(now, drain.FactsReceived{Facts: facts}))
+	c.drive(c.holder.Handle(now, drain.FactsReceived{Facts: facts}))
+}
+
+// drive carries out what the drain cores ask for.
+func (c *cluster) drive(actions []drain.Action) {
+	log := c.daemon.cfg.Log
+	for _, action := range actions {
+		switch a := action.(type) {
+		case drain.Publish:
+			c.submit(mesh.LocalFacts{Facts: a.Facts})
+			c.shareWithDrains(time.Now(), a.Facts)
+		case drain.Fence:
+			c.mailbox.post(func() {
+				c.drive(c.controller.Handle(time.Now(), drain.FenceResult{Fence: a, Err: errNoFence}))
+			})
+		case drain.Commit:
+			c.writeRecord(a)
+		case drain.Accepted:
+			log.Event(telemetry.DrainStep).Str("upstream", string(a.Upstream)).Uint64("epoch", a.Epoch).Str("phase", "accepted").Msg("")
+			c.answer(a.Upstream, nil)
+		case drain.Refused:
+			log.Event(telemetry.DrainWarning).Str("upstream", string(a.Upstream)).Err(a.Err).Msg("")
+			c.answer(a.Upstream, a.Err)
+		case drain.PhaseChanged:
+			log.Event(telemetry.DrainStep).Str("upstream", string(a.Upstream)).Uint64("epoch", a.Epoch).Str("phase", string(a.Phase)).Msg("")
+		case drain.Warning:
+			log.Event(telemetry.DrainWarning).Str("upstream", string(a.Upstream)).Err(a.Err).Msg("")
+		case drain.StopNew:
+			c.stopNew(a)
+		case drain.ResumeNew:
+			c.resumeNew(a.Upstream)
+		case drain.MoveStreams:
+			c.daemon.gateway.Leaving(a.Upstream, true, a.Deadline)
+		}
+	}
+}
+
+// stopNew excludes an upstream and counts what is still in progress. A request
+// that was placed before sees the exclusion and is placed again, or is counted.
+func (c *cluster) stopNew(a drain.StopNew) {
+	c.epochs[a.Upstream] = a.Epoch
+	c.setLeft(a.Upstream, true)
+	c.daemon.gateway.Leaving(a.Upstream, true, time.Time{})
+	c.counts[a.Upstream] = c.daemon.gateway.Running(a.Upstream)
+	c.reportCount(a.Upstream)
+}
+
+func (c *cluster) resumeNew(upstream domain.UpstreamID) {
+	delete(c.epochs, upstream)
+	delete(c.counts, upstream)
+	c.setLeft(upstream, false)
+	c.daemon.gateway.Leaving(upstream, false, time.Time{})
+	c.daemon.requestRebuild()
+}
+
+// setLeft publishes the set that routing tables are built with.
+func (c *cluster) setLeft(upstream domain.UpstreamID, left bool) {
+	if left {
+		c.left[upstream] = true
+	} else {
+		delete(c.left, upstream)
+	}
+	shared := maps.Clone(c.left)
+	c.leftShared.Store(&shared)
+}
+
+// count reports changed numbers of requests in progress at draining upstreams.
+func (c *cluster) count(time.Time) {
+	for upstream := range c.epochs {
+		if n := c.daemon.gateway.Running(upstream); n != c.counts[upstream] {
+			c.counts[upstream] = n
+			c.reportCount(upstream)
+		}
+	}
+}
+
+func (c *cluster) reportCount(upstream domain.UpstreamID) {
+	c.drive(c.holder.Handle(time.Now(), drain.Counted{Upstream: upstream, Epoch: c.epochs[upstream], InProgress: c.counts[upstream]}))
+}
+
+func (c *cluster) writeRecord(a drain.Commit) {
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, tableTimeout)
+		defer cancel()
+		version, err := c.daemon.cfg.Platform.Commit(ctx, a.Write)
+		c.mailbox.post(func() {
+			c.drive(c.controller.Handle(time.Now(), drain.CommitResult{Upstream: a.Upstream, Record: a.Record, Version: version, Err: err}))
+		})
+	}()
+}
+
+// readShared reads changed drain records and, on a few daemons, the VM list.
+func (c *cluster) readShared() {
+	since, readsVMs := c.recordsFrom, c.readsVMs()
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, tableTimeout)
+		defer cancel()
+		began := time.Now()
+		rows, err := scanAll(ctx, c.daemon.cfg.Platform, drain.RecordPrefix, since)
+		if err != nil {
+			return
+		}
+		c.mailbox.post(func() { c.recordsRead(began, rows) })
+		if !readsVMs {
+			return
+		}
+		if vms, err := c.daemon.cfg.Platform.VMs(ctx); err == nil {
+			c.mailbox.post(func() { c.vmsListed(vms) })
+		}
+	}()
+}
+
+// readsVMs reports whether this daemon is among the few that read the VM list;
+// the others hear of leaves by facts and records.
+func (c *cluster) readsVMs() bool {
+	lower := 0
+	own := xxhash.Sum64String(string(c.self.Daemon))
+	for _, e := range c.view.Load().Entries() {
+		if e.Status == membership.Live && xxhash.Sum64String(string(e.Daemon)) < own {
+			lower++
+		}
+	}
+	return lower < vmReaders
+}
+
+func (c *cluster) recordsRead(began time.Time, rows []ports.Row) {
+	c.evidence.platformRead(began)
+	// Rows written while later pages were read may be missing; the first page
+	// bounds what the next scan skips.
+	for _, r := range rows[:min(len(rows), scanPage)] {
+		c.recordsFrom = max(c.recordsFrom, r.Version)
+	}
+	if len(rows) > 0 {
+		c.drive(c.controller.Handle(time.Now(), drain.RecordsRead{Rows: rows}))
+	}
+}
+
+func (c *cluster) vmsListed(vms []domain.VM) {
+	now := time.Now()
+	c.follow(c.members.Handle(now, membership.VMsListed{VMs: vms}))
+	c.drive(c.controller.Handle(now, drain.VMsListed{VMs: vms}))
+}
+
+// upstreamsChanged tells the drain controller which upstreams a policy has.
+func (c *cluster) upstreamsChanged(p *policy.Policy) {
+	list := make([]drain.Upstream, len(p.Upstreams))
+	classes := p.ClassesByUpstream()
+	for i := range p.Upstreams {
+		u := &p.Upstreams[i]
+		list[i] = drain.Upstream{ID: u.ID, VM: string(u.ID), Classes: classes[i]}
+	}
+	c.mailbox.post(func() {
+		c.drive(c.controller.Handle(time.Now(), drain.UpstreamsChanged{Upstreams: list}))
+	})
+}
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -16,12 +16,14 @@
 	"github.com/auburndyke/auburndyke/examples"
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
+	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/platformclient"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/daemon"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/engine"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
 	"github.com/auburndyke/auburndyke/internal/standin/service"
@@ -234,15 +236,25 @@
 	if err != nil {
 		return err
 	}
+	peers, err := listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	peerAddress := peers.Addr().String()
 	metrics := telemetry.NewMetrics()
 	m := &Member{ID: id, Region: region.ID, URL: "http://" + listener.Addr().String(), Metrics: metrics, done: make(chan struct{})}
 	m.Daemon = daemon.New(daemon.Config{
-		ID:            id,
-		Region:        region.ID,
-		Zone:          zone,
-		Boot:          uuid.NewString(),
-		Callers:       listener,
-		Caller:        callerhttp.Options{},
+		ID:      id,
+		Region:  region.ID,
+		Zone:    zone,
+		Boot:    uuid.NewString(),
+		Callers: listener,
+		Caller:  callerhttp.Options{},
+		Peers: peerws.New(peerws.Config{
+			Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region.ID, Zone: zone},
+			Listener: peers,
+		}),
+		PeerAddress:   peerAddress,
 		Platform:      client,
 		Upstream:      engineclient.Options{},
 		ShutdownBound: 30 * time.Second,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -134,11 +134,11 @@
 	})
 	j.gateway.logClaim(j, c, &decision)
 	if decision.Verdict != claims.Granted {
-		choice.Slot.Release(time.Now(), routing.ResultCancelled)
+		j.gateway.drop(choice, routing.ResultCancelled)
 		return claimAnswer(&decision)
 	}
 	if !decision.Grant.MayDispatch(time.Now()) {
-		choice.Slot.Release(time.Now(), routing.ResultCancelled)
+		j.gateway.drop(choice, routing.ResultCancelled)
 		j.settle(ctx, decision.Grant, claims.StateNotRun, nil)
 		return nil, domain.NotRun(domain.CodeClaimUnavailable, "the claim was granted too late to send the call")
 	}
@@ -198,7 +198,9 @@
 	case claims.Mismatched:
 		return nil, domain.NotRun(domain.CodeKeyReused, "the key was used for another call")
 	case claims.Refused:
-		return nil, &domain.Failure{Code: domain.CodeClaimUnavailable, Outcome: domain.OutcomeNotRun, Message: "the call cannot be recorded now, so it was not run", RetryAfter: time.Second}
+		// This call was not sent, but whether an earlier one with the key ran
+		// cannot be read, and a caller acts on the key.
+		return nil, &domain.Failure{Code: domain.CodeClaimUnavailable, Outcome: domain.OutcomeUnknown, Message: "this call cannot be recorded now and was not sent; whether an earlier call with this key ran is unknown", RetryAfter: time.Second}
 	default:
 		return nil, &domain.Failure{Code: domain.CodeOutcomeUnknown, Outcome: domain.OutcomeUnknown, Message: "an earlier call with this key may have run"}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,9 @@
 	Claims  *claims.Claims
 	Log     *telemetry.Log
 	Metrics *telemetry.Metrics
+	// Fresh reports whether the view of leaving upstreams is recent enough to
+	// start new work. Nil means always.
+	Fresh func(now time.Time) bool
 	// Seed feeds the random choices among equally good upstreams.
 	Seed uint64
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -97,10 +97,14 @@
 	return d.Sum64()
 }
 
-// pick chooses an upstream by the configuration in force. A request that was
-// routed by an earlier one is routed again.
+// pick chooses an upstream by the configuration in force, takes a slot there
+// and counts the attempt. The choice is given back by drop. A request that was
+// routed by an earlier configuration is routed again.
 func (j *job) pick(now time.Time, rng *rand.Rand, tried []domain.UpstreamID) (routing.Choice, bool) {
 	router := j.gateway.router
+	if fresh := j.gateway.options.Fresh; fresh != nil && !fresh(now) {
+		return routing.Choice{}, false
+	}
 	for {
 		p := router.Table().Policy
 		if !j.reroute(p) {
@@ -111,18 +115,38 @@
 		query.Exclude = indexes(p, tried)
 		query.Explain = j.gateway.explanation()
 		choice, ok := router.Pick(now, &query, rng)
-		if router.Table().Policy == p {
-			j.gateway.logRouting(j, &choice, ok, query.Explain)
-			return choice, ok
+		if !ok {
+			return choice, false
 		}
-		// The configuration changed meanwhile; the route's indexes may have
-		// been applied to another list of upstreams.
-		if ok {
-			choice.Slot.Release(now, routing.ResultCancelled)
+		j.gateway.active.counter(choice.ID).Add(1)
+		if j.gateway.confirm(p, &choice) {
+			j.gateway.logRouting(j, &choice, query.Explain)
+			return choice, true
 		}
+		j.gateway.drop(&choice, routing.ResultCancelled)
 	}
 }
 
+// confirm reports whether a choice that has been counted still holds. The
+// configuration may have changed meanwhile, so that the route's indexes were
+// applied to another list of upstreams. Leaving is checked after counting, and
+// Leaving sets it before Running is read, so that a drain never misses an
+// attempt.
+func (g *Gateway) confirm(p *policy.Policy, choice *routing.Choice) bool {
+	table := g.router.Table()
+	if table.Policy != p {
+		return false
+	}
+	state := table.State(choice.ID)
+	return state == nil || !state.Leaving()
+}
+
+// drop gives a place back.
+func (g *Gateway) drop(choice *routing.Choice, result routing.Result) {
+	choice.Slot.Release(time.Now(), result)
+	g.active.counter(choice.ID).Add(-1)
+}
+
 // reroute brings the job's route to a policy.
 func (j *job) reroute(p *policy.Policy) bool {
 	if j.policy == p {
@@ -155,7 +179,7 @@
 	b, err := j.gateway.options.Backend(choice.Address)
 	if err != nil {
 		j.gateway.logBackend(choice, err)
-		choice.Slot.Release(time.Now(), routing.ResultFailed)
+		j.gateway.drop(choice, routing.ResultFailed)
 		return nil, false
 	}
 	return b, true
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -38,10 +38,10 @@
 	return &routing.Explanation{}
 }
 
-func (g *Gateway) logRouting(j *job, choice *routing.Choice, ok bool, e *routing.Explanation) {
-	if e == nil || !ok {
-		// A request that finds no place stays queued; only the decision that
-		// places it is logged.
+// logRouting logs the decision that places a request; one that finds no place
+// stays queued.
+func (g *Gateway) logRouting(j *job, choice *routing.Choice, e *routing.Explanation) {
+	if e == nil {
 		return
 	}
 	line := g.log.Event(telemetry.RoutingDecision).
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -50,8 +50,6 @@
 // assign turns a choice into an assignment whose slot is released at the end
 // of the attempt.
 func (o *observer) assign(choice *routing.Choice, backend Backend) exchange.Assignment {
-	counter := o.job.gateway.active.counter(choice.ID)
-	counter.Add(1)
 	p := &place{choice: *choice}
 	o.mu.Lock()
 	o.slots[choice.ID] = p
@@ -60,8 +58,7 @@
 		Upstream: choice.ID,
 		Engine:   backend,
 		Release: func() {
-			p.choice.Slot.Release(time.Now(), routing.ResultCancelled)
-			counter.Add(-1)
+			o.job.gateway.drop(&p.choice, routing.ResultCancelled)
 			o.job.gateway.Pump(time.Now())
 		},
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -89,7 +89,7 @@
 	if !removed {
 		// A grant was given at the same moment; it must not keep its slot.
 		if g := <-w.grants; g.choice.Slot != nil {
-			g.choice.Slot.Release(time.Now(), routing.ResultCancelled)
+			p.gateway.drop(&g.choice, routing.ResultCancelled)
 			p.finish(w)
 		}
 	}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -94,6 +94,18 @@
 	return members, open
 }
 
+// LastHeard returns when any neighbour was last heard over an open connection.
+// Zero means that none is connected.
+func (n *Node) LastHeard() time.Time {
+	var last time.Time
+	for _, p := range n.peers {
+		if p.neighbour && p.connected && p.heard.After(last) {
+			last = p.heard
+		}
+	}
+	return last
+}
+
 // Handle processes one event and returns what to do, in order.
 func (n *Node) Handle(now time.Time, event Event) []Action {
 	n.actions = nil
--- a/internal/ports/platform.go
+++ b/internal/ports/platform.go
@@ -64,7 +64,8 @@
 
 // Table is the platform's transactional table service.
 type Table interface {
-	// Get returns the rows that exist among keys, in the order of keys.
+	// Get returns the rows that exist among keys, in the order of keys, as they
+	// were at one moment.
 	Get(ctx context.Context, keys ...string) ([]Row, error)
 	// Scan returns up to limit rows whose key starts with prefix and comes
 	// after the key after, in key order. Rows with a version of since or
--- a/internal/recordtest/claims_test.go
+++ b/internal/recordtest/claims_test.go
@@ -62,7 +62,7 @@
 	return claims.New(claims.Config{
 		Table:     f.tab,
 		Committer: committer,
-		Owner:     claims.Owner{Daemon: domain.DaemonID(id), Incarnation: 1},
+		Owner:     func() claims.Owner { return claims.Owner{Daemon: domain.DaemonID(id), Incarnation: 1} },
 		Gone:      func(o claims.Owner) bool { _, ok := f.gone.Load(o); return ok },
 		Seed:      f.seed,
 	})
