--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os"
@@ -16,11 +17,7 @@
 )
 
 func TestMain(m *testing.M) {
-	seed := os.Getenv("AUBURNDYKE_TEST_SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
+	if err := flag.Set("rapid.seed", cmp.Or(os.Getenv("AUBURNDYKE_TEST_SEED"), "1")); err != nil {
 		panic(err)
 	}
 	os.Exit(m.Run())
--- a/internal/recordtest/config_test.go
+++ b/internal/recordtest/config_test.go
@@ -62,6 +62,24 @@
 	return ids
 }
 
+// Shows the fault that receipts remove: after a lost answer, a naive proposer
+// that reads the head and tries again has its change accepted twice.
+func TestNaiveProposalIsAcceptedTwice(t *testing.T) {
+	tab := newTable()
+	tab.plan = nth(1, lostAfter)
+	var err error
+	for range 2 {
+		rows, _ := tab.Get(t.Context(), "head")
+		var expect ports.Version
+		if len(rows) > 0 {
+			expect = rows[0].Version
+		}
+		_, err = tab.Commit(t.Context(), ports.Write{Key: "head", Expect: expect}, ports.Write{Key: fmt.Sprint("rev/", expect+1)})
+	}
+	assert.NilError(t, err)
+	assert.Equal(t, len(tab.rows), 3) // the head and two revisions
+}
+
 // Guards against a change that is lost or applied twice when any one call of
 // a proposal fails in any way and the operator repeats the proposal through
 // another daemon.
