Offer deltas and short digests to peer frames

Cause: frames between daemons carry a 64-bit digest and deltas.

Change: Digest.Sum64 and DeltaBetween are exported; Delta has CBOR field numbers; a fuzz target covers it.

--- a/internal/configlog/delta.go
+++ b/internal/configlog/delta.go
@@ -13,15 +13,15 @@
 // Delta replaces one stretch of a document.
 type Delta struct {
 	// Offset is where the replaced stretch starts, in bytes.
-	Offset int `json:"offset"`
+	Offset int `cbor:"1,keyasint" json:"offset"`
 	// Remove is the length of the replaced stretch, in bytes.
-	Remove int    `json:"remove"`
-	Insert []byte `json:"insert,omitempty"`
+	Remove int    `cbor:"2,keyasint" json:"remove"`
+	Insert []byte `cbor:"3,keyasint,omitempty" json:"insert,omitempty"`
 }
 
-// deltaBetween returns the smallest single replacement that turns from into
+// DeltaBetween returns the smallest single replacement that turns from into
 // to, or nil when its text exceeds maxDeltaBytes.
-func deltaBetween(from, to []byte) *Delta {
+func DeltaBetween(from, to []byte) *Delta {
 	prefix := commonPrefix(from, to)
 	suffix := commonSuffix(from[prefix:], to[prefix:])
 	insert := to[prefix : len(to)-suffix]
--- a/internal/configlog/follower_test.go
+++ b/internal/configlog/follower_test.go
@@ -93,3 +93,21 @@
 		}
 	})
 }
+
+// Guards against a delta that does not restore the document, or that damages
+// memory when it is applied to another one.
+func FuzzDelta(f *testing.F) {
+	f.Add([]byte("a=1\nb=2\n"), []byte("a=1\nb=3\n"))
+	f.Add([]byte(""), []byte("aa"))
+	f.Add([]byte("aaa"), []byte("aa"))
+	f.Fuzz(func(t *testing.T, from, to []byte) {
+		d := DeltaBetween(from, to)
+		if d == nil {
+			return
+		}
+		if got, err := d.Apply(from); err != nil || string(got) != string(to) {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		_, _ = d.Apply(to)
+	})
+}
--- a/internal/configlog/proposal.go
+++ b/internal/configlog/proposal.go
@@ -268,7 +268,7 @@
 		Message:  p.change.Message,
 		Base:     p.change.Base,
 		Digest:   digest,
-		Delta:    deltaBetween(p.parent, p.content),
+		Delta:    DeltaBetween(p.parent, p.content),
 	}
 	receipt := Receipt{
 		Revision: head.Revision,
--- a/internal/configlog/record.go
+++ b/internal/configlog/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -29,6 +30,16 @@
 	return Digest(hex.EncodeToString(sum[:]))
 }
 
+// Sum64 returns the first 64 bits of the digest, for facts and frames between
+// daemons. It is zero when the digest is malformed.
+func (d Digest) Sum64() uint64 {
+	sum, err := hex.DecodeString(string(d))
+	if err != nil || len(sum) != sha256.Size {
+		return 0
+	}
+	return binary.BigEndian.Uint64(sum)
+}
+
 // Document is the content of one revision.
 type Document struct {
 	Revision domain.Revision `cbor:"1,keyasint" json:"revision"`
