--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -18,6 +18,9 @@
 	Scorers []Scorer
 	Picker  Picker
 	scratch sync.Pool
+	// urgentAt is when a request of a tier that preempts was last placed, Unix
+	// ns.
+	urgentAt atomic.Int64
 }
 
 // NewRouter returns a Router with the default stages.
