--- /dev/null
+++ b/internal/routing/borrow_test.go
@@ -0,0 +1,73 @@
+package routing
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// TestDaemonsBorrowAboutTheRoom guards against daemons that each take the last
+// free slot, and against an excess that lasts because every daemon refills its
+// own part of it.
+func TestDaemonsBorrowAboutTheRoom(t *testing.T) {
+	const daemons = 8
+	now := time.Unix(1_000_000, 0)
+	p := &policy.Policy{Upstreams: []policy.Upstream{{ID: "u", Slots: 6}}}
+	var states []*State
+	for i := range daemons {
+		site := Site{Daemon: domain.DaemonID("d" + strconv.Itoa(i)), Sharers: map[domain.UpstreamID]int{"u": daemons}}
+		states = append(states, NewTable(now, nil, p, site).State("u"))
+	}
+	borrowed := func(running, held int) float64 {
+		sum := int64(0)
+		for i := range 500 {
+			taken := now.Add(time.Duration(i) * time.Second)
+			for _, s := range states {
+				s.running.Store(int64(held))
+				s.Report(taken, ports.LoadReport{Taken: taken, Slots: 6, Running: running}, daemons)
+				sum += s.limit(taken, 0) - int64(held)
+			}
+		}
+		return float64(sum) / 500
+	}
+	two, four := borrowed(4, 0), borrowed(2, 0)
+	assert.Assert(t, two > 0.5 && two < 1.5, "2 free slots lent %.2f", two)
+	assert.Assert(t, four > 2.5 && four < 3.5, "4 free slots lent %.2f", four)
+	assert.Equal(t, borrowed(6, 0), 0.0)
+	assert.Equal(t, borrowed(16, 2), -16.0, "16 requests on 6 slots")
+}
+
+// TestSharesAddUpToTheSlots guards against daemons that hold more slots
+// together than an upstream has, and against daemons without any.
+func TestSharesAddUpToTheSlots(t *testing.T) {
+	const daemons, upstreams = 8, 12
+	totals := map[int]int{}
+	for index := range upstreams {
+		sum := 0
+		for rank := range daemons {
+			n := share(6, daemons, rank, index)
+			totals[rank] += n
+			sum += n
+		}
+		assert.Equal(t, sum, 6)
+	}
+	for rank := range daemons {
+		assert.Equal(t, totals[rank], 6*upstreams/daemons)
+	}
+}
+
+// TestLocalDaemonsBorrowFirst guards against remote daemons that take the room
+// of a region, and against weights that lend more than the room.
+func TestLocalDaemonsBorrowFirst(t *testing.T) {
+	local, remote := borrowers(8, 3, false), borrowers(8, 3, true)
+	assert.Assert(t, remote >= 3*local, "local %d, remote %d", local, remote)
+	lent := 3/float64(local) + 5/float64(remote)
+	assert.Assert(t, lent > 0.8 && lent <= 1, "%.2f of the room", lent)
+	assert.Equal(t, borrowers(8, 0, true), 8)
+}
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -1,9 +1,12 @@
 package routing
 
 import (
+	"encoding/binary"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/estimate"
 	"github.com/auburndyke/auburndyke/internal/policy"
@@ -13,6 +16,8 @@
 const (
 	// borrowMaxAge is the age of a load report up to which slots are borrowed.
 	borrowMaxAge = 3 * time.Second
+	// slotReserve is the number of free slots per upstream that are not lent.
+	slotReserve = 1
 	// refusalPause keeps new work away from an upstream that refused some.
 	refusalPause = 250 * time.Millisecond
 	// warmup is how long the limit of a new or returning upstream grows.
@@ -28,6 +33,8 @@
 	Prefixes PrefixSet
 
 	slots int
+	// lot differs between daemons, so that they draw different lots.
+	lot uint64
 
 	running      atomic.Int64
 	leaving      atomic.Bool
@@ -66,8 +73,8 @@
 // Warm starts a slow start: the limit grows from one slot to the full share.
 func (s *State) Warm(now time.Time) { s.warmFrom.Store(now.UnixNano()) }
 
-// Report applies a load report that arrived now, where sharers daemons use
-// the upstream. A new incarnation forgets the prefix cache and starts slowly.
+// Report applies a load report that arrived now, where sharers daemons borrow
+// free slots of the upstream alike. A new incarnation forgets the prefix cache and starts slowly.
 func (s *State) Report(now time.Time, r ports.LoadReport, sharers int) {
 	if old := s.incarnation.Swap(uint64(r.Incarnation)); old != 0 && old != uint64(r.Incarnation) {
 		s.Prefixes.Clear()
@@ -79,18 +86,32 @@
 	if slots == 0 {
 		slots = int64(s.slots)
 	}
-	// Each sharer borrows an equal part of the free slots until the next
-	// report, so that all of them together exceed the room by less than one
-	// slot each.
-	room := max(slots-int64(r.Running)-int64(r.Queued), 0)
-	n := int64(max(sharers, 1))
-	s.allowance.Store(s.running.Load() + (room+n-1)/n)
+	s.allowance.Store(s.allowed(&r, slots, int64(max(sharers, 1))))
 	s.reportedAt.Store(now.UnixNano() - int64(max(r.Age, 0)))
 	if len(r.Models) > 0 {
 		s.content.Store(&content{models: r.Models, adapters: r.Adapters, role: r.Role})
 	}
 }
 
+// allowed is the number of slots that this daemon may hold until the next
+// report, if that is more than its share. Free slots beyond a reserve for their
+// holders are lent in equal parts; a fraction of a slot is granted by lot, so
+// that all daemons together borrow about the room and not one slot each. While
+// there is none, borrowed slots are not filled again.
+func (s *State) allowed(r *ports.LoadReport, slots, sharers int64) int64 {
+	room := slots - int64(r.Running) - int64(r.Queued) - slotReserve
+	if room <= 0 {
+		return 0
+	}
+	extra := room / sharers
+	var taken [8]byte
+	binary.LittleEndian.PutUint64(taken[:], uint64(r.Taken.UnixNano())^s.lot)
+	if int64(xxhash.Sum64(taken[:])%uint64(sharers)) < room%sharers {
+		extra++
+	}
+	return s.running.Load() + extra
+}
+
 // limit is the number of slots that this daemon may hold now: its share, or
 // more while a recent report shows room. A share of 0, which more daemons than
 // slots give, allows one slot while no recent report tells better.
