Take out the headroom for urgent tiers

Cause: main's borrowing rules (a reserve of one slot, fractions by lot, no refill while full) remove the crowding that headroom was made for.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -181,7 +181,6 @@
 		if r == nil {
 			return Decision{}, false
 		}
-		r.Owed = q.owed(r)
 		if ready == nil || ready(r) {
 			return q.dispatch(now, r, reason), true
 		}
@@ -206,7 +205,7 @@
 		if strict == nil {
 			strict = r
 		}
-		if q.owed(r) && t.credit > credit {
+		if t.credit >= float64(r.tokens()) && t.credit > credit {
 			owed, credit = r, t.credit
 		}
 	}
@@ -216,11 +215,6 @@
 	return strict, ReasonTierOrder
 }
 
-// owed reports whether the credit of the request's tier covers it.
-func (q *Queue) owed(r *Request) bool {
-	return q.tiers[r.Rank].credit >= float64(r.tokens())
-}
-
 // firstReserved returns the first request with a freed slot whose group is not
 // blocked and that can still meet its target. Without it, a tier below its minimum share could take the slot that
 // was freed for a more urgent request.
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -39,9 +39,6 @@
 	// Upstream is the index in Policy.Upstreams where the request runs. The
 	// caller sets it while the ready function of Next accepts the request.
 	Upstream int
-	// Owed is set by Next for the ready function: the request goes first
-	// because its tier is below its minimum share.
-	Owed bool
 	// Progress counts generated tokens; any goroutine may add to it.
 	Progress atomic.Int64
 	// Value belongs to the caller.
--- a/internal/estimate/upstream.go
+++ b/internal/estimate/upstream.go
@@ -171,12 +171,6 @@
 	return u.tokens.total(u.reportWeight(now), 1)
 }
 
-// Requests returns the expected number of requests of all daemons that run or
-// wait at the upstream, where sharers daemons use it.
-func (u *Upstream) Requests(now time.Time, sharers int) float64 {
-	return u.requests.total(u.reportWeight(now), sharers)
-}
-
 // ReportAge returns the age of the latest report, or false without any.
 func (u *Upstream) ReportAge(now time.Time) (time.Duration, bool) {
 	at := u.reportedAt.Load()
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -34,10 +34,6 @@
 	Prefix []uint64
 	// Deadline is when the first token is due. Zero means no target.
 	Deadline time.Time
-	// Headroom is the fraction (0 to 1) of each upstream's slots that this
-	// request leaves free for more urgent work; see Router.Headroom. Zero means
-	// none.
-	Headroom float64
 	// Exclude lists indexes in Policy.Upstreams that were tried already.
 	Exclude []int
 	// DryRun makes Pick choose without taking a slot.
@@ -153,15 +149,13 @@
 	ReasonProbation
 	// ReasonSlots: no slot in the share and none to borrow.
 	ReasonSlots
-	// ReasonHeadroom: the free slots are kept for more urgent work.
-	ReasonHeadroom
 	// ReasonRefusing: it refused a request moments ago.
 	ReasonRefusing
 )
 
 var reasonNames = [...]string{
 	"keep", "outside_subset", "tried", "other_kind", "model_not_loaded",
-	"other_role", "leaving", "ejected", "probation", "no_slot", "headroom", "refusing",
+	"other_role", "leaving", "ejected", "probation", "no_slot", "refusing",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -18,10 +18,6 @@
 	Scorers []Scorer
 	Picker  Picker
 	scratch sync.Pool
-	// urgentAt is when a request of a tier that preempts was last placed, Unix
-	// ns.
-	urgentAt atomic.Int64
-	headroom headroom
 }
 
 // NewRouter returns a Router with the default stages.
