--- a/internal/adapters/peerws/memnet_test.go
+++ b/internal/adapters/peerws/memnet_test.go
@@ -77,7 +77,7 @@
 	other := n.nodes[peer.Daemon]
 	if other == nil || n.cut(t.self, peer) || n.cut(peer, t.self) {
 		time.AfterFunc(handshakeTimeout, func() {
-			t.events <- ports.PeerEvent{Peer: peer.Daemon, Lost: ports.ErrPeerNotConnected}
+			t.events <- ports.PeerEvent{Peer: peer.Daemon, Lost: ports.ErrPeerNotConnected, DialFailed: true}
 		})
 		return
 	}
--- a/internal/adapters/peerws/runner.go
+++ b/internal/adapters/peerws/runner.go
@@ -91,7 +91,7 @@
 	case e.Frame != nil:
 		return mesh.FrameReceived{Peer: e.Peer, Frame: *e.Frame}
 	default:
-		return mesh.PeerLost{Peer: e.Peer}
+		return mesh.PeerLost{Peer: e.Peer, DialFailed: e.DialFailed}
 	}
 }
 
--- a/internal/adapters/peerws/transport.go
+++ b/internal/adapters/peerws/transport.go
@@ -251,7 +251,7 @@
 		delete(t.dialing, peer.Daemon)
 		t.mu.Unlock()
 		if err != nil {
-			t.report(ports.PeerEvent{Peer: peer.Daemon, Lost: err})
+			t.report(ports.PeerEvent{Peer: peer.Daemon, Lost: err, DialFailed: true})
 			return
 		}
 		t.adopt(c, hello)
--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -82,9 +82,8 @@
 	case Unreachable:
 		c.down[e.Upstream] = !e.Reachable
 	case FactsReceived:
-		for _, f := range e.Facts {
-			c.onFact(now, f, FromFact)
-		}
+		c.onFacts(now, e.Facts)
+		return c.actions
 	case ViewChanged:
 		c.view = e.View
 	case FenceResult:
@@ -105,6 +104,22 @@
 	return c.actions
 }
 
+// onFacts moves only the drains that the facts are about: acknowledgements of
+// many daemons arrive in many frames.
+func (c *Controller) onFacts(now time.Time, facts []ports.Fact) {
+	touched := map[domain.UpstreamID]*drain{}
+	for _, f := range facts {
+		if c.onFact(now, f, FromFact) {
+			if d := c.drains[f.Upstream]; d != nil {
+				touched[f.Upstream] = d
+			}
+		}
+	}
+	for _, id := range sortedKeys(touched) {
+		c.drive(now, touched[id])
+	}
+}
+
 func (c *Controller) emit(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Controller) onUpstreams(list []Upstream) {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -37,6 +37,8 @@
 	accepted     bool
 	phase        Phase
 	participants map[domain.DaemonID]*participant
+	// seen is the view that participants were last compared with.
+	seen *membership.View
 
 	fenced    bool
 	fencedAt  time.Time
@@ -151,6 +153,7 @@
 	p := d.participants[f.Member.Daemon]
 	if p == nil || p.member.Incarnation < f.Member.Incarnation {
 		p = &participant{member: *f.Member}
+		d.seen = nil
 		d.participants[f.Member.Daemon] = p
 	}
 	if p.member.Incarnation != f.Member.Incarnation || f.Seq < p.seq {
@@ -182,9 +185,10 @@
 // updateParticipants adds daemons of the roster and marks those that left it.
 // A suspect still counts: it may hold requests until its lease ends.
 func (c *Controller) updateParticipants(d *drain) {
-	if c.view == nil {
+	if c.view == nil || d.seen == c.view {
 		return
 	}
+	d.seen = c.view
 	for _, m := range c.view.Members() {
 		p := d.participants[m.Daemon]
 		known := p != nil && p.member.Incarnation >= m.Incarnation
@@ -240,6 +244,7 @@
 		return
 	}
 	if d.source != FromOperator && !c.holder && !c.elected(up.ID) {
+		d.fenceAt = now.Add(FenceRetry)
 		return
 	}
 	d.fenceAt = now.Add(fenceTimeout)
--- a/internal/drain/fleet_test.go
+++ b/internal/drain/fleet_test.go
@@ -441,3 +441,49 @@
 	restarted.run(time.Second)
 	assert.Assert(t, restarted.nodes[1].holder.Leaving("u00"))
 }
+
+// Guards against a leave that only the VM list shows and that a cut-off daemon
+// never hears of: the chosen daemons must tell the upstream.
+func TestListedLeaveStopsCutOffDaemon(t *testing.T) {
+	w := newWorld(t, 8, 6, true)
+	w.run(time.Second)
+	w.isolate(w.nodes[7])
+	list := []domain.VM{{Name: "vm05"}}
+	for i := range 5 {
+		list = append(list, domain.VM{Name: fmt.Sprintf("vm%02d", i), Leaving: true})
+	}
+	reader := w.nodes[0]
+	w.act(reader, reader.ctl.Handle(w.now, VMsListed{VMs: list}))
+	for _, id := range w.order[:5] {
+		w.targets[id].accepted = w.now
+	}
+	w.run(8 * time.Second)
+	for _, id := range w.order[:5] {
+		assert.Equal(t, w.targets[id].late, 0, "%s", id)
+	}
+}
+
+// Guards against an outage that stops serving, and against a stale view that
+// sends work to upstreams that cannot refuse it.
+func TestGate(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	hour := now.Add(-time.Hour)
+	for _, c := range []struct {
+		name                   string
+		leaving, fences, stale bool
+		platform, peer         time.Time
+		lease                  bool
+		want                   Verdict
+	}{
+		{name: "leaving", leaving: true, fences: true, platform: now, want: RefuseLeaving},
+		{name: "outage, upstream refuses", fences: true, platform: hour, peer: hour, want: Allow},
+		{name: "outage, with peers and lease", platform: hour, peer: now, lease: true, want: Allow},
+		{name: "outage, with peers", platform: hour, peer: now, want: RefuseStale},
+		{name: "cut off", platform: hour, peer: hour, lease: true, want: RefuseStale},
+		{name: "cut off, availability preferred", stale: true, platform: hour, peer: hour, want: Allow},
+		{name: "platform only", platform: now.Add(-ViewLimit), peer: hour, want: Allow},
+	} {
+		e := Evidence{PlatformRead: c.platform, PeerHeard: c.peer, HoldsLease: c.lease}
+		assert.Equal(t, Gate(now, c.leaving, c.fences, c.stale, e), c.want, c.name)
+	}
+}
--- a/internal/mesh/event.go
+++ b/internal/mesh/event.go
@@ -17,8 +17,11 @@
 	Hello ports.Hello
 }
 
-// PeerLost reports a failed dial or the end of the current connection.
-type PeerLost struct{ Peer domain.DaemonID }
+// PeerLost reports the end of the current connection, or a failed dial.
+type PeerLost struct {
+	Peer       domain.DaemonID
+	DialFailed bool
+}
 
 // FrameReceived reports a frame from a connected peer.
 type FrameReceived struct {
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -103,7 +103,7 @@
 	case PeerConnected:
 		n.onConnected(now, e)
 	case PeerLost:
-		n.onLost(now, e.Peer)
+		n.onLost(now, e)
 	case FrameReceived:
 		n.onFrame(now, e)
 	case LocalFacts:
@@ -167,9 +167,10 @@
 	n.emit(PeerHeard{Peer: id, Incarnation: p.member.Incarnation})
 }
 
-func (n *Node) onLost(now time.Time, id domain.DaemonID) {
+func (n *Node) onLost(now time.Time, e PeerLost) {
+	id := e.Peer
 	p := n.peers[id]
-	if p == nil {
+	if p == nil || (e.DialFailed && p.connected) {
 		return
 	}
 	p.connected = false
--- a/internal/mesh/state_test.go
+++ b/internal/mesh/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -209,3 +210,20 @@
 	t.Logf("%d edge ends changed by the loss of one of 330", changed)
 	assert.Assert(t, changed <= 24)
 }
+
+// Guards against a dial that fails after the peer's own dial succeeded and
+// makes the node drop the working connection.
+func TestFailedDialKeepsConnection(t *testing.T) {
+	members := roster(2)
+	now := time.Unix(1_800_000_000, 0)
+	node := NewNode(Config{Self: members[0].Daemon, Rand: rand.New(rand.NewPCG(1, 1))})
+	node.Handle(now, RosterChanged{Members: members})
+	id := members[1].Daemon
+	node.Handle(now, PeerConnected{Peer: id, Hello: ports.Hello{Member: members[1]}})
+	node.Handle(now, PeerLost{Peer: id, DialFailed: true})
+	_, open := node.Neighbours()
+	assert.Equal(t, open, 1)
+	node.Handle(now, PeerLost{Peer: id})
+	_, open = node.Neighbours()
+	assert.Equal(t, open, 0)
+}
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -135,15 +135,18 @@
 	Peer  domain.DaemonID
 	Hello *Hello
 	Lost  error
-	Frame *Frame
-	At    time.Time
+	// DialFailed marks a Lost that is about an attempt of Connect only. A
+	// connection that the peer opened meanwhile stays.
+	DialFailed bool
+	Frame      *Frame
+	At         time.Time
 }
 
 // PeerTransport exchanges frames with other daemons. A new connection to a
 // peer replaces the previous one.
 type PeerTransport interface {
 	// Connect dials a peer in the background. Success shows as a PeerEvent
-	// with Hello; failure as one with Lost.
+	// with Hello; failure as one with Lost and DialFailed.
 	Connect(peer Member)
 	// Disconnect closes the connection to a peer, if any.
 	Disconnect(peer domain.DaemonID)
