Leave a region alone that two of its upstreams could not be reached in

Cause: after a region was cut off, requests tried one remote engine after the other and lost a connection timeout each time; some of the urgent class made six attempts in 3 s. Change: when attempts at two upstreams of another region failed without an answer within 2 s, the health filter excludes that region for 2 s.

--- a/internal/routing/borrow_test.go
+++ b/internal/routing/borrow_test.go
@@ -71,3 +71,35 @@
 	assert.Assert(t, lent > 0.8 && lent <= 1, "%.2f of the room", lent)
 	assert.Equal(t, borrowers(8, 0, true), 8)
 }
+
+// TestUnreachableRegionIsLeftAlone guards against requests that try one
+// upstream of a severed region after the other, and against a whole region
+// that is avoided because one of its upstreams failed.
+func TestUnreachableRegionIsLeftAlone(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := &policy.Policy{Upstreams: []policy.Upstream{
+		{ID: "a", Region: "far", Slots: 9},
+		{ID: "b", Region: "far", Slots: 9},
+		{ID: "c", Region: "far", Slots: 9},
+		{ID: "d", Region: "home", Slots: 9},
+	}}
+	table := NewTable(now, nil, p, Site{Region: "home"})
+	fail := func(i int) {
+		state := table.Members()[i].State
+		state.Acquire(now, 9, 1, 0).Release(now, ResultFailed)
+	}
+	usable := func(i int) Reason {
+		return HealthFilter{}.Check(&Query{Now: now, Table: table}, table.Members()[i])
+	}
+	fail(0)
+	fail(0)
+	fail(3)
+	assert.Equal(t, usable(2), Keep)
+	fail(1)
+	assert.Equal(t, usable(2), ReasonLink)
+	assert.Equal(t, usable(3), Keep)
+	table = NewTable(now, table, p, table.Site)
+	assert.Equal(t, usable(2), ReasonLink, "a new configuration forgot the link")
+	now = now.Add(linkPause)
+	assert.Equal(t, usable(2), Keep)
+}
--- a/internal/routing/filter_health.go
+++ b/internal/routing/filter_health.go
@@ -1,7 +1,8 @@
 package routing
 
 // HealthFilter excludes ejected upstreams, upstreams on probation without a
-// free probe, and upstreams that refused a request moments ago.
+// free probe, upstreams that refused a request moments ago, and regions that
+// could not be reached moments ago.
 type HealthFilter struct{}
 
 // Check implements Filter.
@@ -9,5 +10,8 @@
 	if q.Now.UnixNano() < u.State.refusedUntil.Load() {
 		return ReasonRefusing
 	}
+	if u.State.link.distrusted(q.Now) {
+		return ReasonLink
+	}
 	return u.State.health.usable(q.Now)
 }
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -135,11 +135,13 @@
 	ReasonSlots
 	// ReasonRefusing: it refused a request moments ago.
 	ReasonRefusing
+	// ReasonLink: its region could not be reached moments ago.
+	ReasonLink
 )
 
 var reasonNames = [...]string{
 	"keep", "outside_subset", "tried", "other_kind", "model_not_loaded",
-	"other_role", "leaving", "ejected", "probation", "no_slot", "refusing",
+	"other_role", "leaving", "ejected", "probation", "no_slot", "refusing", "link",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -35,6 +35,8 @@
 	slots int
 	// lot differs between daemons, so that they draw different lots.
 	lot uint64
+	// link is shared by the upstreams of another region; nil in the own one.
+	link *link
 
 	running      atomic.Int64
 	leaving      atomic.Bool
@@ -186,6 +188,7 @@
 	if s.released.Load() || !s.answered.CompareAndSwap(false, true) {
 		return
 	}
+	s.state.link.answered()
 	s.state.Estimate.FirstToken(now, s.started, s.load)
 }
 
@@ -221,6 +224,9 @@
 	st := s.state
 	st.running.Add(-1)
 	st.Estimate.End(now, s.started, s.tokens, s.answered.Load())
+	if result == ResultFailed && !s.answered.Load() {
+		st.link.failed(now, st.lot)
+	}
 	if result == ResultRefused {
 		st.refusedUntil.Store(now.Add(refusalPause).UnixNano())
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -73,6 +74,7 @@
 	// members lists the entries that are not nil, ascending.
 	members []*Upstream
 	byID    map[domain.UpstreamID]*Upstream
+	links   map[domain.Region]*link
 }
 
 // NewTable builds the snapshot for a policy. Live states are taken over from
@@ -83,6 +85,7 @@
 		Site:      site,
 		upstreams: make([]*Upstream, len(p.Upstreams)),
 		byID:      map[domain.UpstreamID]*Upstream{},
+		links:     takeOverLinks(previous, p, site.Region),
 	}
 	var subset map[domain.UpstreamID]bool
 	if site.Subset != nil {
@@ -98,7 +101,7 @@
 			continue
 		}
 		e := newUpstream(u, i, site, home)
-		e.State = takeOver(now, previous, e, site.Daemon)
+		e.State = t.takeOver(now, previous, e)
 		t.byID[u.ID] = e
 		t.upstreams[i] = e
 		t.members = append(t.members, e)
@@ -152,14 +155,31 @@
 	return slots / sharers
 }
 
-func takeOver(now time.Time, previous *Table, e *Upstream, daemon domain.DaemonID) *State {
+// takeOverLinks returns the links to the other regions; they live as long as
+// the daemon.
+func takeOverLinks(previous *Table, p *policy.Policy, home domain.Region) map[domain.Region]*link {
+	links := map[domain.Region]*link{}
+	if previous != nil {
+		links = maps.Clone(previous.links)
+	}
+	for i := range p.Upstreams {
+		region := p.Upstreams[i].Region
+		if region != home && links[region] == nil {
+			links[region] = &link{}
+		}
+	}
+	return links
+}
+
+func (t *Table) takeOver(now time.Time, previous *Table, e *Upstream) *State {
 	if previous != nil {
 		if old := previous.byID[e.ID]; old != nil && old.Address == e.Address {
 			return old.State
 		}
 	}
 	s := NewState(now, e.Upstream)
-	s.lot = xxhash.Sum64String(string(daemon) + "/" + string(e.ID))
+	s.lot = xxhash.Sum64String(string(t.Site.Daemon) + "/" + string(e.ID))
+	s.link = t.links[e.Region]
 	if previous != nil {
 		s.Warm(now)
 	}
