Take silence of a region's load reports as a sign of its link

Cause: requests into a severed region lost a connection timeout each time the pause of 2 s had passed, until the region came back. Change: while no load report of a region has arrived for 3 s, after earlier ones did, the region is not used.

--- a/internal/routing/borrow_test.go
+++ b/internal/routing/borrow_test.go
@@ -73,8 +73,9 @@
 }
 
 // TestUnreachableRegionIsLeftAlone guards against requests that try one
-// upstream of a severed region after the other, and against a whole region
-// that is avoided because one of its upstreams failed.
+// upstream of a severed region after the other, against a whole region that is
+// avoided because one of its upstreams failed, and against attempts into a
+// region whose reports stopped.
 func TestUnreachableRegionIsLeftAlone(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	p := &policy.Policy{Upstreams: []policy.Upstream{
@@ -102,4 +103,12 @@
 	assert.Equal(t, usable(2), ReasonLink, "a new configuration forgot the link")
 	now = now.Add(linkPause)
 	assert.Equal(t, usable(2), Keep)
+
+	table.Members()[0].Report(now, ports.LoadReport{Taken: now, Slots: 9})
+	now = now.Add(linkSilence)
+	assert.Equal(t, usable(2), Keep)
+	now = now.Add(time.Millisecond)
+	assert.Equal(t, usable(2), ReasonLink, "reports stopped")
+	table.Members()[1].Report(now, ports.LoadReport{Taken: now, Slots: 9})
+	assert.Equal(t, usable(2), Keep)
 }
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -83,6 +83,7 @@
 		s.Estimate.Forget()
 		s.Warm(now)
 	}
+	s.link.heard(now)
 	s.Estimate.Report(now, r)
 	slots := int64(r.Slots)
 	if slots == 0 {
