Share slots by rank and match prompts with the engines' cache events

Cause: shares ignored the position among sharers, borrowing ignored regions, and prompt prefixes were hashed over raw JSON, so cache events never matched. Change: the site carries ranks and local sharers; reports go through the table's entry; prefixes are hashed over the text that engines name; the group of a request comes from routing.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -141,7 +141,7 @@
 		return
 	}
 	now := time.Now()
-	u.State.Report(now, report, u.Sharers)
+	u.Report(now, report)
 	if u.Kind != domain.KindEngine {
 		return
 	}
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/membership"
 	"github.com/auburndyke/auburndyke/internal/policy"
@@ -34,37 +36,60 @@
 }
 
 // site describes this daemon's place in the fleet: the subset of upstreams
-// that it uses, and how many daemons share each of them.
+// that it uses, and which daemons share each of them.
 func (d *Daemon) site(p *policy.Policy) routing.Site {
 	site := routing.Site{
+		Daemon:  d.cfg.ID,
 		Region:  d.cfg.Region,
 		Zone:    d.cfg.Zone,
-		Sharers: make(map[domain.UpstreamID]int, len(p.Upstreams)),
+		Sharers: make(map[domain.UpstreamID]int),
+		Locals:  make(map[domain.UpstreamID]int),
+		Ranks:   make(map[domain.UpstreamID]int),
 		Left:    *d.cluster.leftShared.Load(),
 	}
 	daemons := d.daemonsByRegion()
+	for key, upstreams := range poolsOf(p) {
+		d.addPool(&site, key, upstreams, daemons)
+	}
+	return site
+}
+
+func poolsOf(p *policy.Policy) map[poolKey][]domain.UpstreamID {
 	pools := make(map[poolKey][]domain.UpstreamID)
 	for i := range p.Upstreams {
 		u := &p.Upstreams[i]
 		pools[poolOf(u)] = append(pools[poolOf(u)], u.ID)
 	}
-	for key, upstreams := range pools {
-		for region, ids := range daemons {
-			size := remoteSubsetSize
-			if region == key.region {
-				size = subsetSize
-			}
-			for id, subset := range routing.Subsets(ids, upstreams, size) {
-				for _, u := range subset {
-					site.Sharers[u]++
-				}
-				if id == d.cfg.ID {
-					site.Subset = append(site.Subset, subset...)
+	return pools
+}
+
+// addPool adds this daemon's share of one pool.
+func (d *Daemon) addPool(site *routing.Site, key poolKey, upstreams []domain.UpstreamID, daemons map[domain.Region][]domain.DaemonID) {
+	var own []domain.UpstreamID
+	sharers := make(map[domain.UpstreamID][]domain.DaemonID, len(upstreams))
+	for region, ids := range daemons {
+		size := remoteSubsetSize
+		if region == key.region {
+			size = subsetSize
+		}
+		for id, subset := range routing.Subsets(ids, upstreams, size) {
+			for _, u := range subset {
+				sharers[u] = append(sharers[u], id)
+				if region == key.region {
+					site.Locals[u]++
 				}
 			}
+			if id == d.cfg.ID {
+				own = subset
+			}
 		}
 	}
-	return site
+	for _, u := range own {
+		slices.Sort(sharers[u])
+		site.Sharers[u] = len(sharers[u])
+		site.Ranks[u] = slices.Index(sharers[u], d.cfg.ID)
+	}
+	site.Subset = append(site.Subset, own...)
 }
 
 func poolOf(u *policy.Upstream) poolKey {
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/routing"
 	"github.com/auburndyke/auburndyke/internal/standin/engine"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
 	"github.com/auburndyke/auburndyke/internal/standin/service"
@@ -184,6 +185,7 @@
 func (f *Fleet) engineConfig(u *policy.Upstream) engine.Config {
 	cfg := f.options.Engine
 	cfg.ID = u.ID
+	cfg.BlockBytes = routing.PrefixBlockBytes
 	cfg.Role = u.Role
 	cfg.Slots = u.Slots
 	cfg.ChecksFencing = u.ChecksFencing
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
@@ -60,8 +62,9 @@
 		Route:        j.route,
 		Model:        r.Model,
 		Adapter:      r.Adapter,
+		Policy:       j.policy,
 		PromptTokens: len(r.Prompt)/bytesPerToken + 1,
-		Prefix:       routing.PrefixHashes(nil, r.Prompt),
+		Prefix:       routing.PrefixHashes(nil, promptText(r.Endpoint, r.Prompt)),
 	}
 	j.query.AnswerTokens = j.gateway.lengths.Expected(j.lengthKey(), limit)
 	j.query.Bytes = int64(len(r.Body) + j.query.AnswerTokens*j.policy.Routing.BytesPerToken)
@@ -167,3 +170,28 @@
 	}
 	return f
 }
+
+// promptText returns the text whose leading blocks engines name in their cache
+// events: the prompt itself, or each message as role:length:content and a line
+// feed. A prompt in another form has no text, and so no expected cache hits.
+func promptText(endpoint ports.Endpoint, raw []byte) []byte {
+	if endpoint == ports.EndpointCompletion {
+		var text string
+		if json.Unmarshal(raw, &text) != nil {
+			return nil
+		}
+		return []byte(text)
+	}
+	var messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	if len(raw) < routing.PrefixBlockBytes || json.Unmarshal(raw, &messages) != nil {
+		return nil
+	}
+	var text []byte
+	for _, m := range messages {
+		text = fmt.Appendf(text, "%s:%d:%s\n", m.Role, len(m.Content), m.Content)
+	}
+	return text
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/auburndyke/auburndyke/internal/admission"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/estimate"
@@ -71,7 +69,7 @@
 		Weight:   j.route.Customer.Weight,
 		Rank:     j.route.Tier.Rank,
 		Tokens:   j.query.Tokens(),
-		Group:    groupOf(j.route, &j.query),
+		Group:    j.query.Group(),
 		Route:    j.route,
 		Arrived:  j.arrived,
 		MaxWait:  j.route.Class.MaxWait,
@@ -84,19 +82,6 @@
 	j.waiter = w
 }
 
-// groupOf identifies requests that the same upstreams can serve.
-func groupOf(route *policy.Route, query *routing.Request) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(query.Model))
-	_, _ = d.WriteString(query.Adapter)
-	_, _ = d.WriteString(query.Service)
-	for _, i := range route.Upstreams {
-		_, _ = d.Write([]byte{byte(i), byte(i >> 8), byte(i >> 16)})
-	}
-	return d.Sum64()
-}
-
 // pick chooses an upstream by the configuration in force, takes a slot there
 // and counts the attempt. The choice is given back by drop. A request that was
 // routed by an earlier configuration is routed again.
@@ -111,7 +96,7 @@
 			return routing.Choice{}, false
 		}
 		query := j.query
-		query.Route = j.route
+		query.Route, query.Policy = j.route, j.policy
 		query.Exclude = indexes(p, tried)
 		query.Explain = j.gateway.explanation()
 		choice, ok := router.Pick(now, &query, rng)
