Mount config, explain and replay commands with exit codes

Cause: the commands existed without a place in the binary. Change: root mounts them; main uses the documented exit codes. Conclusion: the commands work from the one binary.

--- a/cmd/auburndyke/main.go
+++ b/cmd/auburndyke/main.go
@@ -2,15 +2,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/cli"
 )
 
 func main() {
-	if err := cli.NewRootCommand().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	os.Exit(cli.Main())
 }
--- a/internal/adapters/cli/replay.go
+++ b/internal/adapters/cli/replay.go
@@ -17,9 +17,9 @@
 	json     bool
 }
 
-// NewCommand returns the command that replays a recorded trace through the
+// NewReplayCommand returns the command that replays a recorded trace through the
 // decision code in virtual time and reports its policies side by side.
-func NewCommand() *cobra.Command {
+func NewReplayCommand() *cobra.Command {
 	var o replayOptions
 	cmd := &cobra.Command{
 		Use:   "replay TRACE",
--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -2,6 +2,10 @@
 package cli
 
 import (
+	"errors"
+	"fmt"
+	"os"
+
 	"github.com/spf13/cobra"
 )
 
@@ -13,6 +17,17 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDevCommand())
+	root.AddCommand(newDevCommand(), NewConfigCommand(), NewExplainCommand(), NewReplayCommand())
 	return root
 }
+
+// Main runs the command line and returns the process's exit code.
+func Main() int {
+	err := NewRootCommand().Execute()
+	var exit *ExitError
+	// Findings have been printed by the command itself.
+	if err != nil && (!errors.As(err, &exit) || exit.Err != nil) {
+		fmt.Fprintln(os.Stderr, "auburndyke:", err)
+	}
+	return ExitCode(err)
+}
