--- a/internal/adapters/peerws/memnet_test.go
+++ b/internal/adapters/peerws/memnet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -315,6 +316,13 @@
 	return seen{have: d.have, misfits: d.misfits, silent: len(d.silent), told: told}
 }
 
+// silences returns the neighbours that the daemon reported as silent.
+func (d *daemon) silences() map[domain.DaemonID]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.silent)
+}
+
 // lags returns how long after start each daemon had the revision; missing
 // counts the others.
 func (fl *fleet) lags(r domain.Revision, start time.Time) (lags []time.Duration, missing int) {
--- a/internal/drain/fleet_test.go
+++ b/internal/drain/fleet_test.go
@@ -463,6 +463,35 @@
 	}
 }
 
+// acks returns the acknowledgements among actions.
+func acks(actions []Action) []ports.Fact {
+	var out []ports.Fact
+	for _, a := range actions {
+		if p, ok := a.(Publish); ok {
+			out = append(out, p.Facts...)
+		}
+	}
+	return out
+}
+
+// Guards against an acknowledgement that rests on a count of an earlier drain,
+// or that a daemon's new incarnation does not repeat.
+func TestHolderAcknowledges(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	h := NewHolder("d")
+	h.Handle(now, Acting{Incarnation: 1})
+	leave := ports.Fact{Kind: ports.FactUpstreamLeaving, Upstream: "u", Epoch: 3}
+	assert.DeepEqual(t, h.Handle(now, FactsReceived{Facts: []ports.Fact{leave}}), []Action{StopNew{Upstream: "u", Epoch: 3}})
+	assert.Equal(t, len(acks(h.Handle(now, Counted{Upstream: "u", Epoch: 1}))), 0)
+	assert.Equal(t, acks(h.Handle(now, Counted{Upstream: "u", Epoch: 3, InProgress: 2}))[0].InProgress, 2)
+	h.Handle(now, Acting{})
+	assert.Equal(t, len(acks(h.Handle(now, Counted{Upstream: "u", Epoch: 3, InProgress: 1}))), 0, "acknowledged without incarnation")
+	again := acks(h.Handle(now, Acting{Incarnation: 2}))
+	assert.Equal(t, again[0].Member.Incarnation, domain.Incarnation(2))
+	assert.Equal(t, again[0].InProgress, 1)
+	assert.Equal(t, len(acks(h.Handle(now, Acting{Incarnation: 3}))), 1, "nothing changed but the incarnation")
+}
+
 // Guards against an outage that stops serving, and against a stale view that
 // sends work to upstreams that cannot refuse it.
 func TestGate(t *testing.T) {
