Preempt when no more than 400 ms are left

Cause: since a freed slot is reserved for the request that it was freed for, a preemption helps more often, and a margin of 200 ms comes too late. Change: preemptMargin is 400 ms.

--- a/internal/admission/preempt.go
+++ b/internal/admission/preempt.go
@@ -12,7 +12,7 @@
 // preemptMargin is how long before the last moment a request is taken to miss
 // its target, however long a slot may take to turn over. A slot that turns over
 // until then saves the lower-tier request a second pass over its prompt.
-const preemptMargin = 200 * time.Millisecond
+const preemptMargin = 400 * time.Millisecond
 
 // Need describes the waiting request that a preemption would serve.
 type Need struct {
