Direct placement, clean up old rows, announce a planned stop first

Cause: orders to engines, expired claims and old revisions had no runner; a stopping daemon refused requests before its load balancer could notice; the report budget left no room for drain acknowledgements at 330 daemons. Change: a placement director per region behind a lease, housekeeping on the holder of the drain lease, a lame-duck time before a stop, the predicted first token for deadlines, and 1,000 instead of 1,500 B/s for load reports.

--- a/internal/adapters/callerhttp/gateway.go
+++ b/internal/adapters/callerhttp/gateway.go
@@ -10,8 +10,11 @@
 
 // Gateway is the request path behind the HTTP adapter.
 type Gateway interface {
-	// Ready reports whether requests are accepted, or why not.
+	// Ready reports whether load balancers should send requests here, or why
+	// not.
 	Ready() (ok bool, reason string)
+	// Accepting reports whether requests can be served, or why not.
+	Accepting() (ok bool, reason string)
 	// Authenticate finds the customer of an API key.
 	Authenticate(apiKey string) (domain.CustomerID, bool)
 	// Models lists the models that a customer can reach.
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -134,7 +134,7 @@
 }
 
 func (s *server) authenticate(c echo.Context) (domain.CustomerID, *domain.Failure) {
-	if ok, reason := s.gateway.Ready(); !ok {
+	if ok, reason := s.gateway.Accepting(); !ok {
 		return "", domain.NotRun(domain.CodeNotReady, reason)
 	}
 	scheme, key, found := strings.Cut(c.Request().Header.Get("Authorization"), " ")
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -48,6 +48,7 @@
 	lease      *lease.Holder
 	evidence   evidence
 
+	// ctx covers background calls. It is set before the loops start.
 	ctx         context.Context
 	view        atomic.Pointer[membership.View]
 	incarnation atomic.Uint64
@@ -95,11 +96,11 @@
 	}
 	return lease.Hooks{
 		Acquired: func(t domain.FencingToken) {
-			c.daemon.cfg.Log.Event(telemetry.LeaseChanged).Str("lease", drainLease).Uint64("token", uint64(t)).Str("change", "acquired").Msg("")
+			c.daemon.logLease(drainLease, t, "acquired", "")
 			role(true)
 		},
 		Lost: func(t domain.FencingToken, reason string) {
-			c.daemon.cfg.Log.Event(telemetry.LeaseChanged).Str("lease", drainLease).Uint64("token", uint64(t)).Str("change", "lost").Str("reason", reason).Msg("")
+			c.daemon.logLease(drainLease, t, "lost", reason)
 			role(false)
 		},
 	}
@@ -107,19 +108,11 @@
 
 // loops lists the background work of the cluster.
 func (c *cluster) loops() []func(context.Context) error {
-	return []func(context.Context) error{c.run, c.transport.Run, c.mesh.Run, c.runLease}
-}
-
-func (c *cluster) runLease(ctx context.Context) error {
-	if err := c.lease.Run(ctx); ctx.Err() == nil {
-		return err
-	}
-	return nil
+	return []func(context.Context) error{c.run, c.transport.Run, c.mesh.Run, untilStopped(c.lease.Run)}
 }
 
 // run drives the cores until ctx ends.
 func (c *cluster) run(ctx context.Context) error {
-	c.ctx = ctx
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
 	c.tick(time.Now())
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -35,6 +35,7 @@
 	d.apply(time.Now())
 	d.cluster.upstreamsChanged(compiled)
 	d.cluster.announce(d.previous, doc)
+	go d.director.configured(d.cluster.ctx, compiled)
 	d.previous = doc
 	d.cfg.Metrics.Gauge("auburndyke_revision").Update(float64(doc.Revision))
 	d.cfg.Log.Event(telemetry.ConfigurationInForce).Uint64("revision", uint64(doc.Revision)).
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,8 +46,11 @@
 	// ShutdownBound is how long a planned stop waits for requests in
 	// progress. Default 2 min.
 	ShutdownBound time.Duration
-	Log           *telemetry.Log
-	Metrics       *telemetry.Metrics
+	// LameDuck is how long a stopping daemon is unready but still accepts
+	// requests, so that the load balancer notices first. Default 0.
+	LameDuck time.Duration
+	Log      *telemetry.Log
+	Metrics  *telemetry.Metrics
 	// Seed feeds all random choices. Zero takes a random one.
 	Seed uint64
 }
@@ -65,6 +68,7 @@
 	policy   atomic.Pointer[policy.Policy]
 	previous configlog.Document // enforced before; used by the watcher's goroutine
 	cluster  *cluster
+	director *director
 	rebuild  chan struct{}
 	applying sync.Mutex // serializes changes of the request path's snapshot
 	callers  *http.Server
@@ -81,6 +85,7 @@
 	d := &Daemon{cfg: cfg, backends: newBackends(cfg.Upstream), rebuild: make(chan struct{}, 1)}
 	d.seeds.Store(cfg.Seed)
 	d.cluster = newCluster(d, cfg.Peers)
+	d.director = newDirector(d)
 	d.claims = claims.New(claims.Config{
 		Table: cfg.Platform,
 		Owner: d.cluster.owner,
@@ -120,6 +125,7 @@
 	// still need it.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	d.cluster.ctx = background
 	var group run.Group
 	group.Add(func() error {
 		<-ctx.Done()
@@ -165,13 +171,17 @@
 		d.rebuildLoop,
 		d.pumpLoop,
 		d.loadLoop,
+		d.housekeeping,
 	}
+	loops = append(loops, d.director.loops()...)
 	return append(loops, d.cluster.loops()...)
 }
 
 // shutdown waits for requests in progress, up to the bound.
 func (d *Daemon) shutdown() {
 	d.cfg.Log.Event(telemetry.ShutdownStarted).Int("in_progress", d.gateway.InProgress()).Msg("")
+	d.gateway.Retire()
+	time.Sleep(d.cfg.LameDuck)
 	d.gateway.StopAccepting()
 	bound, cancel := context.WithTimeout(context.Background(), d.cfg.ShutdownBound)
 	defer cancel()
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -9,6 +9,7 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/gateway"
+	"github.com/auburndyke/auburndyke/internal/placement"
 	"github.com/auburndyke/auburndyke/internal/routing"
 )
 
@@ -23,7 +24,7 @@
 	// with the number of upstreams they give the poll interval, so that the
 	// control traffic stays within 3 KB/s at any size.
 	reportBytes  = 400
-	reportBudget = 1500
+	reportBudget = 1000
 	// minReportInterval is the shortest poll interval.
 	minReportInterval = time.Second
 	// maxReportInterval is the longest one.
@@ -142,6 +143,9 @@
 	}
 	now := time.Now()
 	u.Report(now, report)
+	if u.Kind == domain.KindEngine && !u.Remote && d.director.lease.Held(now) {
+		d.director.core.Post(ctx, placement.Reported{Report: report})
+	}
 	if u.Kind != domain.KindEngine {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,8 +52,10 @@
 	limiter atomic.Pointer[admission.Limiter]
 
 	unready  atomic.Pointer[string] // reason; nil means ready
+	retiring atomic.Bool            // unready, still accepting
 	stopping atomic.Bool
 	active   activeSet
+	demand   sync.Map // demandKey -> *demandCount
 	seeds    atomic.Uint64
 
 	poolsLock sync.RWMutex // held for writing only while a pool is added
@@ -83,11 +85,16 @@
 // SetReady makes the gateway accept requests.
 func (g *Gateway) SetReady() { g.unready.Store(nil) }
 
-// Ready reports whether requests are accepted, or why not.
+// Ready reports whether load balancers should send requests here, or why not.
 func (g *Gateway) Ready() (bool, string) {
-	if g.stopping.Load() {
+	if g.retiring.Load() || g.stopping.Load() {
 		return false, "the daemon is shutting down"
 	}
+	return g.Accepting()
+}
+
+// Accepting reports whether requests can be served, or why not.
+func (g *Gateway) Accepting() (bool, string) {
 	if reason := g.unready.Load(); reason != nil {
 		return false, *reason
 	}
@@ -97,6 +104,10 @@
 	return true, ""
 }
 
+// Retire makes the gateway unready, so that load balancers send requests
+// elsewhere. Requests that still arrive are served.
+func (g *Gateway) Retire() { g.retiring.Store(true) }
+
 // StopAccepting makes the gateway refuse new requests. Those in progress and
 // those waiting continue.
 func (g *Gateway) StopAccepting() { g.stopping.Store(true) }
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -77,6 +77,9 @@
 		return failure
 	}
 	defer j.pool.finish(j.waiter)
+	demand := j.gateway.demandOf(j)
+	demand.running.Add(1)
+	defer demand.running.Add(-1)
 	backend, ok := j.backend(&choice)
 	if !ok {
 		return domain.NotRun(domain.CodeNoUpstream, "the chosen upstream has no usable address")
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -117,7 +117,8 @@
 }
 
 // FirstToken implements exchange.Observer.
-func (o *observer) FirstToken(upstream domain.UpstreamID, _ time.Duration) {
+func (o *observer) FirstToken(upstream domain.UpstreamID, d time.Duration) {
+	o.job.pool.observeFirstToken(d)
 	if p := o.at(upstream); p != nil {
 		p.choice.Slot.FirstToken(time.Now())
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -20,6 +20,9 @@
 	gateway *Gateway
 	name    string
 	waiting atomic.Int64 // requests in the queue; read without the lock
+	// firstToken is the recent time from dispatch to the first token, in ns. It
+	// tells which waiting requests can still meet their target.
+	firstToken atomic.Int64
 
 	mu    sync.Mutex
 	queue *admission.Queue
@@ -77,6 +80,9 @@
 }
 
 func (p *pool) wait(ctx context.Context, w *waiter) (routing.Choice, *domain.Failure) {
+	demand := p.gateway.demandOf(w.job)
+	demand.waiting.Add(int64(w.Tokens))
+	defer demand.waiting.Add(-int64(w.Tokens))
 	select {
 	case g := <-w.grants:
 		return g.choice, g.failure
@@ -171,3 +177,17 @@
 	f.RetryAfter = d.RetryAfter
 	return f
 }
+
+// firstTokenGain is the weight of one observation.
+const firstTokenGain = 0.05
+
+// observeFirstToken records the time from dispatch to the first token.
+func (p *pool) observeFirstToken(d time.Duration) {
+	old := p.firstToken.Load()
+	if old == 0 {
+		p.firstToken.CompareAndSwap(0, int64(d))
+		return
+	}
+	// A lost update costs one observation.
+	p.firstToken.CompareAndSwap(old, old+int64(firstTokenGain*float64(int64(d)-old)))
+}
