Lend lower tiers one slot less than tiers that preempt

Cause: at the beginning of a burst lower tiers borrowed the last free slots; urgent requests then waited in engine queues behind the holders' work. Change: work of tiers that do not preempt borrows only beyond two free slots per upstream, other work beyond one.

--- a/internal/routing/borrow_test.go
+++ b/internal/routing/borrow_test.go
@@ -112,3 +112,23 @@
 	table.Members()[1].Report(now, ports.LoadReport{Taken: now, Slots: 9})
 	assert.Equal(t, usable(2), Keep)
 }
+
+// TestUrgentWorkFindsRoom guards against lower tiers that borrow the last free
+// slots.
+func TestUrgentWorkFindsRoom(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := &policy.Policy{Upstreams: []policy.Upstream{
+		{ID: "a", Region: "home", Slots: 2}, {ID: "b", Region: "far", Slots: 2},
+	}}
+	site := Site{Region: "home", Sharers: map[domain.UpstreamID]int{"a": 3, "b": 3}, Ranks: map[domain.UpstreamID]int{"a": 2, "b": 2}}
+	table := NewTable(now, nil, p, site)
+	low := &policy.Route{Tier: &policy.Tier{Rank: 1}, Level: &policy.ServiceLevel{RemotePenalty: time.Second}}
+	high := &policy.Route{Tier: &policy.Tier{Preempts: true}, Level: low.Level}
+	check := func(f Filter, i int, route *policy.Route) Reason {
+		q := &Query{Request: &Request{Route: route}, Now: now, Table: table}
+		return f.Check(q, table.Members()[i])
+	}
+	table.Members()[0].State.Report(now, ports.LoadReport{Taken: now, Slots: 2}, 1)
+	assert.Equal(t, check(SlotFilter{}, 0, high), Keep)
+	assert.Equal(t, check(SlotFilter{}, 0, low), ReasonSlots)
+}
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -18,6 +18,9 @@
 	borrowMaxAge = 3 * time.Second
 	// slotReserve is the number of free slots per upstream that are not lent.
 	slotReserve = 1
+	// lowSlotReserve is the same for tiers that do not preempt, so that urgent
+	// work of other daemons finds a free slot instead of preempting.
+	lowSlotReserve = 2
 	// refusalPause keeps new work away from an upstream that refused some.
 	refusalPause = 250 * time.Millisecond
 	// warmup is how long the limit of a new or returning upstream grows.
@@ -43,6 +46,8 @@
 	refusedUntil atomic.Int64 // Unix ns
 	warmFrom     atomic.Int64 // Unix ns; 0 means fully warm
 	allowance    atomic.Int64 // own running limit by the latest report
+	// lowAllowance is the limit for tiers that do not preempt.
+	lowAllowance atomic.Int64
 	reportedAt   atomic.Int64 // Unix ns
 	content      atomic.Pointer[content]
 	incarnation  atomic.Uint64
@@ -89,7 +94,9 @@
 	if slots == 0 {
 		slots = int64(s.slots)
 	}
-	s.allowance.Store(s.allowed(&r, slots, int64(max(sharers, 1))))
+	room := slots - int64(r.Running) - int64(r.Queued)
+	s.allowance.Store(s.allowed(&r, room-slotReserve, int64(max(sharers, 1))))
+	s.lowAllowance.Store(s.allowed(&r, room-lowSlotReserve, int64(max(sharers, 1))))
 	s.reportedAt.Store(now.UnixNano() - int64(max(r.Age, 0)))
 	if len(r.Models) > 0 {
 		s.content.Store(&content{models: r.Models, adapters: r.Adapters, role: r.Role})
@@ -97,12 +104,11 @@
 }
 
 // allowed is the number of slots that this daemon may hold until the next
-// report, if that is more than its share. Free slots beyond a reserve for their
-// holders are lent in equal parts; a fraction of a slot is granted by lot, so
-// that all daemons together borrow about the room and not one slot each. While
-// there is none, borrowed slots are not filled again.
-func (s *State) allowed(r *ports.LoadReport, slots, sharers int64) int64 {
-	room := slots - int64(r.Running) - int64(r.Queued) - slotReserve
+// report, if that is more than its share. The room, which is free slots without
+// a reserve for their holders, is lent in equal parts; a fraction of a slot is
+// granted by lot, so that all daemons together borrow about the room and not
+// one slot each. While there is none, borrowed slots are not filled again.
+func (s *State) allowed(r *ports.LoadReport, room, sharers int64) int64 {
 	if room <= 0 {
 		return 0
 	}
@@ -119,12 +125,17 @@
 // more while a recent report shows room. A share of 0, which more daemons than
 // slots give, allows one slot while no recent report tells better.
 func (s *State) limit(now time.Time, share int) int64 {
+	return s.limitBy(now, share, &s.allowance)
+}
+
+// limitBy is the limit by one of the allowances.
+func (s *State) limitBy(now time.Time, share int, allowance *atomic.Int64) int64 {
 	if s.slots <= 0 {
 		return int64(1) << 40
 	}
 	limit := int64(share)
 	if now.UnixNano()-s.reportedAt.Load() < int64(borrowMaxAge) {
-		limit = max(limit, min(s.allowance.Load(), int64(s.slots)))
+		limit = max(limit, min(allowance.Load(), int64(s.slots)))
 		if limit == 0 {
 			return 0
 		}
