--- a/internal/replay/daemon.go
+++ b/internal/replay/daemon.go
@@ -209,6 +209,7 @@
 		AnswerTokens: r.answer,
 		Bytes:        int64(r.record.Prompt*bytesPerPromptToken + r.answer*bytesPerEvent),
 		Deadline:     r.deadline,
+		Since:        r.entry.Arrived,
 		Exclude:      exclude,
 	}, d.rng)
 	return place{engine: choice.Upstream, slot: choice.Slot}, ok
--- a/internal/routing/borrow_test.go
+++ b/internal/routing/borrow_test.go
@@ -114,7 +114,8 @@
 }
 
 // TestUrgentWorkFindsRoom guards against lower tiers that borrow the last free
-// slots.
+// slots, and against work that goes to another region although a local slot is
+// worth the wait.
 func TestUrgentWorkFindsRoom(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	p := &policy.Policy{Upstreams: []policy.Upstream{
@@ -124,11 +125,16 @@
 	table := NewTable(now, nil, p, site)
 	low := &policy.Route{Tier: &policy.Tier{Rank: 1}, Level: &policy.ServiceLevel{RemotePenalty: time.Second}}
 	high := &policy.Route{Tier: &policy.Tier{Preempts: true}, Level: low.Level}
-	check := func(f Filter, i int, route *policy.Route) Reason {
-		q := &Query{Request: &Request{Route: route}, Now: now, Table: table}
+	check := func(f Filter, i int, route *policy.Route, waited time.Duration) Reason {
+		q := &Query{Request: &Request{Route: route, Since: now.Add(-waited)}, Now: now, Table: table}
 		return f.Check(q, table.Members()[i])
 	}
 	table.Members()[0].State.Report(now, ports.LoadReport{Taken: now, Slots: 2}, 1)
-	assert.Equal(t, check(SlotFilter{}, 0, high), Keep)
-	assert.Equal(t, check(SlotFilter{}, 0, low), ReasonSlots)
+	assert.Equal(t, check(SlotFilter{}, 0, high, 0), Keep)
+	assert.Equal(t, check(SlotFilter{}, 0, low, 0), ReasonSlots)
+
+	assert.Equal(t, check(RemoteFilter{}, 1, high, 0), Keep)
+	assert.Equal(t, check(RemoteFilter{}, 1, low, 0), ReasonRemote)
+	assert.Equal(t, check(RemoteFilter{}, 1, low, time.Second), Keep)
+	assert.Equal(t, check(RemoteFilter{}, 0, low, 0), Keep)
 }
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -34,6 +34,9 @@
 	Prefix []uint64
 	// Deadline is when the first token is due. Zero means no target.
 	Deadline time.Time
+	// Since is when the request began to wait for an upstream. Zero means that
+	// remote regions may be used at once.
+	Since time.Time
 	// Exclude lists indexes in Policy.Upstreams that were tried already.
 	Exclude []int
 	// DryRun makes Pick choose without taking a slot.
@@ -153,11 +156,13 @@
 	ReasonRefusing
 	// ReasonLink: its region could not be reached moments ago.
 	ReasonLink
+	// ReasonRemote: the request has not waited long enough for a local one.
+	ReasonRemote
 )
 
 var reasonNames = [...]string{
 	"keep", "outside_subset", "tried", "other_kind", "model_not_loaded",
-	"other_role", "leaving", "ejected", "probation", "no_slot", "refusing", "link",
+	"other_role", "leaving", "ejected", "probation", "no_slot", "refusing", "link", "remote",
 }
 
 func (r Reason) String() string { return reasonNames[r] }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -24,7 +24,7 @@
 func NewRouter(t *Table) *Router {
 	r := &Router{
 		Filters: []Filter{
-			LeavingFilter{}, TriedFilter{}, ModelFilter{}, RoleFilter{}, HealthFilter{}, SlotFilter{},
+			LeavingFilter{}, TriedFilter{}, ModelFilter{}, RoleFilter{}, HealthFilter{}, SlotFilter{}, RemoteFilter{},
 		},
 		Scorers: []Scorer{
 			LatencyScorer{}, PrefixScorer{}, RegionScorer{}, StragglerScorer{},
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -75,6 +75,7 @@
 	members []*Upstream
 	byID    map[domain.UpstreamID]*Upstream
 	links   map[domain.Region]*link
+	local   bool // some member is in the daemon's region
 }
 
 // NewTable builds the snapshot for a policy. Live states are taken over from
@@ -105,6 +106,7 @@
 		t.byID[u.ID] = e
 		t.upstreams[i] = e
 		t.members = append(t.members, e)
+		t.local = t.local || !e.Remote
 	}
 	return t
 }
