Test the replay targets on the committed traces

Change: TestTargets checks invariants, urgent attainment, distance to the oracle, goodput at 2x load and wasted work on each committed trace.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -84,12 +84,34 @@
 	}
 }
 
-// TestInvariantsHold guards against decisions that break I1 to I4 under load
-// and faults.
-func TestInvariantsHold(t *testing.T) {
-	eachTrace(t, func(t *testing.T, _ string, r *Report) {
+const (
+	urgentTarget      = 0.95
+	oracleDistance    = 0.05
+	overloadGoodput   = 1.3
+	wasteWithout      = 0.02
+	wasteWithFaults   = 0.05
+	attainmentRounded = 1e-9
+)
+
+// TestTargets guards against decisions that break I1 to I4 under load and
+// faults, and against those that miss the replay targets of the design page.
+func TestTargets(t *testing.T) {
+	eachTrace(t, func(t *testing.T, scenario string, r *Report) {
 		for _, p := range r.Policies {
 			assert.Equal(t, p.Violations, Violations{}, p.Policy)
 		}
+		p := r.Policy(PolicyAuburndyke)
+		assert.Check(t, p.Classes[0].Attainment >= urgentTarget, "%s %.4f", p.Classes[0].Name, p.Classes[0].Attainment)
+		oracle := r.Policy(PolicyOracle).Attainment
+		assert.Check(t, p.Attainment >= oracle-oracleDistance-attainmentRounded, "attainment %.4f, oracle %.4f", p.Attainment, oracle)
+		waste := wasteWithout
+		if r.Faults > 0 {
+			waste = wasteWithFaults
+		}
+		assert.Check(t, p.WastedShare < waste, "wasted %.4f", p.WastedShare)
+		if scenario == "burst" {
+			baseline := r.Policy(PolicyLeastRequests).Goodput
+			assert.Check(t, float64(p.Goodput) >= overloadGoodput*float64(baseline), "goodput %d, leastrequests %d", p.Goodput, baseline)
+		}
 	})
 }
