--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -18,8 +18,10 @@
 	SilenceLimit = 3 * time.Second
 	// DigestInterval is how often neighbours compare digests.
 	DigestInterval = 10 * time.Second
-	// AckInterval is how long acknowledgements wait for others to join them.
-	AckInterval = 500 * time.Millisecond
+	// AckInterval is the mean time that acknowledgements wait for others to
+	// join them. It varies, so that neighbours do not send each other the same
+	// ones at the same moment.
+	AckInterval = time.Second
 
 	// dialYield is how long the daemon with the higher id waits for the other
 	// side to dial. Without it both ends dial at once and replace each
@@ -94,6 +96,18 @@
 	return members, open
 }
 
+// LastHeard returns when any neighbour was last heard over an open connection.
+// Zero means that none is connected.
+func (n *Node) LastHeard() time.Time {
+	var last time.Time
+	for _, p := range n.peers {
+		if p.neighbour && p.connected && p.heard.After(last) {
+			last = p.heard
+		}
+	}
+	return last
+}
+
 // Handle processes one event and returns what to do, in order.
 func (n *Node) Handle(now time.Time, event Event) []Action {
 	n.actions = nil
@@ -101,7 +115,7 @@
 	case PeerConnected:
 		n.onConnected(now, e)
 	case PeerLost:
-		n.onLost(now, e.Peer)
+		n.onLost(now, e)
 	case FrameReceived:
 		n.onFrame(now, e)
 	case LocalFacts:
@@ -165,9 +179,10 @@
 	n.emit(PeerHeard{Peer: id, Incarnation: p.member.Incarnation})
 }
 
-func (n *Node) onLost(now time.Time, id domain.DaemonID) {
+func (n *Node) onLost(now time.Time, e PeerLost) {
+	id := e.Peer
 	p := n.peers[id]
-	if p == nil {
+	if p == nil || (e.DialFailed && p.connected) {
 		return
 	}
 	p.connected = false
@@ -235,7 +250,7 @@
 	n.state.Collect(now)
 	flushAcks := !now.Before(n.ackAt)
 	if flushAcks {
-		n.ackAt = now.Add(AckInterval)
+		n.ackAt = n.jittered(now, AckInterval)
 	}
 	for _, id := range n.peerIDs() {
 		p := n.peers[id]
--- a/internal/mesh/state_test.go
+++ b/internal/mesh/state_test.go
@@ -72,6 +72,16 @@
 	})
 }
 
+// Guards against concurrent orders for one upstream that resolve to serving.
+func TestLeavingWinsTie(t *testing.T) {
+	leaving := ports.Fact{Kind: ports.FactUpstreamLeaving, Upstream: "u", Epoch: 2}
+	serving := ports.Fact{Kind: ports.FactUpstreamServing, Upstream: "u", Epoch: 2}
+	for _, s := range []*State{merged([]ports.Fact{leaving, serving}), merged([]ports.Fact{serving, leaving})} {
+		f, _ := s.Upstream("u")
+		assert.Equal(t, f.Kind, ports.FactUpstreamLeaving)
+	}
+}
+
 // Guards against anti-entropy that misses a difference or sends everything for
 // a small one.
 func TestDigestFindsDifference(t *testing.T) {
