Add the administration API, its command line and token roles

Cause: operators could change the configuration only through a seed at start. The shared configuration gets [[admin_tokens]] and a team for classes. The process now ends with the command's exit code instead of always 1.

--- a/cmd/auburndyke/main.go
+++ b/cmd/auburndyke/main.go
@@ -11,6 +11,6 @@
 func main() {
 	if err := cli.NewRootCommand().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(cli.ExitCode(err))
 	}
 }
--- /dev/null
+++ b/internal/adapters/adminhttp/drain.go
@@ -0,0 +1,79 @@
+package adminhttp
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/auburndyke/auburndyke/internal/administration"
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/policy"
+)
+
+// drain starts a drain. It starts at once and is recorded in the configuration
+// afterwards, so that an upstream can leave while the platform is down.
+func (s *server) drain(c echo.Context, who administration.Principal) error {
+	return s.setDraining(c, who, true, s.drainThenRecord)
+}
+
+// undrain ends a drain. The record comes first: an upstream takes work again
+// only when the configuration says so.
+func (s *server) undrain(c echo.Context, who administration.Principal) error {
+	return s.setDraining(c, who, false, s.recordThenServe)
+}
+
+// drainStep carries out a planned drain or undrain.
+type drainStep func(ctx context.Context, c echo.Context, p *planned, upstream domain.UpstreamID) error
+
+func (s *server) setDraining(c echo.Context, who administration.Principal, draining bool, run drainStep) error {
+	r, err := readRequest(c, who)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), s.options.ControlTimeout)
+	defer cancel()
+	upstream := domain.UpstreamID(c.Param("id"))
+	p, err := s.plan(ctx, r, func(_ context.Context, base *policy.Document) (*policy.Document, error) {
+		return base.SetDraining(upstream, draining)
+	})
+	if err != nil {
+		return err
+	}
+	if r.dryRun {
+		return c.JSON(http.StatusOK, p.answer())
+	}
+	if err := p.confirmed(); err != nil {
+		return err
+	}
+	return run(ctx, c, p, upstream)
+}
+
+func (s *server) drainThenRecord(ctx context.Context, c echo.Context, p *planned, upstream domain.UpstreamID) error {
+	state, err := s.control.Drain(ctx, upstream, true)
+	if err != nil {
+		return err
+	}
+	answer, err := s.propose(ctx, c, p)
+	if err != nil {
+		failure := answerOf(err)
+		failure.Drain = &state
+		failure.Message = "the drain has started but is not recorded: " + failure.Message
+		return failure
+	}
+	answer.Drain = &state
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *server) recordThenServe(ctx context.Context, c echo.Context, p *planned, upstream domain.UpstreamID) error {
+	answer, err := s.propose(ctx, c, p)
+	if err != nil {
+		return err
+	}
+	state, err := s.control.Drain(ctx, upstream, false)
+	if err != nil {
+		return err
+	}
+	answer.Drain = &state
+	return c.JSON(http.StatusOK, answer)
+}
--- a/internal/adapters/cli/cli_test.go
+++ b/internal/adapters/cli/cli_test.go
@@ -24,7 +24,7 @@
 
 func run(args ...string) (string, int) {
 	root := &cobra.Command{Use: "auburndyke", SilenceErrors: true, SilenceUsage: true}
-	root.AddCommand(NewConfigCommand(), NewExplainCommand())
+	root.AddCommand(NewConfigCommand(), NewExplainCommand(), NewUpstreamCommand(), NewStatusCommand())
 	var out bytes.Buffer
 	root.SetOut(&out)
 	root.SetErr(&out)
--- a/internal/adapters/cli/config.go
+++ b/internal/adapters/cli/config.go
@@ -18,10 +18,12 @@
 func NewConfigCommand() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "config",
-		Short: "Check and compare configuration files",
+		Short: "Check, compare and change configurations",
 		Args:  cobra.NoArgs,
 	}
-	cmd.AddCommand(newCheckCommand(), newSettingsCommand(), newDiffCommand())
+	cmd.AddCommand(newCheckCommand(), newSettingsCommand(), newDiffCommand(),
+		NewConfigGetCommand(), NewConfigApplyCommand(), NewConfigLabelCommand(),
+		NewConfigHistoryCommand(), NewConfigRollForwardCommand())
 	return cmd
 }
 
--- a/internal/adapters/cli/explain.go
+++ b/internal/adapters/cli/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/url"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -18,14 +19,19 @@
 // NewExplainCommand returns the command "explain".
 func NewExplainCommand() *cobra.Command {
 	var options explainOptions
-	cmd := newCommand("explain --customer ID [--class ID] [--model ID] [--adapter NAME] FILES...",
+	var admin adminOptions
+	cmd := newCommand("explain --customer ID [--class ID] [--model ID] [--adapter NAME] [FILES...]",
 		"Tell which upstreams may serve a request and why",
-		"Tells the tier, the service level and the deciding rules for a customer and\nclass, and for each upstream whether it may serve the request or why not. The\nconfiguration decides; health and load of upstreams are not considered.",
+		"Tells the tier, the service level and the deciding rules for a customer and\nclass, and for each upstream whether it may serve the request or why not. The\nconfiguration decides; health and load of upstreams are not considered.\nWith --admin a daemon answers from the configuration in force; otherwise FILES\nform the configuration.",
 		func(cmd *cobra.Command, args []string) error {
-			return runExplain(cmd.OutOrStdout(), options, args)
+			options.format = admin.format
+			if admin.url == "" {
+				return runExplain(cmd.OutOrStdout(), options, args)
+			}
+			return explainRemote(cmd, &admin, options, args)
 		})
-	cmd.Args = cobra.MinimumNArgs(1)
-	addOutputFlag(cmd, &options.format)
+	cmd.Long += "\n" + adminExitCodesHelp
+	admin.addFlags(cmd)
 	flags := cmd.Flags()
 	flags.StringVar(&options.customer, "customer", "", "customer identifier (required)")
 	flags.StringVar(&options.class, "class", "", "class identifier (default: the customer's default class)")
@@ -36,6 +42,9 @@
 }
 
 func runExplain(w io.Writer, options explainOptions, paths []string) error {
+	if len(paths) == 0 {
+		return usageErrorf("explain needs FILES or --admin")
+	}
 	sources, err := readSources(paths)
 	if err != nil {
 		return err
@@ -58,6 +67,31 @@
 	return writeExplanation(w, e)
 }
 
+// explainRemote asks a daemon.
+func explainRemote(cmd *cobra.Command, admin *adminOptions, options explainOptions, paths []string) error {
+	if len(paths) > 0 {
+		return usageErrorf("explain takes FILES or --admin, not both")
+	}
+	client, err := admin.client()
+	if err != nil {
+		return err
+	}
+	query := url.Values{
+		"customer": {options.customer},
+		"class":    {options.class},
+		"model":    {options.model},
+		"adapter":  {options.adapter},
+	}
+	var e policy.Explanation
+	if _, err := client.get(cmd.Context(), "/admin/v1/explain", query, &e); err != nil {
+		return client.report(cmd.OutOrStdout(), err)
+	}
+	if options.format == outputJSON {
+		return writeJSON(cmd.OutOrStdout(), e)
+	}
+	return writeExplanation(cmd.OutOrStdout(), &e)
+}
+
 func writeExplanation(w io.Writer, e *policy.Explanation) error {
 	p := &printer{w: w}
 	p.printf("customer %s, class %s, model %s, adapter %s\n", e.Customer, e.Class, orNone(string(e.Model)), orNone(e.Adapter))
--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -1,4 +1,3 @@
-// Package cli holds the commands of the auburndyke binary.
 package cli
 
 import (
@@ -13,6 +12,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDevCommand())
+	root.AddCommand(newDevCommand(), NewConfigCommand(), NewExplainCommand(), NewUpstreamCommand(), NewStatusCommand())
 	return root
 }
--- /dev/null
+++ b/internal/administration/message.go
@@ -0,0 +1,133 @@
+package administration
+
+import (
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/configlog"
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/findings"
+	"github.com/auburndyke/auburndyke/internal/policy"
+)
+
+// Verdict is what became of a change.
+type Verdict string
+
+const (
+	// VerdictAccepted means that the change is in the configuration log.
+	VerdictAccepted Verdict = "accepted"
+	// VerdictUnchanged means that the configuration has this content already.
+	VerdictUnchanged Verdict = "unchanged"
+	// VerdictDryRun means that nothing was proposed.
+	VerdictDryRun Verdict = "dry_run"
+)
+
+// ChangeAnswer answers a change.
+type ChangeAnswer struct {
+	Verdict  Verdict         `json:"verdict"`
+	ChangeID string          `json:"change_id,omitempty"`
+	Base     domain.Revision `json:"base"`
+	// Revision is the accepted revision. Zero in a dry run.
+	Revision domain.Revision `json:"revision,omitempty"`
+	// Merged means that other changes since Base were kept.
+	Merged bool `json:"merged,omitempty"`
+	// Repeated means that an earlier call with the same change id was accepted.
+	Repeated bool                 `json:"repeated,omitempty"`
+	Changes  []policy.Change      `json:"changes"`
+	Impact   []policy.RouteChange `json:"impact"`
+	// ImpactTotal is the number of affected pairs of customer and class;
+	// Impact lists the first of them.
+	ImpactTotal int           `json:"impact_total"`
+	Warnings    []Warning     `json:"warnings,omitempty"`
+	Findings    findings.List `json:"findings,omitempty"`
+	// Conflicts shows in a dry run what the change contradicts.
+	Conflicts []configlog.Conflict `json:"conflicts,omitempty"`
+	// Drain is set by drain and undrain.
+	Drain *Drain `json:"drain,omitempty"`
+}
+
+// ErrorCode is the type of a failed call.
+type ErrorCode string
+
+const (
+	CodeUnauthenticated ErrorCode = "unauthenticated"
+	CodeForbidden       ErrorCode = "forbidden"
+	CodeNotFound        ErrorCode = "not_found"
+	CodeInvalid         ErrorCode = "invalid_request"
+	CodeTooLarge        ErrorCode = "too_large"
+	// CodeFindings means that the configuration would have errors.
+	CodeFindings ErrorCode = "findings"
+	// CodePrecondition means that the base revision is missing.
+	CodePrecondition ErrorCode = "precondition_required"
+	// CodeBaseUnknown means that the base revision is not in the history.
+	CodeBaseUnknown ErrorCode = "base_unknown"
+	CodeConflict    ErrorCode = "conflict"
+	// CodeForceRequired means that the warnings have to be confirmed.
+	CodeForceRequired ErrorCode = "force_required"
+	CodeChangeReused  ErrorCode = "change_id_reused"
+	// CodeUnavailable means that the change was not accepted.
+	CodeUnavailable ErrorCode = "unavailable"
+	// CodeUnknownOutcome means that the change may have been accepted. The
+	// same call with the same change id finds out.
+	CodeUnknownOutcome ErrorCode = "unknown_outcome"
+	CodeNotReady       ErrorCode = "not_ready"
+	CodeInternal       ErrorCode = "internal"
+)
+
+// ErrorAnswer is the body of every failed call.
+type ErrorAnswer struct {
+	Code      ErrorCode            `json:"code"`
+	Message   string               `json:"message"`
+	ChangeID  string               `json:"change_id,omitempty"`
+	Head      domain.Revision      `json:"head,omitempty"`
+	Findings  findings.List        `json:"findings,omitempty"`
+	Conflicts []configlog.Conflict `json:"conflicts,omitempty"`
+	Warnings  []Warning            `json:"warnings,omitempty"`
+	Drain     *Drain               `json:"drain,omitempty"`
+}
+
+// Error implements error.
+func (e *ErrorAnswer) Error() string { return e.Message }
+
+// ItemAnswer is one entry of the configuration. Field values are TOML.
+type ItemAnswer struct {
+	Kind   policy.ItemKind   `json:"kind"`
+	ID     string            `json:"id"`
+	Fields map[string]string `json:"fields"`
+}
+
+// ItemsAnswer lists the entries of one kind.
+type ItemsAnswer struct {
+	Revision domain.Revision `json:"revision"`
+	Items    []ItemAnswer    `json:"items"`
+}
+
+// LabelsRequest changes labels.
+type LabelsRequest struct {
+	Set    map[string]string `json:"set,omitempty"`
+	Remove []string          `json:"remove,omitempty"`
+}
+
+// WeightRequest sets a customer's weight.
+type WeightRequest struct {
+	Weight float64 `json:"weight"`
+}
+
+// RollForwardRequest names the revision whose content becomes a new revision.
+type RollForwardRequest struct {
+	To domain.Revision `json:"to"`
+}
+
+// HistoryEntry describes one revision.
+type HistoryEntry struct {
+	Revision domain.Revision `json:"revision"`
+	Base     domain.Revision `json:"base"`
+	ChangeID string          `json:"change_id"`
+	Author   string          `json:"author"`
+	Time     time.Time       `json:"time"`
+	Message  string          `json:"message,omitempty"`
+}
+
+// HistoryAnswer lists revisions, newest first.
+type HistoryAnswer struct {
+	Entries []HistoryEntry `json:"entries"`
+}
--- a/internal/policy/check.go
+++ b/internal/policy/check.go
@@ -26,7 +26,7 @@
 
 var (
 	customerImplicit = []string{labelID, labelTeam}
-	classImplicit    = []string{labelID}
+	classImplicit    = []string{labelID, labelTeam}
 	upstreamImplicit = []string{labelID, labelRegion, labelZone, labelKind, labelService}
 )
 
@@ -103,6 +103,7 @@
 	indexItems(c, ItemCustomer, "customer", d.Customers, customerID)
 	indexItems(c, ItemUpstream, "upstream", d.Upstreams, upstreamID)
 	indexItems(c, ItemRule, "rule", d.Rules, ruleID)
+	indexItems(c, ItemAdminToken, "admin token", d.AdminTokens, adminTokenID)
 	c.checkTiers()
 	c.checkLevels()
 	c.checkModels()
@@ -111,6 +112,7 @@
 	c.checkCustomers()
 	c.checkUpstreams()
 	c.checkRules()
+	c.checkAdminTokens()
 }
 
 // indexItems reports bad and duplicate identifiers and returns the items by
@@ -254,6 +256,7 @@
 	for i := range c.doc.Classes {
 		x := &c.doc.Classes[i]
 		c.labels(x, x.Labels, classImplicit)
+		c.value(x, "team", x.Team)
 		if x.ClaimOutage != ClaimOutageRefuse && x.ClaimOutage != ClaimOutageWait {
 			c.errorf(x, "claim_outage", "refuse, wait", "unknown claim_outage %q", x.ClaimOutage)
 		}
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -10,10 +10,11 @@
 
 // index holds the lookups of a compiled policy.
 type index struct {
-	keys      map[KeyHash]*Customer
-	customers map[domain.CustomerID]int
-	classes   map[domain.ClassID]int
-	upstreams map[domain.UpstreamID]int
+	keys        map[KeyHash]*Customer
+	adminTokens map[KeyHash]*AdminToken
+	customers   map[domain.CustomerID]int
+	classes     map[domain.ClassID]int
+	upstreams   map[domain.UpstreamID]int
 	// routes holds one Route per customer and class, row by row; a nil Tier
 	// means that no rule matches.
 	routes []Route
@@ -117,12 +118,13 @@
 		p.Tiers[i].Rank = i
 	}
 	p.index = index{
-		keys:      map[KeyHash]*Customer{},
-		customers: positions(d.Customers, func(c *Customer) domain.CustomerID { return c.ID }),
-		classes:   positions(d.Classes, func(c *Class) domain.ClassID { return c.ID }),
-		upstreams: positions(d.Upstreams, func(u *Upstream) domain.UpstreamID { return u.ID }),
-		routes:    make([]Route, len(d.Customers)*len(d.Classes)),
-		width:     len(d.Classes),
+		keys:        map[KeyHash]*Customer{},
+		adminTokens: indexAdminTokens(d.AdminTokens),
+		customers:   positions(d.Customers, func(c *Customer) domain.CustomerID { return c.ID }),
+		classes:     positions(d.Classes, func(c *Class) domain.ClassID { return c.ID }),
+		upstreams:   positions(d.Upstreams, func(u *Upstream) domain.UpstreamID { return u.ID }),
+		routes:      make([]Route, len(d.Customers)*len(d.Classes)),
+		width:       len(d.Classes),
 	}
 	for i := range d.Customers {
 		for _, k := range d.Customers[i].APIKeys {
--- a/internal/policy/diff.go
+++ b/internal/policy/diff.go
@@ -44,6 +44,7 @@
 	changes = diffItems(changes, ItemUpstream, oldDoc.Upstreams, newDoc.Upstreams, upstreamID)
 	changes = diffItems(changes, ItemRegion, oldDoc.Regions, newDoc.Regions, regionID)
 	changes = diffItems(changes, ItemRule, oldDoc.Rules, newDoc.Rules, ruleID)
+	changes = diffItems(changes, ItemAdminToken, oldDoc.AdminTokens, newDoc.AdminTokens, adminTokenID)
 	if fields := diffFields(tomlstrict.Fields(&oldDoc.Routing), tomlstrict.Fields(&newDoc.Routing)); len(fields) > 0 {
 		changes = append(changes, Change{ItemRouting, "", ChangeChanged, fields})
 	}
--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -9,7 +9,7 @@
 // through one atomic pointer.
 //
 // Rules select customers, classes and upstreams by their labels and by the
-// implicit labels id, team (customers), region, zone, kind and service
+// implicit labels id, team (customers and classes), region, zone, kind and service
 // (upstreams). Of the rules that match a customer and class, those with the
 // highest precedence set the tier and the service level, and the upstreams that
 // any of them selects may serve the traffic.
--- a/internal/policy/document.go
+++ b/internal/policy/document.go
@@ -29,7 +29,9 @@
 	Upstreams []Upstream     `toml:"upstreams"`
 	Regions   []Region       `toml:"regions"`
 	Rules     []Rule         `toml:"rules"`
-	Routing   Routing        `toml:"routing"`
+	// AdminTokens are the tokens of the administration API.
+	AdminTokens []AdminToken `toml:"admin_tokens"`
+	Routing     Routing      `toml:"routing"`
 
 	// lost names the lists that miss items because a table header could not
 	// be read. Checks that need the complete list are left out.
@@ -116,6 +118,7 @@
 	sortBy(d.Upstreams, upstreamID)
 	sortBy(d.Regions, regionID)
 	sortBy(d.Rules, ruleID)
+	sortBy(d.AdminTokens, adminTokenID)
 }
 
 func sortBy[T any](items []T, id func(*T) string) {
@@ -126,15 +129,16 @@
 // inner slices are shared.
 func (d *Document) Clone() *Document {
 	return &Document{
-		Tiers:     slices.Clone(d.Tiers),
-		Levels:    slices.Clone(d.Levels),
-		Models:    slices.Clone(d.Models),
-		Classes:   slices.Clone(d.Classes),
-		Customers: slices.Clone(d.Customers),
-		Upstreams: slices.Clone(d.Upstreams),
-		Regions:   slices.Clone(d.Regions),
-		Rules:     slices.Clone(d.Rules),
-		Routing:   d.Routing,
-		lost:      d.lost,
+		Tiers:       slices.Clone(d.Tiers),
+		Levels:      slices.Clone(d.Levels),
+		Models:      slices.Clone(d.Models),
+		Classes:     slices.Clone(d.Classes),
+		Customers:   slices.Clone(d.Customers),
+		Upstreams:   slices.Clone(d.Upstreams),
+		Regions:     slices.Clone(d.Regions),
+		Rules:       slices.Clone(d.Rules),
+		AdminTokens: slices.Clone(d.AdminTokens),
+		Routing:     d.Routing,
+		lost:        d.lost,
 	}
 }
--- a/internal/policy/group.go
+++ b/internal/policy/group.go
@@ -109,8 +109,11 @@
 }
 
 func classLabel(c *Class, key string) (string, bool) {
-	if key == labelID {
+	switch key {
+	case labelID:
 		return string(c.ID), true
+	case labelTeam:
+		return c.Team, c.Team != ""
 	}
 	value, ok := c.Labels[key]
 	return value, ok
--- a/internal/policy/items.go
+++ b/internal/policy/items.go
@@ -13,15 +13,16 @@
 type ItemKind string
 
 const (
-	ItemTier     ItemKind = "tiers"
-	ItemLevel    ItemKind = "service_levels"
-	ItemModel    ItemKind = "models"
-	ItemClass    ItemKind = "classes"
-	ItemCustomer ItemKind = "customers"
-	ItemUpstream ItemKind = "upstreams"
-	ItemRegion   ItemKind = "regions"
-	ItemRule     ItemKind = "rules"
-	ItemRouting  ItemKind = "routing" // a single item with an empty identifier
+	ItemTier       ItemKind = "tiers"
+	ItemLevel      ItemKind = "service_levels"
+	ItemModel      ItemKind = "models"
+	ItemClass      ItemKind = "classes"
+	ItemCustomer   ItemKind = "customers"
+	ItemUpstream   ItemKind = "upstreams"
+	ItemRegion     ItemKind = "regions"
+	ItemRule       ItemKind = "rules"
+	ItemAdminToken ItemKind = "admin_tokens"
+	ItemRouting    ItemKind = "routing" // a single item with an empty identifier
 )
 
 // NotFoundError names an item that a Document does not have.
@@ -60,6 +61,8 @@
 		return ItemRegion, regionID(x)
 	case *Rule:
 		return ItemRule, ruleID(x)
+	case *AdminToken:
+		return ItemAdminToken, adminTokenID(x)
 	}
 	return ItemRouting, ""
 }
@@ -193,6 +196,7 @@
 	putAll(&next.Upstreams, upstreamID, part.Upstreams)
 	putAll(&next.Regions, regionID, part.Regions)
 	putAll(&next.Rules, ruleID, part.Rules)
+	putAll(&next.AdminTokens, adminTokenID, part.AdminTokens)
 	next.sort()
 	return next, list
 }
@@ -217,6 +221,8 @@
 		return remove(d, kind, regionsOf, regionID, id)
 	case ItemRule:
 		return remove(d, kind, rulesOf, ruleID, id)
+	case ItemAdminToken:
+		return remove(d, kind, adminTokensOf, adminTokenID, id)
 	}
 	return nil, &NotFoundError{kind, id}
 }
--- a/internal/policy/merge.go
+++ b/internal/policy/merge.go
@@ -38,14 +38,15 @@
 func Merge(base, mine, theirs *Document) (*Document, []Conflict) {
 	m := &merger{}
 	d := &Document{
-		Tiers:     mergeItems(m, ItemTier, base.Tiers, mine.Tiers, theirs.Tiers, tierID),
-		Levels:    mergeItems(m, ItemLevel, base.Levels, mine.Levels, theirs.Levels, levelID),
-		Models:    mergeItems(m, ItemModel, base.Models, mine.Models, theirs.Models, modelID),
-		Classes:   mergeItems(m, ItemClass, base.Classes, mine.Classes, theirs.Classes, classID),
-		Customers: mergeItems(m, ItemCustomer, base.Customers, mine.Customers, theirs.Customers, customerID),
-		Upstreams: mergeItems(m, ItemUpstream, base.Upstreams, mine.Upstreams, theirs.Upstreams, upstreamID),
-		Regions:   mergeItems(m, ItemRegion, base.Regions, mine.Regions, theirs.Regions, regionID),
-		Rules:     mergeItems(m, ItemRule, base.Rules, mine.Rules, theirs.Rules, ruleID),
+		Tiers:       mergeItems(m, ItemTier, base.Tiers, mine.Tiers, theirs.Tiers, tierID),
+		Levels:      mergeItems(m, ItemLevel, base.Levels, mine.Levels, theirs.Levels, levelID),
+		Models:      mergeItems(m, ItemModel, base.Models, mine.Models, theirs.Models, modelID),
+		Classes:     mergeItems(m, ItemClass, base.Classes, mine.Classes, theirs.Classes, classID),
+		Customers:   mergeItems(m, ItemCustomer, base.Customers, mine.Customers, theirs.Customers, customerID),
+		Upstreams:   mergeItems(m, ItemUpstream, base.Upstreams, mine.Upstreams, theirs.Upstreams, upstreamID),
+		Regions:     mergeItems(m, ItemRegion, base.Regions, mine.Regions, theirs.Regions, regionID),
+		Rules:       mergeItems(m, ItemRule, base.Rules, mine.Rules, theirs.Rules, ruleID),
+		AdminTokens: mergeItems(m, ItemAdminToken, base.AdminTokens, mine.AdminTokens, theirs.AdminTokens, adminTokenID),
 	}
 	m.add(ItemRouting, "", tomlstrict.Merge(&d.Routing, &base.Routing, &mine.Routing, &theirs.Routing))
 	d.sort()
--- a/internal/policy/model.go
+++ b/internal/policy/model.go
@@ -80,7 +80,9 @@
 type Class struct {
 	*tomlstrict.Place `toml:"-" json:"-" cbor:"-"`
 
-	ID     domain.ClassID    `toml:"id,required"`
+	ID domain.ClassID `toml:"id,required"`
+	// Team is the team whose administration tokens may change the labels.
+	Team   string            `toml:"team"`
 	Labels map[string]string `toml:"labels"`
 	// Repeatable is false for calls that must run at most once.
 	Repeatable bool `toml:"repeatable"`
