--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -8,7 +8,6 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/policy"
-	"github.com/auburndyke/auburndyke/internal/routing"
 )
 
 func (d *Daemon) configurationHooks() configlog.Hooks {
@@ -27,18 +26,16 @@
 // none that does not.
 func (d *Daemon) enforce(doc configlog.Document) {
 	name := fmt.Sprintf("revision-%d", doc.Revision)
-	document, list := policy.Decode(name, doc.Content)
-	if list.HasErrors() {
-		d.rejectRevision(doc, list)
-		return
-	}
-	compiled, list := policy.Compile(document, doc.Revision)
-	if list.HasErrors() {
+	_, compiled, list := policy.Load(doc.Revision, policy.Source{Name: name, Data: doc.Content})
+	if compiled == nil {
 		d.rejectRevision(doc, list)
 		return
 	}
 	d.policy.Store(compiled)
 	d.apply(time.Now())
+	d.cluster.upstreamsChanged(compiled)
+	d.cluster.announce(d.previous, doc)
+	d.previous = doc
 	d.cfg.Metrics.Gauge("auburndyke_revision").Update(float64(doc.Revision))
 	d.cfg.Log.Event(telemetry.ConfigurationInForce).Uint64("revision", uint64(doc.Revision)).
 		Str("digest", string(doc.Digest)).Int("upstreams", len(compiled.Upstreams)).Msg("")
@@ -61,14 +58,19 @@
 // apply puts the policy and the view of the fleet in force on the request
 // path.
 func (d *Daemon) apply(now time.Time) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	if p := d.policy.Load(); p != nil {
-		d.gateway.Apply(now, p, d.site(p))
+		d.gateway.Apply(now, p, d.site(p), d.liveDaemons())
 	}
 }
 
-// site describes this daemon's place in the fleet.
-func (d *Daemon) site(*policy.Policy) routing.Site {
-	return routing.Site{Region: d.cfg.Region, Zone: d.cfg.Zone}
+// requestRebuild asks for a new routing table without waiting for it.
+func (d *Daemon) requestRebuild() {
+	select {
+	case d.rebuild <- struct{}{}:
+	default:
+	}
 }
 
 func (d *Daemon) rebuildLoop(ctx context.Context) error {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
 // Site says where this daemon is and what it may use.
@@ -22,6 +24,9 @@
 	// Sharers is the number of daemons that use each upstream, this one
 	// included. Missing entries and values below 1 count as 1.
 	Sharers map[domain.UpstreamID]int
+	// Locals is the number of sharers in the region of each upstream; they
+	// borrow before others. Missing entries count as 0.
+	Locals map[domain.UpstreamID]int
 	// Ranks is the position (from 0) of this daemon among the sharers of each
 	// upstream, in an order that they agree on. It decides who holds the slots
 	// that are left when the slots are divided by the sharers.
@@ -49,10 +54,17 @@
 	Sharers int
 	// Share is the number of slots that this daemon holds; more are borrowed.
 	Share int
+	// Borrowers is the number of daemons that borrow like this one and would
+	// borrow as much together as all sharers do.
+	Borrowers int
 	// Left excludes the upstream from new work.
 	Left bool
 }
 
+// localWeight is how many times as likely a daemon in the upstream's region is
+// to borrow a free slot as one in another region.
+const localWeight = 4
+
 // Table is an immutable snapshot of the upstreams that one daemon may use.
 type Table struct {
 	Policy *policy.Policy
@@ -62,6 +74,7 @@
 	// members lists the entries that are not nil, ascending.
 	members []*Upstream
 	byID    map[domain.UpstreamID]*Upstream
+	links   map[domain.Region]*link
 }
 
 // NewTable builds the snapshot for a policy. Live states are taken over from
@@ -72,6 +85,7 @@
 		Site:      site,
 		upstreams: make([]*Upstream, len(p.Upstreams)),
 		byID:      map[domain.UpstreamID]*Upstream{},
+		links:     takeOverLinks(previous, p, site.Region),
 	}
 	var subset map[domain.UpstreamID]bool
 	if site.Subset != nil {
@@ -87,7 +101,7 @@
 			continue
 		}
 		e := newUpstream(u, i, site, home)
-		e.State = takeOver(now, previous, e, site.Daemon)
+		e.State = t.takeOver(now, previous, e)
 		t.byID[u.ID] = e
 		t.upstreams[i] = e
 		t.members = append(t.members, e)
@@ -104,6 +118,7 @@
 		Sharers:  max(site.Sharers[u.ID], 1),
 		Left:     u.Draining || site.Left[u.ID],
 	}
+	e.Borrowers = borrowers(e.Sharers, site.Locals[u.ID], e.Remote)
 	e.Share = share(u.Slots, e.Sharers, site.Ranks[u.ID], index)
 	if e.Remote && home != nil {
 		e.RTT = home.RTT[u.Region]
@@ -112,6 +127,22 @@
 	return e
 }
 
+// Report applies a load report that arrived now; see State.Report.
+func (u *Upstream) Report(now time.Time, r ports.LoadReport) {
+	u.State.Report(now, r, u.Borrowers)
+}
+
+func borrowers(sharers, locals int, remote bool) int {
+	if locals < 1 || locals >= sharers {
+		return sharers
+	}
+	weights := localWeight*locals + sharers - locals
+	if remote {
+		return weights
+	}
+	return (weights + localWeight - 1) / localWeight
+}
+
 // share is the number of slots that the daemon of a rank holds. The remainder
 // goes to successive ranks, beginning where the upstream before ended, so that
 // the shares of all daemons add up to the slots and are even over upstreams.
@@ -124,14 +155,31 @@
 	return slots / sharers
 }
 
-func takeOver(now time.Time, previous *Table, e *Upstream, daemon domain.DaemonID) *State {
+// takeOverLinks returns the links to the other regions; they live as long as
+// the daemon.
+func takeOverLinks(previous *Table, p *policy.Policy, home domain.Region) map[domain.Region]*link {
+	links := map[domain.Region]*link{}
+	if previous != nil {
+		links = maps.Clone(previous.links)
+	}
+	for i := range p.Upstreams {
+		region := p.Upstreams[i].Region
+		if region != home && links[region] == nil {
+			links[region] = &link{}
+		}
+	}
+	return links
+}
+
+func (t *Table) takeOver(now time.Time, previous *Table, e *Upstream) *State {
 	if previous != nil {
 		if old := previous.byID[e.ID]; old != nil && old.Address == e.Address {
 			return old.State
 		}
 	}
 	s := NewState(now, e.Upstream)
-	s.lot = xxhash.Sum64String(string(daemon) + "/" + string(e.ID))
+	s.lot = xxhash.Sum64String(string(t.Site.Daemon) + "/" + string(e.ID))
+	s.link = t.links[e.Region]
 	if previous != nil {
 		s.Warm(now)
 	}
