--- a/internal/administration/principal.go
+++ b/internal/administration/principal.go
@@ -133,3 +133,13 @@
 	}
 	return Principal{ID: t.ID, Role: t.Role, Team: t.Team}, true
 }
+
+// BootstrapTokens returns the operator tokens that a daemon's settings give as
+// hashes. They appear in the history as settings-1, settings-2 and so on.
+func BootstrapTokens(hashes ...policy.KeyHash) []policy.AdminToken {
+	tokens := make([]policy.AdminToken, len(hashes))
+	for i, h := range hashes {
+		tokens[i] = policy.AdminToken{ID: fmt.Sprintf("settings-%d", i+1), Hash: h, Role: policy.RoleOperator}
+	}
+	return tokens
+}
