--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -13,6 +13,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDevCommand())
+	root.AddCommand(newDevCommand(), newCapacityCommand())
 	return root
 }
