--- a/internal/adapters/peerws/memnet_test.go
+++ b/internal/adapters/peerws/memnet_test.go
@@ -77,7 +77,7 @@
 	other := n.nodes[peer.Daemon]
 	if other == nil || n.cut(t.self, peer) || n.cut(peer, t.self) {
 		time.AfterFunc(handshakeTimeout, func() {
-			t.events <- ports.PeerEvent{Peer: peer.Daemon, Lost: ports.ErrPeerNotConnected}
+			t.events <- ports.PeerEvent{Peer: peer.Daemon, Lost: ports.ErrPeerNotConnected, DialFailed: true}
 		})
 		return
 	}
@@ -182,7 +182,7 @@
 	facts   map[domain.UpstreamID]time.Time
 	have    domain.Revision
 	silent  map[domain.DaemonID]bool
-	reverts int
+	misfits int
 }
 
 type fleet struct {
@@ -264,8 +264,8 @@
 	defer d.mu.Unlock()
 	switch a := action.(type) {
 	case mesh.DeliverChange:
-		if a.Change.Revision <= d.have {
-			d.reverts++
+		if a.Change.Revision <= d.have || (a.Change.Base != 0 && a.Change.Base != d.have) {
+			d.misfits++
 		}
 		d.have = a.Change.Revision
 		d.changes[a.Change.Revision] = now
@@ -302,7 +302,7 @@
 // seen is what one daemon delivered so far.
 type seen struct {
 	have    domain.Revision
-	reverts int
+	misfits int
 	silent  int
 	told    bool
 }
@@ -312,7 +312,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, told := d.facts["u"]
-	return seen{have: d.have, reverts: d.reverts, silent: len(d.silent), told: told}
+	return seen{have: d.have, misfits: d.misfits, silent: len(d.silent), told: told}
 }
 
 // lags returns how long after start each daemon had the revision; missing
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/auburndyke/auburndyke/internal/admission"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/estimate"
@@ -49,6 +47,18 @@
 	return &job{gateway: g, id: id, policy: p, route: route, arrived: time.Now()}, nil
 }
 
+// limit applies the customer's and the class's limits.
+func (j *job) limit() (*admission.Permit, *domain.Failure) {
+	permit, refusal := j.gateway.limiter.Load().Admit(j.arrived, j.route.Customer.ID, j.route.Class.ID, j.query.Tokens())
+	if permit != nil {
+		return permit, nil
+	}
+	j.gateway.logLimited(j, refusal)
+	f := domain.NotRun(domain.CodeRateLimited, "the limit "+refusal.Kind.String()+" of this customer or class is exhausted")
+	f.RetryAfter = refusal.RetryAfter
+	return nil, f
+}
+
 // enqueue prepares the request for its pool.
 func (j *job) enqueue(name string) {
 	j.pool = j.gateway.pool(name, j.policy.Tiers)
@@ -59,7 +69,7 @@
 		Weight:   j.route.Customer.Weight,
 		Rank:     j.route.Tier.Rank,
 		Tokens:   j.query.Tokens(),
-		Group:    groupOf(j.route, &j.query),
+		Group:    j.query.Group(),
 		Route:    j.route,
 		Arrived:  j.arrived,
 		MaxWait:  j.route.Class.MaxWait,
@@ -72,43 +82,54 @@
 	j.waiter = w
 }
 
-// groupOf identifies requests that the same upstreams can serve.
-func groupOf(route *policy.Route, query *routing.Request) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(query.Model))
-	_, _ = d.WriteString(query.Adapter)
-	_, _ = d.WriteString(query.Service)
-	for _, i := range route.Upstreams {
-		_, _ = d.Write([]byte{byte(i), byte(i >> 8), byte(i >> 16)})
-	}
-	return d.Sum64()
-}
-
-// pick chooses an upstream by the configuration in force. A request that was
-// routed by an earlier one is routed again.
+// pick chooses an upstream by the configuration in force, takes a slot there
+// and counts the attempt. The choice is given back by drop. A request that was
+// routed by an earlier configuration is routed again.
 func (j *job) pick(now time.Time, rng *rand.Rand, tried []domain.UpstreamID) (routing.Choice, bool) {
 	router := j.gateway.router
+	if fresh := j.gateway.options.Fresh; fresh != nil && !fresh(now) {
+		return routing.Choice{}, false
+	}
 	for {
 		p := router.Table().Policy
 		if !j.reroute(p) {
 			return routing.Choice{}, false
 		}
 		query := j.query
-		query.Route = j.route
+		query.Route, query.Policy = j.route, j.policy
 		query.Exclude = indexes(p, tried)
 		query.Explain = j.gateway.explanation()
 		choice, ok := router.Pick(now, &query, rng)
-		if router.Table().Policy == p {
-			j.gateway.logRouting(j, &choice, ok, query.Explain)
-			return choice, ok
+		if !ok {
+			return choice, false
 		}
-		// The configuration changed meanwhile; the route's indexes may have
-		// been applied to another list of upstreams.
-		if ok {
-			choice.Slot.Release(now, routing.ResultCancelled)
+		j.gateway.active.counter(choice.ID).Add(1)
+		if j.gateway.confirm(p, &choice) {
+			j.gateway.logRouting(j, &choice, query.Explain)
+			return choice, true
 		}
+		j.gateway.drop(&choice, routing.ResultCancelled)
+	}
+}
+
+// confirm reports whether a choice that has been counted still holds. The
+// configuration may have changed meanwhile, so that the route's indexes were
+// applied to another list of upstreams. Leaving is checked after counting, and
+// Leaving sets it before Running is read, so that a drain never misses an
+// attempt.
+func (g *Gateway) confirm(p *policy.Policy, choice *routing.Choice) bool {
+	table := g.router.Table()
+	if table.Policy != p {
+		return false
 	}
+	state := table.State(choice.ID)
+	return state == nil || !state.Leaving()
+}
+
+// drop gives a place back.
+func (g *Gateway) drop(choice *routing.Choice, result routing.Result) {
+	choice.Slot.Release(time.Now(), result)
+	g.active.counter(choice.ID).Add(-1)
 }
 
 // reroute brings the job's route to a policy.
@@ -143,7 +164,7 @@
 	b, err := j.gateway.options.Backend(choice.Address)
 	if err != nil {
 		j.gateway.logBackend(choice, err)
-		choice.Slot.Release(time.Now(), routing.ResultFailed)
+		j.gateway.drop(choice, routing.ResultFailed)
 		return nil, false
 	}
 	return b, true
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -50,8 +50,6 @@
 // assign turns a choice into an assignment whose slot is released at the end
 // of the attempt.
 func (o *observer) assign(choice *routing.Choice, backend Backend) exchange.Assignment {
-	counter := o.job.gateway.active.counter(choice.ID)
-	counter.Add(1)
 	p := &place{choice: *choice}
 	o.mu.Lock()
 	o.slots[choice.ID] = p
@@ -60,8 +58,7 @@
 		Upstream: choice.ID,
 		Engine:   backend,
 		Release: func() {
-			p.choice.Slot.Release(time.Now(), routing.ResultCancelled)
-			counter.Add(-1)
+			o.job.gateway.drop(&p.choice, routing.ResultCancelled)
 			o.job.gateway.Pump(time.Now())
 		},
 	}
@@ -194,6 +191,14 @@
 	return level.WholeAnswer == 0 || total <= level.WholeAnswer
 }
 
+// spent is the work that counts against the limits, in tokens.
+func (o *observer) spent() int {
+	if o.attempts == 0 {
+		return 0
+	}
+	return o.job.query.PromptTokens + o.tokens
+}
+
 // finish reports the end of the request.
 func (o *observer) finish(failure *domain.Failure) {
 	j := o.job
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -35,6 +35,8 @@
 	slots int
 	// lot differs between daemons, so that they draw different lots.
 	lot uint64
+	// link is shared by the upstreams of another region; nil in the own one.
+	link *link
 
 	running      atomic.Int64
 	leaving      atomic.Bool
@@ -73,14 +75,15 @@
 // Warm starts a slow start: the limit grows from one slot to the full share.
 func (s *State) Warm(now time.Time) { s.warmFrom.Store(now.UnixNano()) }
 
-// Report applies a load report that arrived now, where sharers daemons use
-// the upstream. A new incarnation forgets the prefix cache and starts slowly.
+// Report applies a load report that arrived now, where sharers daemons borrow
+// free slots of the upstream alike. A new incarnation forgets the prefix cache and starts slowly.
 func (s *State) Report(now time.Time, r ports.LoadReport, sharers int) {
 	if old := s.incarnation.Swap(uint64(r.Incarnation)); old != 0 && old != uint64(r.Incarnation) {
 		s.Prefixes.Clear()
 		s.Estimate.Forget()
 		s.Warm(now)
 	}
+	s.link.heard(now)
 	s.Estimate.Report(now, r)
 	slots := int64(r.Slots)
 	if slots == 0 {
@@ -186,6 +189,7 @@
 	if s.released.Load() || !s.answered.CompareAndSwap(false, true) {
 		return
 	}
+	s.state.link.answered()
 	s.state.Estimate.FirstToken(now, s.started, s.load)
 }
 
@@ -221,6 +225,9 @@
 	st := s.state
 	st.running.Add(-1)
 	st.Estimate.End(now, s.started, s.tokens, s.answered.Load())
+	if result == ResultFailed && !s.answered.Load() {
+		st.link.failed(now, st.lot)
+	}
 	if result == ResultRefused {
 		st.refusedUntil.Store(now.Add(refusalPause).UnixNano())
 	}
