Serve the administration API from every daemon

Cause: the administration adapter had no daemon behind it. Change: internal/daemon implements adminhttp.Control: revision, history, proposals with merge, drains, status; the development fleet opens an administration listener and prints an operator's token.

--- a/internal/adapters/cli/dev.go
+++ b/internal/adapters/cli/dev.go
@@ -71,10 +71,12 @@
 // describe tells where to send requests, with a command line that works.
 func describe(out io.Writer, fleet *dev.Fleet) {
 	for _, m := range fleet.Members {
-		fmt.Fprintf(out, "%s in %s serves callers at %s\n", m.ID, m.Region, m.URL)
+		fmt.Fprintf(out, "%s in %s serves callers at %s and operators at %s/admin/\n", m.ID, m.Region, m.URL, m.Admin)
 	}
 	key, class, model := fleet.SampleRequest()
 	fmt.Fprintf(out, "\nTry:\n  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Auburndyke-Class: %s' "+
 		"-d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"How are the waves today?\"}]}'\n",
 		fleet.Members[0].URL, key, class, model)
+	fmt.Fprintf(out, "\nOperators' token: %s\n  echo %s > token && auburndyke status --admin %s --token-file token\n",
+		dev.AdminToken, dev.AdminToken, fleet.Members[0].Admin)
 }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -64,7 +64,8 @@
 	assert.Assert(t, math.Abs(figures["periodic writes"].Value-33) < 0.1)
 	relay := figures["relaying token events"]
 	assert.Assert(t, relay.Over() && relay.Mechanism == "internal/exchange", "%+v", relay)
-	assert.Assert(t, figures["claims of 25% of requests, writes"].Over())
+	claims := figures["claims of 25% of requests, writes"]
+	assert.Assert(t, claims.Over())
 	missing := figures["periodic reads"]
 	assert.Assert(t, math.IsNaN(missing.Value) && number(missing.Value) == "not measured")
 }
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -53,6 +54,7 @@
 	view        atomic.Pointer[membership.View]
 	incarnation atomic.Uint64
 	drains      atomic.Pointer[[]drain.Status]
+	peers       atomic.Pointer[[]administration.PeerStatus]
 	left        map[domain.UpstreamID]bool // leaving or gone
 	leftShared  atomic.Pointer[map[domain.UpstreamID]bool]
 	waiting     map[domain.UpstreamID][]chan error // callers of Drain
@@ -86,6 +88,7 @@
 	c.lease = lease.NewHolder(d.cfg.Platform, lease.Config{Name: drainLease, Owner: lease.Owner{Daemon: d.cfg.ID, Incarnation: domain.Incarnation(xxhash.Sum64String(d.cfg.Boot))}}, d.rng(), c.leaseHooks())
 	c.view.Store(c.members.View())
 	c.drains.Store(&[]drain.Status{})
+	c.peers.Store(&[]administration.PeerStatus{})
 	c.leftShared.Store(&map[domain.UpstreamID]bool{})
 	return c
 }
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -26,11 +26,12 @@
 // none that does not.
 func (d *Daemon) enforce(doc configlog.Document) {
 	name := fmt.Sprintf("revision-%d", doc.Revision)
-	_, compiled, list := policy.Load(doc.Revision, policy.Source{Name: name, Data: doc.Content})
+	document, compiled, list := policy.Load(doc.Revision, policy.Source{Name: name, Data: doc.Content})
 	if compiled == nil {
 		d.rejectRevision(doc, list)
 		return
 	}
+	d.document.Store(document)
 	d.policy.Store(compiled)
 	d.apply(time.Now())
 	d.cluster.upstreamsChanged(compiled)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,9 +13,11 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -35,6 +37,9 @@
 	// Callers accepts callers' connections.
 	Callers net.Listener
 	Caller  callerhttp.Options
+	// Admin accepts operators' connections. Nil means no administration API.
+	Admin        net.Listener
+	AdminOptions adminhttp.Options
 	// Peers exchanges frames with other daemons.
 	Peers ports.PeerTransport
 	// PeerAddress is the IP:port that other daemons connect to.
@@ -64,9 +69,11 @@
 	gateway  *gateway.Gateway
 	claims   *claims.Claims
 	watcher  *configlog.Watcher
+	proposer *configlog.Proposer
 	backends *backends
 	policy   atomic.Pointer[policy.Policy]
-	previous configlog.Document // enforced before; used by the watcher's goroutine
+	document atomic.Pointer[policy.Document] // of the same revision
+	previous configlog.Document              // enforced before; used by the watcher's goroutine
 	cluster  *cluster
 	director *director
 	rebuild  chan struct{}
@@ -101,6 +108,7 @@
 		Fresh:   d.cluster.evidence.fresh,
 	})
 	d.watcher = configlog.NewWatcher(cfg.Platform, cfg.ID, cfg.Region, d.rng(), d.configurationHooks())
+	d.proposer = configlog.NewProposer(cfg.Platform, administration.Merger{}, d.rng)
 	d.callers = callerhttp.NewServer(d.gateway, cfg.Caller)
 	return d
 }
@@ -172,11 +180,30 @@
 		d.pumpLoop,
 		d.loadLoop,
 		d.housekeeping,
+		d.serveAdmin,
 	}
 	loops = append(loops, d.director.loops()...)
 	return append(loops, d.cluster.loops()...)
 }
 
+// serveAdmin serves operators until ctx ends, which is after the requests in
+// progress have ended.
+func (d *Daemon) serveAdmin(ctx context.Context) error {
+	if d.cfg.Admin == nil {
+		<-ctx.Done()
+		return nil
+	}
+	options := d.cfg.AdminOptions
+	options.Log, options.Metrics = d.cfg.Log, d.cfg.Metrics
+	server := adminhttp.NewServer(d.Control(), options)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(d.cfg.Admin); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "administration listener failed")
+	}
+	return nil
+}
+
 // shutdown waits for requests in progress, up to the bound.
 func (d *Daemon) shutdown() {
 	d.cfg.Log.Event(telemetry.ShutdownStarted).Int("in_progress", d.gateway.InProgress()).Msg("")
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/drain"
 	"github.com/auburndyke/auburndyke/internal/mesh"
 )
@@ -41,7 +42,18 @@
 			if heard := n.LastHeard(); !heard.IsZero() {
 				c.evidence.peers.Store(heard.UnixNano())
 			}
+			peers := peerStatuses(n)
+			c.peers.Store(&peers)
 		})
 	}()
 	c.evidence.alone.Store(len(c.view.Load().Members()) <= 1)
 }
+
+func peerStatuses(n *mesh.Node) []administration.PeerStatus {
+	neighbours := n.Connections()
+	out := make([]administration.PeerStatus, len(neighbours))
+	for i, p := range neighbours {
+		out[i] = administration.PeerStatus{Daemon: p.Daemon, Connected: p.Connected}
+	}
+	return out
+}
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -30,6 +30,9 @@
 	"github.com/auburndyke/auburndyke/internal/standin/service"
 )
 
+// AdminToken is the operator's token in a development fleet.
+const AdminToken = "dev-operator-token"
+
 // Options configures a Fleet.
 type Options struct {
 	// Example names the configuration. Default "maraval-bay".
@@ -73,6 +76,7 @@
 	ID      domain.DaemonID
 	Region  domain.Region
 	URL     string // of the caller listener
+	Admin   string // URL of the administration listener
 	Metrics *telemetry.Metrics
 	stop    context.CancelFunc
 	done    chan struct{}
@@ -123,6 +127,7 @@
 	if f.options.Edit != nil {
 		f.Document = f.options.Edit(f.Document)
 	}
+	f.Document = f.Document.PutAdminToken(policy.AdminToken{ID: "dev", Hash: policy.HashKey(AdminToken), Role: policy.RoleOperator})
 	if err := f.startPlatform(); err != nil {
 		return err
 	}
@@ -243,8 +248,12 @@
 		return err
 	}
 	peerAddress := peers.Addr().String()
+	admin, err := listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
 	metrics := telemetry.NewMetrics()
-	m := &Member{ID: id, Region: region.ID, URL: "http://" + listener.Addr().String(), Metrics: metrics, done: make(chan struct{})}
+	m := &Member{ID: id, Region: region.ID, URL: "http://" + listener.Addr().String(), Admin: "http://" + admin.Addr().String(), Metrics: metrics, done: make(chan struct{})}
 	m.Daemon = daemon.New(daemon.Config{
 		ID:      id,
 		Region:  region.ID,
@@ -257,6 +266,7 @@
 			Listener: peers,
 		}),
 		PeerAddress:   peerAddress,
+		Admin:         admin,
 		Platform:      client,
 		Upstream:      engineclient.Options{},
 		ShutdownBound: 30 * time.Second,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	stopping atomic.Bool
 	active   activeSet
 	demand   sync.Map // demandKey -> *demandCount
+	tiers    sync.Map // rank -> *tierCount
 	seeds    atomic.Uint64
 
 	poolsLock sync.RWMutex // held for writing only while a pool is added
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -96,6 +96,7 @@
 	case d.Action == admission.ActionShed, d.Action == admission.ActionExpire:
 		event = telemetry.RequestShed
 		g.metrics.Counter(metricShed, "rank", rankLabel(d.Request.Rank), "reason", d.Reason.String()).Inc(1)
+		g.tierCount(d.Request.Rank).sheds.Add(1)
 	case d.Preempt != nil:
 		event = telemetry.RequestPreempted
 		g.metrics.Counter(metricPreempted, "rank", rankLabel(d.Preempt.Rank)).Inc(1)
@@ -121,6 +122,7 @@
 
 func (g *Gateway) logLimited(j *job, r admission.Refusal) {
 	g.metrics.Counter(metricShed, "rank", rankLabel(j.route.Tier.Rank), "reason", r.Kind.String()).Inc(1)
+	g.tierCount(j.route.Tier.Rank).sheds.Add(1)
 	g.log.Event(telemetry.RequestShed).
 		Str("request", string(j.id)).
 		Str("reason", r.Kind.String()).
@@ -194,8 +196,11 @@
 		return
 	}
 	result := "missed"
+	count := g.tierCount(o.job.route.Tier.Rank)
+	count.finished.Add(1)
 	if met {
 		result = "met"
+		count.met.Add(1)
 		g.metrics.Counter(metricGoodput, "class", class).Inc(int64(o.tokens))
 	}
 	g.metrics.Counter(metricTarget, "class", class, "tier", tier, "result", result).Inc(1)
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -96,6 +96,23 @@
 	return members, open
 }
 
+// Connection is a neighbour and whether its connection is open.
+type Connection struct {
+	Daemon    domain.DaemonID
+	Connected bool
+}
+
+// Connections returns the neighbours, sorted.
+func (n *Node) Connections() []Connection {
+	var out []Connection
+	for _, id := range n.peerIDs() {
+		if p := n.peers[id]; p.neighbour {
+			out = append(out, Connection{id, p.connected})
+		}
+	}
+	return out
+}
+
 // LastHeard returns when any neighbour was last heard over an open connection.
 // Zero means that none is connected.
 func (n *Node) LastHeard() time.Time {
