Resume preempted requests before new ones of their tier

Cause: a preempted request went to the head of its customer's queue and waited for the customer's turn; the pause counts against the interval between tokens, so 4 to 9% of batch-comparison missed its target at 2x load. Change: the waiting preempted requests of a tier go first, oldest first. They are still charged to their customers.

--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -201,6 +201,8 @@
 	customers  map[domain.CustomerID]*customer
 	heavy      indexedHeap[*customer] // largest load first
 	running    []*Request
+	// preempted lists waiting requests that were preempted, oldest first.
+	preempted []*Request
 }
 
 const (
@@ -244,12 +246,27 @@
 	}
 }
 
-// peek returns the tier's next request. Late requests run when no other can
+// resumable returns the first preempted request whose group is not blocked.
+func (t *tier) resumable(epoch uint64) *Request {
+	for _, r := range t.preempted {
+		if r.flow.group.blocked != epoch {
+			return r
+		}
+	}
+	return nil
+}
+
+// peek returns the tier's next request. Preempted requests go first: their
+// callers hold a part of the answer, and each second of the pause counts
+// against the interval between tokens. Late requests run when no other can
 // be placed, or when they are below their share of the tier.
 func (t *tier) peek(now time.Time, epoch uint64) *Request {
 	if t.waiting == 0 {
 		return nil
 	}
+	if r := t.resumable(epoch); r != nil {
+		return r
+	}
 	onTime := t.bands[bandOnTime].peek(epoch)
 	for onTime != nil && onTime.missed(now) && onTime.preemptions == 0 {
 		t.moveLate(onTime)
--- a/internal/admission/shed_test.go
+++ b/internal/admission/shed_test.go
@@ -132,3 +132,25 @@
 	candidate, _ := ChooseVictim(late, []*Request{victim, same, higher}, Need{Request: need, SlotWait: time.Hour})
 	assert.Assert(t, candidate == nil, "preempted too often, or not of a lower tier")
 }
+
+// Guards against preempted work that waits for its customer's turn while other
+// customers of the tier start new requests.
+func TestPreemptedWorkResumesFirst(t *testing.T) {
+	q := NewQueue(testTiers(2, 0, 0))
+	victim := newRequest(0, 1, "a", 5000)
+	q.Offer(start, victim)
+	q.Next(start, nil)
+	for i := range 5 {
+		q.Offer(start, newRequest(i+1, 1, fmt.Sprint("c", i), 10))
+	}
+	q.Offer(start, newRequest(9, 0, "u", 10))
+	q.Requeue(start, victim)
+	d, _ := q.Next(start, nil)
+	assert.Equal(t, d.Request.Rank, 0, "a more urgent tier goes first")
+	d, _ = q.Next(start, nil)
+	assert.Equal(t, d.Request, victim)
+	q.Requeue(start, victim)
+	assert.Assert(t, q.Remove(victim))
+	d, _ = q.Next(start, nil)
+	assert.Assert(t, d.Request != victim)
+}
--- a/internal/admission/store.go
+++ b/internal/admission/store.go
@@ -1,5 +1,7 @@
 package admission
 
+import "slices"
+
 // insert adds a request to the waiting work.
 func (q *Queue) insert(r *Request) {
 	t := q.tiers[r.Rank]
@@ -29,6 +31,8 @@
 		if r.MaxWait > 0 {
 			q.expiry.push(r)
 		}
+	} else {
+		t.preempted = append(t.preempted, r)
 	}
 	if c.heavyIndex < 0 {
 		t.heavy.push(c)
@@ -49,6 +53,9 @@
 		if r.MaxWait > 0 {
 			q.expiry.remove(r)
 		}
+	} else {
+		i := slices.Index(t.preempted, r)
+		t.preempted = slices.Delete(t.preempted, i, i+1)
 	}
 	t.tokens -= r.tokens()
 	c.tokens -= r.tokens()
