Never preempt a request that must run at most once

Cause: the exchange ignores a preemption of a request that cannot be continued, so the queue waited for a slot that was not given back, and the urgent request got no other victim until the first one ended. Change: ChooseVictim passes over requests whose class is not repeatable.

--- a/internal/admission/preempt.go
+++ b/internal/admission/preempt.go
@@ -38,8 +38,8 @@
 
 // ChooseVictim returns the running request to preempt for need, or nil: the
 // lowest tier first, then the least progress. Requests of the same or a higher
-// tier, requests preempted maxPreemptions times, requests already chosen and
-// requests on upstreams that need cannot use are never chosen. The caller
+// tier, requests preempted maxPreemptions times, requests already chosen,
+// requests that must run at most once and requests on upstreams that need cannot use are never chosen. The caller
 // checks that need's tier preempts. The second result counts the candidates.
 func ChooseVictim(now time.Time, running []*Request, need Need) (*Request, int) {
 	if !need.wouldMiss(now) {
@@ -60,7 +60,7 @@
 }
 
 func canServe(r, need *Request) bool {
-	if r.Rank <= need.Rank || r.preemptions >= maxPreemptions || r.beneficiary != nil {
+	if r.Rank <= need.Rank || r.preemptions >= maxPreemptions || r.beneficiary != nil || r.once() {
 		return false
 	}
 	if need.Route == nil {
@@ -70,6 +70,12 @@
 	return found
 }
 
+// once reports whether the request must run at most once. It cannot be
+// continued, so it is never preempted.
+func (r *Request) once() bool {
+	return r.Route != nil && r.Route.Class != nil && !r.Route.Class.Repeatable
+}
+
 // better reports whether a is a better victim than b.
 func better(a, b *Request) bool {
 	if a.Rank != b.Rank {
--- a/internal/admission/shed_test.go
+++ b/internal/admission/shed_test.go
@@ -123,13 +123,18 @@
 	d, _ = q.Next(start, nil)
 	assert.Assert(t, d.Request == urgent)
 
+	victim.Route = &policy.Route{Class: &policy.Class{}}
+	candidate, _ := ChooseVictim(late, []*Request{victim}, Need{Request: urgent, SlotWait: time.Hour})
+	assert.Assert(t, candidate == nil, "a request that must run once cannot be continued")
+	victim.Route = nil
+
 	victim.preemptions = maxPreemptions
 	d, _ = q.Next(start, nil)
 	assert.Assert(t, d.Request == victim, "preempted work goes to the head")
 	same, higher := newRequest(6, 1, "c", 100), newRequest(7, 0, "c", 100)
 	need := newRequest(8, 1, "c", 100)
 	need.Deadline = start.Add(time.Second)
-	candidate, _ := ChooseVictim(late, []*Request{victim, same, higher}, Need{Request: need, SlotWait: time.Hour})
+	candidate, _ = ChooseVictim(late, []*Request{victim, same, higher}, Need{Request: need, SlotWait: time.Hour})
 	assert.Assert(t, candidate == nil, "preempted too often, or not of a lower tier")
 }
 
