--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -1,4 +1,3 @@
-// Package cli holds the commands of the auburndyke binary.
 package cli
 
 import (
@@ -17,7 +16,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDevCommand(), NewConfigCommand(), NewExplainCommand(), NewReplayCommand())
+	root.AddCommand(newDevCommand(), NewConfigCommand(), NewExplainCommand(), NewReplayCommand(),
+		NewUpstreamCommand(), NewStatusCommand(), newCapacityCommand())
 	return root
 }
 
