--- a/internal/adapters/adminhttp/change_test.go
+++ b/internal/adapters/adminhttp/change_test.go
@@ -113,6 +113,7 @@
 	assert.Equal(t, refused.Warnings[0].Service, "booking")
 	forced := b.accepted("POST", path+"?force=true", callOptions{token: operatorToken, id: "last", base: base()})
 	assert.Equal(t, forced.Drain.Phase, administration.PhaseReleasable)
+	assert.Assert(t, strings.Contains(b.log.String(), `"AD5002"`), b.log.String())
 	back := b.accepted("POST", "/admin/v1/upstreams/booking-3/undrain", callOptions{token: operatorToken, id: "back", base: base()})
 	assert.Equal(t, back.Drain.Phase, administration.PhaseServing)
 }
--- a/internal/adapters/adminhttp/drain.go
+++ b/internal/adapters/adminhttp/drain.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
@@ -54,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	s.warn(p, upstream)
 	answer, err := s.propose(ctx, c, p)
 	if err != nil {
 		failure := answerOf(err)
@@ -72,8 +75,19 @@
 	}
 	state, err := s.control.Drain(ctx, upstream, false)
 	if err != nil {
-		return err
+		failure := answerOf(err)
+		failure.Message = fmt.Sprintf("revision %d records the end of the drain, but the drain goes on: %s", answer.Revision, failure.Message)
+		return failure
 	}
 	answer.Drain = &state
 	return c.JSON(http.StatusOK, answer)
 }
+
+// warn records what a forced drain takes away.
+func (s *server) warn(p *planned, upstream domain.UpstreamID) {
+	for _, w := range p.Warnings {
+		s.options.Log.Event(telemetry.DrainWarning).Str("upstream", string(upstream)).Str("principal", p.who.ID).
+			Str("reason", string(w.Code)).Str("class", string(w.Class)).Str("model", string(w.Model)).
+			Str("service", w.Service).Int("customers", w.Affected).Msg("")
+	}
+}
--- a/internal/adapters/cli/admin_test.go
+++ b/internal/adapters/cli/admin_test.go
@@ -30,13 +30,17 @@
 	dir      string
 }
 
+// newDeployment starts with the example, or with bootstrap tokens without a
+// configuration.
 func newDeployment(t *testing.T, options adminhttp.Options) *deployment {
 	d := &deployment{t: t, platform: platform.New(platform.Config{}), dir: t.TempDir()}
 	d.control = control.New(d.platform.Client("test"))
-	document, err := examples.Load("maraval-bay")
-	assert.NilError(t, err)
-	_, err = d.control.Propose(context.Background(), configlog.Change{ID: "seed", Author: "test", Content: document.Encode()})
-	assert.NilError(t, err)
+	if options.Bootstrap == nil {
+		document, err := examples.Load("maraval-bay")
+		assert.NilError(t, err)
+		_, err = d.control.Propose(context.Background(), configlog.Change{ID: "seed", Author: "test", Content: document.Encode()})
+		assert.NilError(t, err)
+	}
 	d.control.SetFleet(administration.Fleet{Daemon: "entry-1", Daemons: []administration.DaemonStatus{{
 		Daemon: "entry-1", Region: "north-coast", Zone: "north-coast-a", Revision: 1, Ready: true, Seen: time.Now(),
 		Tiers: []administration.TierStatus{{Tier: "beach", Running: 3, Finished: 100, Met: 97, Sheds: 1}},
