Let the platform client use several access points

Cause: settings name several platform URLs, and the client knew one.

Change: NewFailover takes them in order of preference. Each try of a read goes to the next one. A write goes to one; another gets it only when no byte of the request was written.

Conclusion: reads and unsent writes survive the loss of one access point.

--- a/internal/adapters/platformclient/client.go
+++ b/internal/adapters/platformclient/client.go
@@ -10,8 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/url"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,7 +25,11 @@
 	headerNotRun = "X-Not-Run"
 )
 
-var errUnauthorized = errors.New("credential was not accepted")
+var (
+	errUnauthorized = errors.New("credential was not accepted")
+	// errNotSent means that no byte of the request was written.
+	errNotSent = errors.New("request was not sent")
+)
 
 // Options sets up a Client. Zero values take the defaults given with each
 // field.
@@ -72,7 +74,7 @@
 
 // Client implements ports.Platform. Its methods may be called concurrently.
 type Client struct {
-	base      string
+	points    []*accessPoint
 	opts      Options
 	transport *http.Transport
 	http      *http.Client
@@ -80,17 +82,21 @@
 
 // New returns a client for the platform at base. It opens no connection.
 func New(base string, opts Options) (*Client, error) {
-	u, err := url.Parse(base)
+	return NewFailover([]string{base}, opts)
+}
+
+// NewFailover returns a client for equivalent access points in order of
+// preference. It opens no connection.
+func NewFailover(bases []string, opts Options) (*Client, error) {
+	points, err := newAccessPoints(bases)
 	if err != nil {
-		return nil, eris.Wrapf(err, "platform address %q", base)
-	}
-	if u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
-		return nil, eris.Errorf("platform address %q is not an http URL", base)
+		return nil, err
 	}
 	opts = opts.withDefaults()
+	opts.ReadTries = max(opts.ReadTries, len(points))
 	transport := httpsend.NewTransport(opts.Transport)
 	return &Client{
-		base:      strings.TrimSuffix(base, "/"),
+		points:    points,
 		opts:      opts,
 		transport: transport,
 		http:      &http.Client{Transport: transport, CheckRedirect: noRedirect},
@@ -115,12 +121,18 @@
 }
 
 // send makes one try and returns the body of a successful response.
-func (c *Client) send(ctx context.Context, k call) ([]byte, error) {
+func (c *Client) send(ctx context.Context, k call, to *accessPoint) ([]byte, error) {
+	body, err := c.sendTo(ctx, k, to)
+	to.note(time.Now(), err)
+	return body, err
+}
+
+func (c *Client) sendTo(ctx context.Context, k call, to *accessPoint) ([]byte, error) {
 	token, err := c.token()
 	if err != nil {
 		return nil, err
 	}
-	body, err := c.sendAs(ctx, k, token)
+	body, err := c.sendAs(ctx, k, to, token)
 	if !errors.Is(err, errUnauthorized) {
 		return body, err
 	}
@@ -129,7 +141,7 @@
 	if tokenErr != nil || fresh == token {
 		return nil, err
 	}
-	return c.sendAs(ctx, k, fresh)
+	return c.sendAs(ctx, k, to, fresh)
 }
 
 func (c *Client) token() (string, error) {
@@ -143,9 +155,9 @@
 	return token, nil
 }
 
-func (c *Client) sendAs(ctx context.Context, k call, token string) ([]byte, error) {
+func (c *Client) sendAs(ctx context.Context, k call, to *accessPoint, token string) ([]byte, error) {
 	ctx, tracker := httpsend.Track(ctx)
-	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, bytes.NewReader(k.body))
+	req, err := http.NewRequestWithContext(ctx, k.method, to.base+k.path, bytes.NewReader(k.body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
 	}
@@ -181,7 +193,7 @@
 		c.transport.CloseIdleConnections()
 	}
 	if tracker.NotSent() {
-		return fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w: %w", ports.ErrUnavailable, errNotSent, err)
 	}
 	return k.unclear(err)
 }
@@ -237,11 +249,12 @@
 	return k.unclear(status)
 }
 
-// read tries a read several times.
+// read tries a read several times, each time at the next access point.
 func (c *Client) read(ctx context.Context, k call) ([]byte, error) {
 	longest := c.opts.Backoff
+	order := c.order(time.Now())
 	for try := 1; ; try++ {
-		body, err := c.readOnce(ctx, k)
+		body, err := c.readOnce(ctx, k, order[(try-1)%len(order)])
 		if err == nil || try == c.opts.ReadTries || !retryable(err) || ctx.Err() != nil {
 			return body, err
 		}
@@ -252,10 +265,10 @@
 	}
 }
 
-func (c *Client) readOnce(ctx context.Context, k call) ([]byte, error) {
+func (c *Client) readOnce(ctx context.Context, k call, to *accessPoint) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ReadTimeout)
 	defer cancel()
-	return c.send(ctx, k)
+	return c.send(ctx, k, to)
 }
 
 func retryable(err error) bool {
@@ -273,11 +286,21 @@
 	}
 }
 
+// write sends to one access point, and to another one only if no byte of the
+// request was written before.
 func (c *Client) write(ctx context.Context, k call) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.WriteTimeout)
 	defer cancel()
 	k.write = true
-	return c.send(ctx, k)
+	var body []byte
+	var err error
+	for _, to := range c.order(time.Now()) {
+		body, err = c.send(ctx, k, to)
+		if !errors.Is(err, errNotSent) || ctx.Err() != nil {
+			break
+		}
+	}
+	return body, err
 }
 
 // post sends a JSON read and decodes the answer.
