Add the commands serve and standin

Cause: the binary could only run the development deployment.

Change: serve reads settings, reports all findings together and runs one daemon with listeners for callers, peers and administration, TLS from files that are read again when they change, and questions to seed daemons while the platform is down. standin runs a stand-in of the platform, an engine or a service as a process. Processes that fail end with exit code 3.

Conclusion: one daemon runs from settings files.

--- a/cmd/auburndyke/main.go
+++ b/cmd/auburndyke/main.go
@@ -9,8 +9,9 @@
 )
 
 func main() {
-	if err := cli.NewRootCommand().Execute(); err != nil {
+	err := cli.NewRootCommand().Execute()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
 	}
+	os.Exit(cli.ExitCode(err))
 }
--- a/internal/adapters/cli/cli.go
+++ b/internal/adapters/cli/cli.go
@@ -18,11 +18,12 @@
 	ExitOK       = 0 // no finding is an error
 	ExitFindings = 1 // the configuration has errors
 	ExitUsage    = 2 // wrong arguments, or a file cannot be read
+	ExitFailure  = 3 // a process could not start, or failed while it ran
 )
 
 const exitCodesHelp = `
 Exit codes: 0 no errors (there may be warnings), 1 the configuration has
-errors, 2 wrong arguments or unreadable file.`
+errors, 2 wrong arguments or unreadable file, 3 the process failed.`
 
 // ExitError ends a command with an exit code.
 type ExitError struct {
@@ -53,6 +54,14 @@
 	return ExitUsage
 }
 
+// failure ends a command because of its process and not of its arguments.
+func failure(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &ExitError{ExitFailure, err}
+}
+
 func usageErrorf(format string, args ...any) error {
 	return &ExitError{ExitUsage, fmt.Errorf(format, args...)}
 }
--- a/internal/adapters/cli/dev.go
+++ b/internal/adapters/cli/dev.go
@@ -36,7 +36,7 @@
 			options.Log = func(daemon string) *telemetry.Log {
 				return telemetry.NewLog(zerolog.SyncWriter(cmd.ErrOrStderr()), parsed, daemon)
 			}
-			return runDev(cmd.Context(), cmd.OutOrStdout(), options, duration)
+			return failure(runDev(cmd.Context(), cmd.OutOrStdout(), options, duration))
 		},
 	}
 	flags := cmd.Flags()
--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -13,6 +13,13 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDevCommand())
+	root.AddCommand(
+		newServeCommand(),
+		newDevCommand(),
+		newStandinCommand(),
+		NewConfigCommand(),
+		NewExplainCommand(),
+		NewCommand(),
+	)
 	return root
 }
--- a/internal/adapters/httpsend/httpsend.go
+++ b/internal/adapters/httpsend/httpsend.go
@@ -40,6 +40,10 @@
 	MaxIdleConns int
 	// MaxConns bounds the connections to the host. Zero means no bound.
 	MaxConns int
+	// TLS returns the configuration for a new TLS connection to a host, so
+	// that replaced certificates take effect without a restart. Nil means the
+	// defaults of net/http.
+	TLS func(host string) *tls.Config
 }
 
 func (o Options) withDefaults() Options {
@@ -64,16 +68,8 @@
 // NewTransport returns a transport for one host whose requests can be tracked.
 func NewTransport(o Options) *http.Transport {
 	o = o.withDefaults()
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
-			defer cancel()
-			inner, err := o.Dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &conn{Conn: inner}, nil
-		},
+	transport := &http.Transport{
+		DialContext:           o.dial,
 		ResponseHeaderTimeout: o.ResponseHeaderTimeout,
 		IdleConnTimeout:       o.IdleConnTimeout,
 		MaxIdleConns:          o.MaxIdleConns,
@@ -81,6 +77,41 @@
 		MaxConnsPerHost:       o.MaxConns,
 		DisableCompression:    true,
 	}
+	if o.TLS != nil {
+		transport.DialTLSContext = o.dialTLS
+	}
+	return transport
+}
+
+func (o Options) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+	defer cancel()
+	inner, err := o.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: inner}, nil
+}
+
+// dialTLS leaves the counting connection below the encryption, where Tracker
+// looks for it.
+func (o Options) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	inner, err := o.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+	defer cancel()
+	encrypted := tls.Client(inner, o.TLS(host))
+	if err := encrypted.HandshakeContext(ctx); err != nil {
+		_ = inner.Close()
+		return nil, err
+	}
+	return encrypted, nil
 }
 
 // Tracker follows the connections that one request is given.
--- a/internal/adapters/peerws/transport.go
+++ b/internal/adapters/peerws/transport.go
@@ -26,6 +26,7 @@
 	handshakeTimeout = 3 * time.Second
 	writeTimeout     = 3 * time.Second
 	shutdownTimeout  = time.Second
+	idleTimeout      = 10 * time.Second
 	eventQueue       = 1024
 	// DefaultSendQueue is the number of frames that may wait for one peer.
 	DefaultSendQueue = 256
@@ -78,6 +79,8 @@
 	revision    atomic.Uint64
 	incarnation atomic.Uint64
 
+	routes map[string]http.Handler
+
 	mu      sync.Mutex
 	closed  bool
 	conns   map[domain.DaemonID]*conn
@@ -103,6 +106,7 @@
 		cancel:  cancel,
 		conns:   map[domain.DaemonID]*conn{},
 		dialing: map[domain.DaemonID]bool{},
+		routes:  map[string]http.Handler{},
 	}
 	t.incarnation.Store(uint64(cfg.Self.Incarnation))
 	t.client = &http.Client{Transport: &http.Transport{
@@ -152,7 +156,10 @@
 		<-t.ctx.Done()
 		return nil
 	}
-	server := &http.Server{Handler: t.Handler(), TLSConfig: t.cfg.ServerTLS, ReadHeaderTimeout: handshakeTimeout}
+	server := &http.Server{
+		Handler: t.Handler(), TLSConfig: t.cfg.ServerTLS,
+		ReadHeaderTimeout: handshakeTimeout, IdleTimeout: idleTimeout,
+	}
 	failed := make(chan error, 1)
 	go func() {
 		if t.cfg.ServerTLS != nil {
@@ -196,9 +203,16 @@
 	return true
 }
 
-// Handler accepts peer connections at Path.
+// Handle adds a handler to the peer listener. Call it before Run.
+func (t *Transport) Handle(pattern string, h http.Handler) { t.routes[pattern] = h }
+
+// Handler accepts peer connections at Path and serves the handlers that were
+// added with Handle.
 func (t *Transport) Handler() http.Handler {
 	mux := http.NewServeMux()
+	for pattern, h := range t.routes {
+		mux.Handle(pattern, h)
+	}
 	mux.HandleFunc(Path, func(w http.ResponseWriter, r *http.Request) {
 		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 		if err != nil {
--- a/internal/adapters/telemetry/events.go
+++ b/internal/adapters/telemetry/events.go
@@ -24,6 +24,9 @@
 	ShutdownStarted  = Event{"AD1004", "shutdown_started", zerolog.InfoLevel, "A planned stop began; requests in progress continue."}
 	ShutdownComplete = Event{"AD1005", "shutdown_complete", zerolog.InfoLevel, "The daemon stopped; cut is the number of requests that the bound interrupted."}
 
+	CertificatesLoaded   = Event{"AD1006", "certificates_loaded", zerolog.InfoLevel, "Changed TLS files were read and serve new connections."}
+	CertificatesRejected = Event{"AD1007", "certificates_rejected", zerolog.WarnLevel, "Changed TLS files could not be used; the last good ones stay in use."}
+
 	AdmissionDecision = Event{"AD2001", "admission_decision", zerolog.InfoLevel, "A request was queued, dispatched or refused; reason says why."}
 	RoutingDecision   = Event{"AD2002", "routing_decision", zerolog.InfoLevel, "An upstream was picked; candidates, scores and exclusions are listed."}
 	AttemptFailed     = Event{"AD2003", "attempt_failed", zerolog.WarnLevel, "An attempt at an upstream failed; error says how."}
@@ -65,6 +68,7 @@
 // Catalogue lists every event in code order.
 var Catalogue = []Event{
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
+	CertificatesLoaded, CertificatesRejected,
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamResumed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
+	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
@@ -39,6 +40,15 @@
 	Peers ports.PeerTransport
 	// PeerAddress is the IP:port that other daemons connect to.
 	PeerAddress string
+	// Seeds are peer addresses that a starting daemon asks during an outage of
+	// the platform. The daemon's own address may be among them. Empty asks
+	// none.
+	Seeds []string
+	// Asker asks them. It is required with Seeds.
+	Asker *peerws.Asker
+	// Admin accepts connections for health checks and metrics. Nil serves
+	// none.
+	Admin net.Listener
 	// Platform is the platform's client.
 	Platform ports.Platform
 	// Upstream sets up the clients of upstreams.
@@ -166,6 +176,12 @@
 		d.pumpLoop,
 		d.loadLoop,
 	}
+	if len(d.cfg.Seeds) > 0 {
+		loops = append(loops, d.askLoop)
+	}
+	if d.cfg.Admin != nil {
+		loops = append(loops, d.adminLoop)
+	}
 	return append(loops, d.cluster.loops()...)
 }
 
