--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -1,24 +1,30 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
+	"net/http"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
+	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/drain"
+	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
 // acceptWait is how long a drain order waits for its acceptance. The drain
 // goes on after that; its state shows what it waits for.
 const acceptWait = 3 * time.Second
 
+// statusParallel is the number of daemons asked for their state at once.
+const statusParallel = 32
+
 // control is the daemon's side of the administration API.
 type control struct{ daemon *Daemon }
 
@@ -142,17 +148,40 @@
 	return s
 }
 
-// askStatuses returns the state of this daemon and of the others that it can
-// ask, in the order of their identifiers.
-func (d *Daemon) askStatuses(context.Context) []administration.DaemonStatus {
-	var out []administration.DaemonStatus
-	for _, e := range d.Roster().Entries() {
-		if e.Daemon == d.cfg.ID {
-			continue
-		}
-		out = append(out, administration.DaemonStatus{Daemon: e.Daemon, Region: e.Region, Zone: e.Zone})
+// StatusHandler answers other daemons. It belongs to the peer listener, under
+// peerws.StatusPath.
+func (d *Daemon) StatusHandler() http.Handler {
+	return peerws.StatusHandler(func() any { return d.Status() })
+}
+
+// askStatuses returns the state of this daemon and of the others in the
+// roster, in the order of their identifiers. A daemon that does not answer in
+// time has no time in Seen.
+func (d *Daemon) askStatuses(ctx context.Context) []administration.DaemonStatus {
+	entries := d.Roster().Entries()
+	out := make([]administration.DaemonStatus, len(entries))
+	var group errgroup.Group
+	group.SetLimit(statusParallel)
+	for i, e := range entries {
+		group.Go(func() error {
+			out[i] = d.askStatus(ctx, e.Member)
+			return nil
+		})
+	}
+	_ = group.Wait() // the calls report through out
+	if _, ok := d.Roster().Find(d.cfg.ID); !ok {
+		out = append(out, d.Status())
 	}
-	out = append(out, d.Status())
-	slices.SortFunc(out, func(a, b administration.DaemonStatus) int { return cmp.Compare(a.Daemon, b.Daemon) })
 	return out
 }
+
+func (d *Daemon) askStatus(ctx context.Context, m ports.Member) administration.DaemonStatus {
+	if m.Daemon == d.cfg.ID {
+		return d.Status()
+	}
+	var s administration.DaemonStatus
+	if d.cfg.Asker == nil || d.cfg.Asker.Status(ctx, m.Address, &s) != nil || s.Daemon != m.Daemon {
+		return administration.DaemonStatus{Daemon: m.Daemon, Region: m.Region, Zone: m.Zone}
+	}
+	return s
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
+	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/claims"
@@ -44,6 +45,12 @@
 	Peers ports.PeerTransport
 	// PeerAddress is the IP:port that other daemons connect to.
 	PeerAddress string
+	// Seeds are peer addresses that a starting daemon asks during an outage of
+	// the platform. The daemon's own address may be among them. Empty asks
+	// none.
+	Seeds []string
+	// Asker asks them. It is required with Seeds.
+	Asker *peerws.Asker
 	// Platform is the platform's client.
 	Platform ports.Platform
 	// Upstream sets up the clients of upstreams.
@@ -182,6 +189,9 @@
 		d.housekeeping,
 		d.serveAdmin,
 	}
+	if len(d.cfg.Seeds) > 0 {
+		loops = append(loops, d.askLoop)
+	}
 	loops = append(loops, d.director.loops()...)
 	return append(loops, d.cluster.loops()...)
 }
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -254,17 +254,20 @@
 	}
 	metrics := telemetry.NewMetrics()
 	m := &Member{ID: id, Region: region.ID, URL: "http://" + listener.Addr().String(), Admin: "http://" + admin.Addr().String(), Metrics: metrics, done: make(chan struct{})}
+	peerConfig := peerws.Config{
+		Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region.ID, Zone: zone},
+		Listener: peers,
+	}
+	transport := peerws.New(peerConfig)
 	m.Daemon = daemon.New(daemon.Config{
-		ID:      id,
-		Region:  region.ID,
-		Zone:    zone,
-		Boot:    uuid.NewString(),
-		Callers: listener,
-		Caller:  callerhttp.Options{},
-		Peers: peerws.New(peerws.Config{
-			Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region.ID, Zone: zone},
-			Listener: peers,
-		}),
+		ID:            id,
+		Region:        region.ID,
+		Zone:          zone,
+		Boot:          uuid.NewString(),
+		Callers:       listener,
+		Caller:        callerhttp.Options{},
+		Peers:         transport,
+		Asker:         peerws.NewAsker(peerConfig),
 		PeerAddress:   peerAddress,
 		Admin:         admin,
 		Platform:      client,
@@ -273,6 +276,8 @@
 		Log:           f.options.Log(string(id)),
 		Metrics:       metrics,
 	})
+	transport.Handle("GET "+peerws.StartupPath, m.StartupHandler())
+	transport.Handle("GET "+peerws.StatusPath, m.StatusHandler())
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	f.Members = append(f.Members, m)
