--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -142,9 +142,7 @@
 			Finished: t.Finished, Met: t.Met, Sheds: t.Sheds,
 		})
 	}
-	for _, p := range *d.cluster.peers.Load() {
-		s.Peers = append(s.Peers, p)
-	}
+	s.Peers = append(s.Peers, *d.cluster.peers.Load()...)
 	return s
 }
 
