--- a/internal/adapters/adminhttp/auth.go
+++ b/internal/adapters/adminhttp/auth.go
@@ -34,7 +34,7 @@
 		case s.running <- struct{}{}:
 			defer func() { <-s.running }()
 		default:
-			return &administration.ErrorAnswer{Code: administration.CodeUnavailable, Message: "too many calls are running; nothing was changed"}
+			return errBusy
 		}
 		return s.refuse(c, who, r.serve(c, who))
 	}
--- a/internal/adapters/adminhttp/change.go
+++ b/internal/adapters/adminhttp/change.go
@@ -121,7 +121,7 @@
 }
 
 // edit makes the changed document from the base.
-type edit func(ctx context.Context, base *policy.Document) (*policy.Document, error)
+type edit func(base *policy.Document) (*policy.Document, error)
 
 // planned is a change that may be made.
 type planned struct {
@@ -145,7 +145,13 @@
 	if base.Revision > current.Revision {
 		current = base
 	}
-	next, err := change(ctx, base.Document)
+	select {
+	case s.changes <- struct{}{}:
+		defer func() { <-s.changes }()
+	case <-ctx.Done():
+		return nil, errBusy
+	}
+	next, err := change(base.Document)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/adapters/adminhttp/change_test.go
+++ b/internal/adapters/adminhttp/change_test.go
@@ -1,6 +1,7 @@
 package adminhttp_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -56,6 +57,7 @@
 // Guards against a definite answer about a change whose outcome is not known,
 // and against a second revision when the call is repeated.
 func TestOutcomeDuringOutage(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, adminhttp.Options{ControlTimeout: time.Second})
 	b.platform.SetFaults(platform.Faults{Down: []platform.Service{platform.ServiceTable}})
 	down := b.failed("PATCH", lessonLabels, label("one", "1", "night"), http.StatusServiceUnavailable)
@@ -120,6 +122,7 @@
 
 // Guards against a drain that waits for the platform.
 func TestDrainDuringOutage(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, adminhttp.Options{ControlTimeout: 200 * time.Millisecond})
 	b.platform.SetFaults(platform.Faults{Down: []platform.Service{platform.ServiceTable}})
 	answer := b.failed("POST", "/admin/v1/upstreams/lesson-02/drain", callOptions{token: operatorToken, id: "d", base: "1"}, http.StatusServiceUnavailable)
@@ -127,6 +130,36 @@
 	assert.Assert(t, strings.Contains(answer.Message, "not recorded"), answer.Message)
 }
 
+// Guards against a drain that waits behind another change that the platform
+// holds up.
+func TestDrainBesideStuckChange(t *testing.T) {
+	t.Parallel()
+	b := newBench(t, adminhttp.Options{ControlTimeout: 2 * time.Second})
+	b.platform.SetFaults(platform.Faults{Down: []platform.Service{platform.ServiceTable}})
+	stuck := make(chan struct{})
+	go func() {
+		defer close(stuck)
+		b.call("PATCH", lessonLabels, label("one", "1", "night"))
+	}()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		b.call("POST", "/admin/v1/upstreams/lesson-03/drain", callOptions{token: operatorToken, id: "d", base: "1"})
+	}()
+	for {
+		if fleet, _ := b.control.Status(context.Background()); len(fleet.Drains) == 1 {
+			break
+		}
+		select {
+		case <-stuck:
+			t.Fatal("the drain started after the change had ended")
+		case <-time.After(time.Millisecond):
+		}
+	}
+	<-stuck
+	<-drained
+}
+
 // Guards against locking every operator out.
 func TestLastOperatorToken(t *testing.T) {
 	b := newBench(t, adminhttp.Options{})
--- a/internal/adapters/adminhttp/config.go
+++ b/internal/adapters/adminhttp/config.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	return s.change(c, who, func(context.Context, *policy.Document) (*policy.Document, error) {
+	return s.change(c, who, func(*policy.Document) (*policy.Document, error) {
 		d, list := policy.Decode(fileName(c), body)
 		return d, list.Err()
 	})
@@ -110,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	return s.change(c, who, func(_ context.Context, base *policy.Document) (*policy.Document, error) {
+	return s.change(c, who, func(base *policy.Document) (*policy.Document, error) {
 		d, list := base.Apply(fileName(c), body)
 		return d, list.Err()
 	})
@@ -124,10 +124,13 @@
 	if body.To == 0 {
 		return invalid("to must name an earlier revision")
 	}
-	return s.change(c, who, func(ctx context.Context, _ *policy.Document) (*policy.Document, error) {
-		earlier, err := s.snapshot(ctx, body.To)
-		return earlier.Document, err
-	})
+	ctx, cancel := context.WithTimeout(c.Request().Context(), s.options.ControlTimeout)
+	defer cancel()
+	earlier, err := s.snapshot(ctx, body.To)
+	if err != nil {
+		return err
+	}
+	return s.change(c, who, func(*policy.Document) (*policy.Document, error) { return earlier.Document, nil })
 }
 
 func (s *server) history(c echo.Context, _ administration.Principal) error {
--- a/internal/adapters/adminhttp/control.go
+++ b/internal/adapters/adminhttp/control.go
@@ -41,7 +41,8 @@
 
 // Options bounds what a client can take and names the audit trail's outputs.
 type Options struct {
-	// MaxBodyBytes bounds a request's body. Default 8 MiB.
+	// MaxBodyBytes bounds a request's body. Default 4 MiB, three times a
+	// configuration of the planned size.
 	MaxBodyBytes int64
 	// MaxHeaderBytes bounds a request's header. Default 16 KiB.
 	MaxHeaderBytes int
@@ -56,8 +57,14 @@
 	IdleTimeout time.Duration
 	// ControlTimeout bounds one call to Control. Default 8 s.
 	ControlTimeout time.Duration
-	// MaxConcurrent bounds the API calls that run at once. Default 16.
+	// MaxConcurrent bounds the API calls that run at once; further ones are
+	// refused. Default 8.
 	MaxConcurrent int
+	// MaxChanges bounds the changes that are planned at once; further ones
+	// wait. Planning one allocates 52 to 89 MB at the planned size. Changes that
+	// wait for the platform do not count, so that a drain need not wait for
+	// them. Default 1.
+	MaxChanges int
 	// Bootstrap holds tokens that are valid only while the configuration in
 	// force names none.
 	Bootstrap []policy.AdminToken
@@ -68,14 +75,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxBodyBytes, 8<<20)
+	setDefault(&o.MaxBodyBytes, 4<<20)
 	setDefault(&o.MaxHeaderBytes, 16<<10)
 	setDefault(&o.HeaderTimeout, 5*time.Second)
 	setDefault(&o.BodyTimeout, 30*time.Second)
 	setDefault(&o.WriteTimeout, time.Minute)
 	setDefault(&o.IdleTimeout, 2*time.Minute)
 	setDefault(&o.ControlTimeout, 8*time.Second)
-	setDefault(&o.MaxConcurrent, 16)
+	setDefault(&o.MaxConcurrent, 8)
+	setDefault(&o.MaxChanges, 1)
 	if o.Log == nil {
 		o.Log = telemetry.NopLog()
 	}
--- a/internal/adapters/adminhttp/drain.go
+++ b/internal/adapters/adminhttp/drain.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithTimeout(c.Request().Context(), s.options.ControlTimeout)
 	defer cancel()
 	upstream := domain.UpstreamID(c.Param("id"))
-	p, err := s.plan(ctx, r, func(_ context.Context, base *policy.Document) (*policy.Document, error) {
+	p, err := s.plan(ctx, r, func(base *policy.Document) (*policy.Document, error) {
 		return base.SetDraining(upstream, draining)
 	})
 	if err != nil {
--- a/internal/adapters/adminhttp/errors.go
+++ b/internal/adapters/adminhttp/errors.go
@@ -31,6 +31,12 @@
 	administration.CodeInternal:        http.StatusInternalServerError,
 }
 
+// errBusy refuses a call before it has any effect.
+var errBusy = &administration.ErrorAnswer{
+	Code:    administration.CodeUnavailable,
+	Message: "too many calls are running; nothing was changed",
+}
+
 func invalid(message string) error {
 	return &administration.ErrorAnswer{Code: administration.CodeInvalid, Message: message}
 }
--- a/internal/adapters/adminhttp/items.go
+++ b/internal/adapters/adminhttp/items.go
@@ -1,7 +1,6 @@
 package adminhttp
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"strings"
@@ -95,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	return s.change(c, who, func(_ context.Context, base *policy.Document) (*policy.Document, error) {
+	return s.change(c, who, func(base *policy.Document) (*policy.Document, error) {
 		next, list := base.Apply(fileName(c), body)
 		if err := list.Err(); err != nil {
 			return nil, err
@@ -114,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	return s.change(c, who, func(_ context.Context, base *policy.Document) (*policy.Document, error) {
+	return s.change(c, who, func(base *policy.Document) (*policy.Document, error) {
 		return base.Remove(kind, c.Param("id"))
 	})
 }
@@ -128,7 +127,7 @@
 	if err := s.readJSON(c, &body); err != nil {
 		return err
 	}
-	return s.change(c, who, func(_ context.Context, base *policy.Document) (*policy.Document, error) {
+	return s.change(c, who, func(base *policy.Document) (*policy.Document, error) {
 		return editLabels(base, kind, c.Param("id"), body)
 	})
 }
@@ -158,7 +157,7 @@
 	if err := s.readJSON(c, &body); err != nil {
 		return err
 	}
-	return s.change(c, who, func(_ context.Context, base *policy.Document) (*policy.Document, error) {
+	return s.change(c, who, func(base *policy.Document) (*policy.Document, error) {
 		return base.SetWeight(domain.CustomerID(c.Param("id")), body.Weight)
 	})
 }
--- a/internal/adapters/adminhttp/server.go
+++ b/internal/adapters/adminhttp/server.go
@@ -25,6 +25,7 @@
 	control Control
 	options Options
 	running chan struct{}
+	changes chan struct{}
 	failed  *rate.Limiter
 }
 
@@ -69,6 +70,7 @@
 func newServer(control Control, options Options) *server {
 	s := &server{control: control, options: options.withDefaults()}
 	s.running = make(chan struct{}, s.options.MaxConcurrent)
+	s.changes = make(chan struct{}, s.options.MaxChanges)
 	s.failed = rate.NewLimiter(failedAuthPerSecond, failedAuthBurst)
 	return s
 }
