--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -17,7 +17,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newDevCommand(), NewConfigCommand(), NewExplainCommand(), NewReplayCommand(),
-		NewUpstreamCommand(), NewStatusCommand())
+		NewUpstreamCommand(), NewStatusCommand(), newCapacityCommand())
 	return root
 }
 
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -48,10 +49,12 @@
 	lease      *lease.Holder
 	evidence   evidence
 
+	// ctx covers background calls. It is set before the loops start.
 	ctx         context.Context
 	view        atomic.Pointer[membership.View]
 	incarnation atomic.Uint64
 	drains      atomic.Pointer[[]drain.Status]
+	peers       atomic.Pointer[[]administration.PeerStatus]
 	left        map[domain.UpstreamID]bool // leaving or gone
 	leftShared  atomic.Pointer[map[domain.UpstreamID]bool]
 	waiting     map[domain.UpstreamID][]chan error // callers of Drain
@@ -85,6 +88,7 @@
 	c.lease = lease.NewHolder(d.cfg.Platform, lease.Config{Name: drainLease, Owner: lease.Owner{Daemon: d.cfg.ID, Incarnation: domain.Incarnation(xxhash.Sum64String(d.cfg.Boot))}}, d.rng(), c.leaseHooks())
 	c.view.Store(c.members.View())
 	c.drains.Store(&[]drain.Status{})
+	c.peers.Store(&[]administration.PeerStatus{})
 	c.leftShared.Store(&map[domain.UpstreamID]bool{})
 	return c
 }
@@ -95,11 +99,11 @@
 	}
 	return lease.Hooks{
 		Acquired: func(t domain.FencingToken) {
-			c.daemon.cfg.Log.Event(telemetry.LeaseChanged).Str("lease", drainLease).Uint64("token", uint64(t)).Str("change", "acquired").Msg("")
+			c.daemon.logLease(drainLease, t, "acquired", "")
 			role(true)
 		},
 		Lost: func(t domain.FencingToken, reason string) {
-			c.daemon.cfg.Log.Event(telemetry.LeaseChanged).Str("lease", drainLease).Uint64("token", uint64(t)).Str("change", "lost").Str("reason", reason).Msg("")
+			c.daemon.logLease(drainLease, t, "lost", reason)
 			role(false)
 		},
 	}
@@ -107,19 +111,11 @@
 
 // loops lists the background work of the cluster.
 func (c *cluster) loops() []func(context.Context) error {
-	return []func(context.Context) error{c.run, c.transport.Run, c.mesh.Run, c.runLease}
-}
-
-func (c *cluster) runLease(ctx context.Context) error {
-	if err := c.lease.Run(ctx); ctx.Err() == nil {
-		return err
-	}
-	return nil
+	return []func(context.Context) error{c.run, c.transport.Run, c.mesh.Run, untilStopped(c.lease.Run)}
 }
 
 // run drives the cores until ctx ends.
 func (c *cluster) run(ctx context.Context) error {
-	c.ctx = ctx
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
 	c.tick(time.Now())
