Run a development fleet over an exchangeable network

Cause: dev.Fleet listened and dialled on loopback only, so that whole daemons could not run in a synctest bubble, where a real socket stops the clock.

Before: no whole daemon ran in virtual time.

--- a/internal/adapters/peerws/transport.go
+++ b/internal/adapters/peerws/transport.go
@@ -56,6 +56,8 @@
 	// SendQueue is the number of frames that may wait for one peer. Zero
 	// means DefaultSendQueue.
 	SendQueue int
+	// Dial opens connections to peers. Nil means a net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Stats counts frames and their bytes, WebSocket headers included and TCP and
@@ -106,6 +108,7 @@
 	}
 	t.incarnation.Store(uint64(cfg.Self.Incarnation))
 	t.client = &http.Client{Transport: &http.Transport{
+		DialContext:         cfg.Dial,
 		TLSClientConfig:     cfg.ClientTLS,
 		TLSHandshakeTimeout: handshakeTimeout,
 		DisableKeepAlives:   true,
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/auburndyke/auburndyke/examples"
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
+	"github.com/auburndyke/auburndyke/internal/adapters/httpsend"
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/platformclient"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
@@ -52,6 +52,12 @@
 	Log func(daemon string) *telemetry.Log
 	// Edit changes the configuration before anything starts.
 	Edit func(*policy.Document) *policy.Document
+	// Network connects the hosts. Nil means loopback.
+	Network Network
+	// Peers changes a daemon's peer transport. Nil keeps it.
+	Peers func(id domain.DaemonID, transport ports.PeerTransport) ports.PeerTransport
+	// Seed feeds the daemons' random choices. Zero takes random ones.
+	Seed uint64
 }
 
 // Fleet is a running deployment.
@@ -108,7 +114,7 @@
 		o.Daemons = 2
 	}
 	if o.Callers == "" {
-		o.Callers = "127.0.0.1:0"
+		o.Callers = freePort
 	}
 	if o.Speed == 0 {
 		o.Speed = 1
@@ -116,9 +122,23 @@
 	if o.Log == nil {
 		o.Log = func(string) *telemetry.Log { return telemetry.NopLog() }
 	}
+	if o.Network == nil {
+		o.Network = loopback{}
+	}
+	if o.Peers == nil {
+		o.Peers = func(_ domain.DaemonID, t ports.PeerTransport) ports.PeerTransport { return t }
+	}
 	return o
 }
 
+// seed returns the seed of daemon i; zero stays random.
+func (o Options) seed(i int) uint64 {
+	if o.Seed == 0 {
+		return 0
+	}
+	return o.Seed + uint64(i)
+}
+
 func (f *Fleet) start(ctx context.Context) error {
 	if f.options.Edit != nil {
 		f.Document = f.options.Edit(f.Document)
@@ -135,24 +155,28 @@
 		return err
 	}
 	for i := range f.options.Daemons {
-		address := "127.0.0.1:0"
+		address := freePort
 		if i == 0 {
 			address = f.options.Callers
 		}
-		if err := f.startDaemon(i, address); err != nil {
+		if err := f.startDaemon(i, domain.DaemonID(fmt.Sprintf("daemon-%d", i+1)), address); err != nil {
 			return err
 		}
 	}
 	return f.WaitReady(ctx)
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	return l, eris.Wrapf(err, "listening on %s", address)
+// StartDaemon starts one more daemon in the region and zone of number i and
+// does not wait for it. An id must not be in use by a running daemon.
+func (f *Fleet) StartDaemon(i int, id domain.DaemonID) (*Member, error) {
+	if err := f.startDaemon(i, id, freePort); err != nil {
+		return nil, err
+	}
+	return f.Members[len(f.Members)-1], nil
 }
 
 func (f *Fleet) startPlatform() error {
-	listener, err := listen("127.0.0.1:0")
+	listener, err := f.options.Network.Listen(PlatformHost, "", freePort)
 	if err != nil {
 		return err
 	}
@@ -165,7 +189,7 @@
 // startUpstream starts the stand-in of one upstream on a free port and puts
 // its address into the configuration.
 func (f *Fleet) startUpstream(u *policy.Upstream) error {
-	listener, err := listen("127.0.0.1:0")
+	listener, err := f.options.Network.Listen(string(u.ID), u.Region, freePort)
 	if err != nil {
 		return err
 	}
@@ -203,7 +227,10 @@
 
 // Propose brings a configuration into the log through the platform.
 func (f *Fleet) Propose(ctx context.Context, document *policy.Document, message string) (configlog.Result, error) {
-	client, err := platformclient.New(f.platformURL, platformclient.Options{Name: "operator"})
+	client, err := platformclient.New(f.platformURL, platformclient.Options{
+		Name:      OperatorHost,
+		Transport: httpsend.Options{Dial: f.options.Network.Dial(OperatorHost)},
+	})
 	if err != nil {
 		return configlog.Result{}, err
 	}
@@ -226,19 +253,19 @@
 	return result, err
 }
 
-func (f *Fleet) startDaemon(i int, address string) error {
-	listener, err := listen(address)
+func (f *Fleet) startDaemon(i int, id domain.DaemonID, address string) error {
+	region := &f.Document.Regions[i%len(f.Document.Regions)]
+	zone := region.Zones[(i/len(f.Document.Regions))%len(region.Zones)]
+	listener, err := f.options.Network.Listen(string(id), region.ID, address)
 	if err != nil {
 		return err
 	}
-	region := &f.Document.Regions[i%len(f.Document.Regions)]
-	zone := region.Zones[(i/len(f.Document.Regions))%len(region.Zones)]
-	id := domain.DaemonID(fmt.Sprintf("daemon-%d", i+1))
-	client, err := platformclient.New(f.platformURL, platformclient.Options{Name: string(id)})
+	sending := httpsend.Options{Dial: f.options.Network.Dial(string(id))}
+	client, err := platformclient.New(f.platformURL, platformclient.Options{Name: string(id), Transport: sending})
 	if err != nil {
 		return err
 	}
-	peers, err := listen("127.0.0.1:0")
+	peers, err := f.options.Network.Listen(string(id), region.ID, freePort)
 	if err != nil {
 		return err
 	}
@@ -252,13 +279,15 @@
 		Boot:    uuid.NewString(),
 		Callers: listener,
 		Caller:  callerhttp.Options{},
-		Peers: peerws.New(peerws.Config{
+		Peers: f.options.Peers(id, peerws.New(peerws.Config{
 			Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region.ID, Zone: zone},
 			Listener: peers,
-		}),
+			Dial:     sending.Dial,
+		})),
 		PeerAddress:   peerAddress,
 		Platform:      client,
-		Upstream:      engineclient.Options{},
+		Upstream:      engineclient.Options{Transport: sending},
+		Seed:          f.options.seed(i),
 		ShutdownBound: 30 * time.Second,
 		Log:           f.options.Log(string(id)),
 		Metrics:       metrics,
@@ -302,6 +331,12 @@
 	}
 }
 
+// Done is closed when the daemon has ended.
+func (m *Member) Done() <-chan struct{} { return m.done }
+
+// BeginStop starts a graceful stop and does not wait for it.
+func (m *Member) BeginStop() { m.stop() }
+
 // Stop stops one daemon gracefully and waits for it.
 func (m *Member) Stop() error {
 	m.stop()
