Start daemons from peers while the platform is down

Cause: a daemon that started during an outage stayed unready, although its peers hold the configuration.

Change: a starting daemon asks its seeds and the daemons that they name with GET /v1/startup on the peer listener until it is ready, and gives their roster to the mesh. Suspected daemons count in the roster, because a daemon that hears nobody would otherwise be a majority by itself.

--- a/internal/adapters/peerws/startup.go
+++ b/internal/adapters/peerws/startup.go
@@ -41,7 +41,8 @@
 	// Ready is false while the peer itself has not finished starting.
 	Ready    bool            `cbor:"2,keyasint,omitempty"`
 	Revision domain.Revision `cbor:"3,keyasint,omitempty"`
-	// Roster lists the live daemons of the asking daemon's region.
+	// Roster lists the live and suspected daemons of the asking daemon's
+	// region.
 	Roster []ports.Member `cbor:"4,keyasint,omitempty"`
 	// Document is the revision in force, if it is newer than Have.
 	Document *configlog.Document `cbor:"5,keyasint,omitempty"`
--- a/internal/daemon/startup.go
+++ b/internal/daemon/startup.go
@@ -35,7 +35,7 @@
 		Peer:     d.cluster.member(),
 		Ready:    d.watcher.Readiness().Ready,
 		Revision: doc.Revision,
-		Roster:   d.cluster.view.Load().Live(q.Region),
+		Roster:   d.cluster.inRegion(q.Region),
 	}
 	if doc.Revision > q.Have {
 		answer.Document = &doc
@@ -43,6 +43,19 @@
 	return answer
 }
 
+// inRegion lists the live and suspected daemons of a region. Suspects count,
+// because they may be alive behind a broken link: without them a daemon that
+// hears nobody would be a majority by itself.
+func (c *cluster) inRegion(region domain.Region) []ports.Member {
+	var members []ports.Member
+	for _, m := range c.view.Load().Members() {
+		if m.Region == region {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // member describes this run of the daemon.
 func (c *cluster) member() ports.Member {
 	m := c.self
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 	// Daemons is the number of daemons; they are spread over the regions.
 	// Default 2.
 	Daemons int
+	// Region places all daemons in one region. Empty spreads them.
+	Region domain.Region
 	// Callers is the address of the first daemon's caller listener; the other
 	// daemons take free ports. Default 127.0.0.1:0.
 	Callers string
@@ -74,6 +77,7 @@
 	Region  domain.Region
 	URL     string // of the caller listener
 	Metrics *telemetry.Metrics
+	peers   string // address of the peer listener
 	stop    context.CancelFunc
 	done    chan struct{}
 	err     error
@@ -231,8 +235,7 @@
 	if err != nil {
 		return err
 	}
-	region := &f.Document.Regions[i%len(f.Document.Regions)]
-	zone := region.Zones[(i/len(f.Document.Regions))%len(region.Zones)]
+	region, zone := f.place(i)
 	id := domain.DaemonID(fmt.Sprintf("daemon-%d", i+1))
 	client, err := platformclient.New(f.platformURL, platformclient.Options{Name: string(id)})
 	if err != nil {
@@ -243,26 +246,31 @@
 		return err
 	}
 	peerAddress := peers.Addr().String()
+	mesh := peerws.Config{
+		Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region, Zone: zone},
+		Listener: peers,
+	}
+	transport := peerws.New(mesh)
 	metrics := telemetry.NewMetrics()
-	m := &Member{ID: id, Region: region.ID, URL: "http://" + listener.Addr().String(), Metrics: metrics, done: make(chan struct{})}
+	m := &Member{ID: id, Region: region, URL: "http://" + listener.Addr().String(), Metrics: metrics, peers: peerAddress, done: make(chan struct{})}
 	m.Daemon = daemon.New(daemon.Config{
-		ID:      id,
-		Region:  region.ID,
-		Zone:    zone,
-		Boot:    uuid.NewString(),
-		Callers: listener,
-		Caller:  callerhttp.Options{},
-		Peers: peerws.New(peerws.Config{
-			Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region.ID, Zone: zone},
-			Listener: peers,
-		}),
+		ID:            id,
+		Region:        region,
+		Zone:          zone,
+		Boot:          uuid.NewString(),
+		Callers:       listener,
+		Caller:        callerhttp.Options{},
+		Peers:         transport,
 		PeerAddress:   peerAddress,
+		Seeds:         f.seeds(),
+		Asker:         peerws.NewAsker(mesh),
 		Platform:      client,
 		Upstream:      engineclient.Options{},
 		ShutdownBound: 30 * time.Second,
 		Log:           f.options.Log(string(id)),
 		Metrics:       metrics,
 	})
+	transport.Handle("GET "+peerws.StartupPath, m.StartupHandler())
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
 	f.Members = append(f.Members, m)
@@ -274,6 +282,26 @@
 	return nil
 }
 
+// place returns the region and zone of the daemon with an index.
+func (f *Fleet) place(i int) (domain.Region, domain.AvailabilityZone) {
+	regions := f.Document.Regions
+	at := slices.IndexFunc(regions, func(r policy.Region) bool { return r.ID == f.options.Region })
+	if at >= 0 {
+		return regions[at].ID, regions[at].Zones[i%len(regions[at].Zones)]
+	}
+	region := &regions[i%len(regions)]
+	return region.ID, region.Zones[(i/len(regions))%len(region.Zones)]
+}
+
+// seeds lists the peer addresses of the daemons that run already.
+func (f *Fleet) seeds() []string {
+	seeds := make([]string, len(f.Members))
+	for i, m := range f.Members {
+		seeds[i] = m.peers
+	}
+	return seeds
+}
+
 // WaitReady waits until every daemon is ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, m := range f.Members {
