--- a/cmd/auburndyke/main.go
+++ b/cmd/auburndyke/main.go
@@ -2,16 +2,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/cli"
 )
 
 func main() {
-	err := cli.NewRootCommand().Execute()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.Exit(cli.ExitCode(err))
+	os.Exit(cli.Main())
 }
--- a/internal/adapters/certs/certs_test.go
+++ b/internal/adapters/certs/certs_test.go
@@ -81,7 +81,7 @@
 }
 
 // handshake returns both sides' errors and what the client saw.
-func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error, state tls.ConnectionState) {
+func handshake(t *testing.T, server, client *tls.Config) (state tls.ConnectionState, serverErr, clientErr error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
@@ -109,7 +109,7 @@
 		_, clientErr = c.Read(make([]byte, 1))
 	}
 	_ = raw.Close()
-	return <-done, clientErr, c.ConnectionState()
+	return c.ConnectionState(), <-done, clientErr
 }
 
 // Guards against daemons that accept a stranger, or one daemon that speaks for
@@ -120,21 +120,21 @@
 	client := open(t, ours.issue(t, t.TempDir(), "entry-2", 3), telemetry.NopLog())
 	stranger := open(t, strange.issue(t, t.TempDir(), "entry-2", 4), telemetry.NopLog())
 
-	serverErr, clientErr, state := handshake(t, server.Server(), client.Peer())
+	state, serverErr, clientErr := handshake(t, server.Server(), client.Peer())
 	assert.NilError(t, serverErr)
 	assert.NilError(t, clientErr)
 	assert.NilError(t, VerifyPeer(&state, &ports.Hello{Member: ports.Member{Daemon: "entry-1"}}))
 	assert.ErrorContains(t, VerifyPeer(&state, &ports.Hello{Member: ports.Member{Daemon: "entry-2"}}), "does not belong")
 	assert.ErrorContains(t, VerifyPeer(nil, &ports.Hello{}), "no certificate")
 
-	serverErr, _, _ = handshake(t, server.Server(), &tls.Config{InsecureSkipVerify: true})
+	_, serverErr, _ = handshake(t, server.Server(), &tls.Config{InsecureSkipVerify: true})
 	assert.ErrorContains(t, serverErr, "certificate")
-	_, clientErr, _ = handshake(t, stranger.Server(), client.Peer())
+	_, _, clientErr = handshake(t, stranger.Server(), client.Peer())
 	assert.ErrorContains(t, clientErr, "unknown authority")
 	// The client must not trust the server for this part of the check.
 	blind := stranger.Peer()
 	blind.VerifyConnection = nil
-	serverErr, _, _ = handshake(t, server.Server(), blind)
+	_, serverErr, _ = handshake(t, server.Server(), blind)
 	assert.ErrorContains(t, serverErr, "unknown authority")
 }
 
@@ -147,7 +147,7 @@
 	server := open(t, callers, telemetry.NopLog())
 	client := open(t, settings.TLS{CAFile: files.CAFile}, telemetry.NopLog())
 	for host, want := range map[string]string{"platform.internal": "", "127.0.0.1": "", "other.internal": "certificate is valid for"} {
-		_, err, _ := handshake(t, server.Server(), client.Client(host))
+		_, _, err := handshake(t, server.Server(), client.Client(host))
 		if want == "" {
 			assert.NilError(t, err, host)
 			continue
@@ -158,7 +158,7 @@
 
 func serial(t *testing.T, server, client *Source) int64 {
 	time.Sleep(2 * testInterval)
-	_, err, state := handshake(t, server.Server(), client.Peer())
+	state, _, err := handshake(t, server.Server(), client.Peer())
 	assert.NilError(t, err)
 	return state.PeerCertificates[0].SerialNumber.Int64()
 }
@@ -187,6 +187,6 @@
 	other := newAuthority(t)
 	write(t, filepath.Join(dir, "ca.pem"), other.pem)
 	time.Sleep(2 * testInterval)
-	serverErr, _, _ := handshake(t, server.Server(), client.Peer())
+	_, serverErr, _ := handshake(t, server.Server(), client.Peer())
 	assert.ErrorContains(t, serverErr, "unknown authority")
 }
--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -1,7 +1,10 @@
-// Package cli holds the commands of the auburndyke binary.
 package cli
 
 import (
+	"errors"
+	"fmt"
+	"os"
+
 	"github.com/spf13/cobra"
 )
 
@@ -13,13 +16,18 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(
-		newServeCommand(),
-		newDevCommand(),
-		newStandinCommand(),
-		NewConfigCommand(),
-		NewExplainCommand(),
-		NewCommand(),
-	)
+	root.AddCommand(newServeCommand(), newDevCommand(), newStandinCommand(), NewConfigCommand(), NewExplainCommand(), NewReplayCommand(),
+		NewUpstreamCommand(), NewStatusCommand(), newCapacityCommand())
 	return root
 }
+
+// Main runs the command line and returns the process's exit code.
+func Main() int {
+	err := NewRootCommand().Execute()
+	var exit *ExitError
+	// Findings have been printed by the command itself.
+	if err != nil && (!errors.As(err, &exit) || exit.Err != nil) {
+		fmt.Fprintln(os.Stderr, "auburndyke:", err)
+	}
+	return ExitCode(err)
+}
--- a/internal/adapters/cli/serve.go
+++ b/internal/adapters/cli/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/net/netutil"
 
+	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/certs"
 	"github.com/auburndyke/auburndyke/internal/adapters/httpsend"
@@ -24,6 +26,7 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/platformclient"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/daemon"
+	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/settings"
 )
@@ -124,6 +127,7 @@
 		Callers:       callers,
 		Caller:        callerOptions(&s.Caller),
 		Admin:         admin,
+		AdminOptions:  adminhttp.Options{Bootstrap: operators(s.Admin.TokenHashes)},
 		Peers:         transport,
 		PeerAddress:   s.Peer.Advertise,
 		Seeds:         s.Peer.Seeds,
@@ -137,6 +141,16 @@
 	return d, nil
 }
 
+// operators lets the tokens of the settings act until the configuration in
+// force names its own.
+func operators(hashes []policy.KeyHash) []policy.AdminToken {
+	tokens := make([]policy.AdminToken, len(hashes))
+	for i, h := range hashes {
+		tokens[i] = policy.AdminToken{ID: fmt.Sprintf("settings-%d", i+1), Hash: h, Role: policy.RoleOperator}
+	}
+	return tokens
+}
+
 func callerOptions(s *settings.Caller) callerhttp.Options {
 	return callerhttp.Options{
 		MaxBodyBytes:   s.MaxBody,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,10 +13,12 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
+	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -36,6 +38,9 @@
 	// Callers accepts callers' connections.
 	Callers net.Listener
 	Caller  callerhttp.Options
+	// Admin accepts operators' connections. Nil means no administration API.
+	Admin        net.Listener
+	AdminOptions adminhttp.Options
 	// Peers exchanges frames with other daemons.
 	Peers ports.PeerTransport
 	// PeerAddress is the IP:port that other daemons connect to.
@@ -46,9 +51,6 @@
 	Seeds []string
 	// Asker asks them. It is required with Seeds.
 	Asker *peerws.Asker
-	// Admin accepts connections for health checks and metrics. Nil serves
-	// none.
-	Admin net.Listener
 	// Platform is the platform's client.
 	Platform ports.Platform
 	// Upstream sets up the clients of upstreams.
@@ -56,8 +58,11 @@
 	// ShutdownBound is how long a planned stop waits for requests in
 	// progress. Default 2 min.
 	ShutdownBound time.Duration
-	Log           *telemetry.Log
-	Metrics       *telemetry.Metrics
+	// LameDuck is how long a stopping daemon is unready but still accepts
+	// requests, so that the load balancer notices first. Default 0.
+	LameDuck time.Duration
+	Log      *telemetry.Log
+	Metrics  *telemetry.Metrics
 	// Seed feeds all random choices. Zero takes a random one.
 	Seed uint64
 }
@@ -71,10 +76,13 @@
 	gateway  *gateway.Gateway
 	claims   *claims.Claims
 	watcher  *configlog.Watcher
+	proposer *configlog.Proposer
 	backends *backends
 	policy   atomic.Pointer[policy.Policy]
-	previous configlog.Document // enforced before; used by the watcher's goroutine
+	document atomic.Pointer[policy.Document] // of the same revision
+	previous configlog.Document              // enforced before; used by the watcher's goroutine
 	cluster  *cluster
+	director *director
 	rebuild  chan struct{}
 	applying sync.Mutex // serializes changes of the request path's snapshot
 	callers  *http.Server
@@ -91,6 +99,7 @@
 	d := &Daemon{cfg: cfg, backends: newBackends(cfg.Upstream), rebuild: make(chan struct{}, 1)}
 	d.seeds.Store(cfg.Seed)
 	d.cluster = newCluster(d, cfg.Peers)
+	d.director = newDirector(d)
 	d.claims = claims.New(claims.Config{
 		Table: cfg.Platform,
 		Owner: d.cluster.owner,
@@ -106,6 +115,7 @@
 		Fresh:   d.cluster.evidence.fresh,
 	})
 	d.watcher = configlog.NewWatcher(cfg.Platform, cfg.ID, cfg.Region, d.rng(), d.configurationHooks())
+	d.proposer = configlog.NewProposer(cfg.Platform, administration.Merger{}, d.rng)
 	d.callers = callerhttp.NewServer(d.gateway, cfg.Caller)
 	return d
 }
@@ -130,6 +140,7 @@
 	// still need it.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	d.cluster.ctx = background
 	var group run.Group
 	group.Add(func() error {
 		<-ctx.Done()
@@ -175,19 +186,39 @@
 		d.rebuildLoop,
 		d.pumpLoop,
 		d.loadLoop,
+		d.housekeeping,
+		d.serveAdmin,
 	}
 	if len(d.cfg.Seeds) > 0 {
 		loops = append(loops, d.askLoop)
 	}
-	if d.cfg.Admin != nil {
-		loops = append(loops, d.adminLoop)
-	}
+	loops = append(loops, d.director.loops()...)
 	return append(loops, d.cluster.loops()...)
 }
 
+// serveAdmin serves operators until ctx ends, which is after the requests in
+// progress have ended.
+func (d *Daemon) serveAdmin(ctx context.Context) error {
+	if d.cfg.Admin == nil {
+		<-ctx.Done()
+		return nil
+	}
+	options := d.cfg.AdminOptions
+	options.Log, options.Metrics = d.cfg.Log, d.cfg.Metrics
+	server := adminhttp.NewServer(d.Control(), options)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(d.cfg.Admin); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "administration listener failed")
+	}
+	return nil
+}
+
 // shutdown waits for requests in progress, up to the bound.
 func (d *Daemon) shutdown() {
 	d.cfg.Log.Event(telemetry.ShutdownStarted).Int("in_progress", d.gateway.InProgress()).Msg("")
+	d.gateway.Retire()
+	time.Sleep(d.cfg.LameDuck)
 	d.gateway.StopAccepting()
 	bound, cancel := context.WithTimeout(context.Background(), d.cfg.ShutdownBound)
 	defer cancel()
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -31,6 +31,9 @@
 	"github.com/auburndyke/auburndyke/internal/standin/service"
 )
 
+// AdminToken is the operator's token in a development fleet.
+const AdminToken = "dev-operator-token"
+
 // Options configures a Fleet.
 type Options struct {
 	// Example names the configuration. Default "maraval-bay".
@@ -76,6 +79,7 @@
 	ID      domain.DaemonID
 	Region  domain.Region
 	URL     string // of the caller listener
+	Admin   string // URL of the administration listener
 	Metrics *telemetry.Metrics
 	peers   string // address of the peer listener
 	stop    context.CancelFunc
@@ -127,6 +131,7 @@
 	if f.options.Edit != nil {
 		f.Document = f.options.Edit(f.Document)
 	}
+	f.Document = f.Document.PutAdminToken(policy.AdminToken{ID: "dev", Hash: policy.HashKey(AdminToken), Role: policy.RoleOperator})
 	if err := f.startPlatform(); err != nil {
 		return err
 	}
@@ -246,13 +251,20 @@
 		return err
 	}
 	peerAddress := peers.Addr().String()
+	admin, err := listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
 	mesh := peerws.Config{
 		Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region, Zone: zone},
 		Listener: peers,
 	}
 	transport := peerws.New(mesh)
 	metrics := telemetry.NewMetrics()
-	m := &Member{ID: id, Region: region, URL: "http://" + listener.Addr().String(), Metrics: metrics, peers: peerAddress, done: make(chan struct{})}
+	m := &Member{
+		ID: id, Region: region, Metrics: metrics, peers: peerAddress, done: make(chan struct{}),
+		URL: "http://" + listener.Addr().String(), Admin: "http://" + admin.Addr().String(),
+	}
 	m.Daemon = daemon.New(daemon.Config{
 		ID:            id,
 		Region:        region,
@@ -264,6 +276,7 @@
 		PeerAddress:   peerAddress,
 		Seeds:         f.seeds(),
 		Asker:         peerws.NewAsker(mesh),
+		Admin:         admin,
 		Platform:      client,
 		Upstream:      engineclient.Options{},
 		ShutdownBound: 30 * time.Second,
