--- a/internal/adapters/cli/cli.go
+++ b/internal/adapters/cli/cli.go
@@ -18,12 +18,12 @@
 	ExitOK       = 0 // no finding is an error
 	ExitFindings = 1 // the configuration has errors
 	ExitUsage    = 2 // wrong arguments, or a file cannot be read
-	ExitFailure  = 3 // a process could not start, or failed while it ran
+	ExitFailure  = 8 // a process could not start, or failed while it ran
 )
 
 const exitCodesHelp = `
 Exit codes: 0 no errors (there may be warnings), 1 the configuration has
-errors, 2 wrong arguments or unreadable file, 3 the process failed.`
+errors, 2 wrong arguments or unreadable file, 8 a process could not start or failed.`
 
 // ExitError ends a command with an exit code.
 type ExitError struct {
