--- a/internal/adapters/cli/admin.go
+++ b/internal/adapters/cli/admin.go
@@ -278,7 +278,10 @@
 // repeat makes a call until its outcome is known, a few times at most. It
 // reports whether the daemon may have seen any of the calls.
 func (c *adminClient) repeat(ctx context.Context, r adminRequest) (resp adminResponse, sent bool, err error) {
-	for range changeAttempts {
+	for attempt := range changeAttempts {
+		if attempt > 0 && !pause(ctx, repeatDelay) {
+			return resp, sent, err
+		}
 		resp, err = c.do(ctx, r)
 		var unreachable *unreachableError
 		var answer *administration.ErrorAnswer
@@ -290,15 +293,20 @@
 		default:
 			return resp, true, err
 		}
-		select {
-		case <-ctx.Done():
-			return resp, sent, err
-		case <-time.After(repeatDelay):
-		}
 	}
 	return resp, sent, err
 }
 
+// pause waits and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // prepare fills in the base and the change id.
 func (c *adminClient) prepare(ctx context.Context, o *changeOptions, r *adminRequest) error {
 	if o.base == "" {
--- a/internal/adapters/cli/status.go
+++ b/internal/adapters/cli/status.go
@@ -55,10 +55,8 @@
 				return err
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !pause(ctx, interval) {
 			return nil
-		case <-time.After(interval):
 		}
 	}
 }
--- a/internal/adapters/cli/upstream.go
+++ b/internal/adapters/cli/upstream.go
@@ -216,16 +216,14 @@
 				writeDrain(p, d)
 			}
 		}
-		if last.Phase == administration.PhaseReleasable {
+		if last.Phase.Ended() {
 			return p.err
 		}
 		if time.Now().After(deadline) {
 			return &ExitError{ExitUnavailable, fmt.Errorf("upstream %s is not releasable after %s; its drain goes on", id, wait)}
 		}
-		select {
-		case <-ctx.Done():
+		if !pause(ctx, drainPollInterval) {
 			return ctx.Err()
-		case <-time.After(drainPollInterval):
 		}
 	}
 }
--- a/internal/administration/fleet.go
+++ b/internal/administration/fleet.go
@@ -16,8 +16,12 @@
 	PhaseDraining   DrainPhase = "draining"
 	PhaseQuiet      DrainPhase = "quiet"
 	PhaseReleasable DrainPhase = "releasable"
+	PhaseGone       DrainPhase = "gone"
 )
 
+// Ended reports whether an upstream in this phase may be returned.
+func (p DrainPhase) Ended() bool { return p == PhaseReleasable || p == PhaseGone }
+
 // Drain is the state of one upstream's drain.
 type Drain struct {
 	Upstream domain.UpstreamID `json:"upstream"`
@@ -38,11 +42,11 @@
 	Rank    int           `json:"rank"`
 	Queued  int           `json:"queued"`
 	Running int           `json:"running"`
-	// Finished and Met count the recent requests and those within target;
-	// together they give the attainment.
+	// Finished and Met count the requests since the daemon started and those
+	// within target; together they give the attainment.
 	Finished int64 `json:"finished"`
 	Met      int64 `json:"met"`
-	// Sheds counts the recent requests that were shed.
+	// Sheds counts the requests that were shed since the daemon started.
 	Sheds int64 `json:"sheds"`
 }
 
