--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -16,8 +16,17 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newDevCommand(), NewConfigCommand(), NewExplainCommand(), NewReplayCommand(),
-		NewUpstreamCommand(), NewStatusCommand(), newCapacityCommand())
+	root.AddCommand(
+		newServeCommand(),
+		newDevCommand(),
+		newStandinCommand(),
+		NewConfigCommand(),
+		NewExplainCommand(),
+		NewUpstreamCommand(),
+		NewStatusCommand(),
+		NewReplayCommand(),
+		newCapacityCommand(),
+	)
 	return root
 }
 
