Group equal effects of a change in the text output

Cause: a drain of one upstream of the example printed 44 lines that differ in customer and class only. Change: one line for all pairs that are affected alike, with bounded lists; a test of health and metrics. Conclusion: JSON is unchanged.

--- a/internal/adapters/adminhttp/safety_test.go
+++ b/internal/adapters/adminhttp/safety_test.go
@@ -12,6 +12,7 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/standin/control"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
 )
 
@@ -127,6 +128,22 @@
 	assert.Equal(t, b.call("GET", "/admin/v1/config", callOptions{header: header}).Code, http.StatusUnauthorized)
 }
 
+// Guards against health answers that need a token or lie about readiness, and
+// against metrics that miss the administration calls.
+func TestHealthAndMetrics(t *testing.T) {
+	b := newBench(t, adminhttp.Options{})
+	b.accepted("PATCH", lessonLabels, label("one", "1", "night"))
+	b.call("GET", "/admin/v1/status", callOptions{})
+	assert.Equal(t, b.call("GET", "/healthz", callOptions{}).Code, http.StatusOK)
+	assert.Equal(t, b.call("GET", "/readyz", callOptions{}).Code, http.StatusOK)
+	metrics := b.call("GET", "/metrics", callOptions{}).Body.String()
+	for _, want := range []string{`auburndyke_admin_changes_total{verdict="accepted"} 1`, `auburndyke_admin_refused_total{reason="unauthenticated"} 1`} {
+		assert.Assert(t, strings.Contains(metrics, want), metrics)
+	}
+	b.handler = adminhttp.NewServer(control.New(b.store), adminhttp.Options{}).Handler
+	assert.Equal(t, b.call("GET", "/readyz", callOptions{}).Code, http.StatusServiceUnavailable)
+}
+
 // Guards against bootstrap tokens that stay valid next to configured ones.
 func TestBootstrapToken(t *testing.T) {
 	bootstrap := administration.BootstrapTokens(policy.HashKey("boot"))
--- a/internal/adapters/cli/cli_test.go
+++ b/internal/adapters/cli/cli_test.go
@@ -91,6 +91,12 @@
 	assert.Equal(t, report.Changes[0].Fields[0].Field, "upstreams")
 	assert.Equal(t, len(report.Impact), 3)
 	assert.Equal(t, len(report.Impact[0].Lost), 3)
+	text, code := run("config", "diff", base, changed)
+	assert.Equal(t, code, ExitOK, text)
+	for _, pair := range report.Impact {
+		assert.Assert(t, strings.Contains(text, string(pair.Customer)+" "+string(pair.Class)), text)
+	}
+	assert.Assert(t, strings.Contains(text, "loses ["+string(report.Impact[0].Lost[0])), text)
 	out, code = run("config", "diff", "--output=json", base, base)
 	assert.Equal(t, code, ExitOK)
 	assert.Equal(t, out, "{\n  \"changes\": [],\n  \"impact\": []\n}\n")
--- a/internal/adapters/cli/config.go
+++ b/internal/adapters/cli/config.go
@@ -6,9 +6,11 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
+	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/findings"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/settings"
@@ -182,16 +184,63 @@
 		}
 	}
 	p.printf("%d changes; %d pairs of customer and class affected\n", len(report.Changes), len(report.Impact))
-	for _, c := range report.Impact {
-		p.printf("  %s %s: tier %s -> %s, service level %s -> %s, gains %v, loses %v",
-			c.Customer, c.Class, orNone(string(c.OldTier)), orNone(string(c.NewTier)),
-			orNone(c.OldLevel), orNone(c.NewLevel), c.Gained, c.Lost)
-		if c.LeftWithout {
-			p.printf(" and has no upstream left")
+	writeImpact(p, report.Impact)
+	return p.err
+}
+
+// maxNamedPairs bounds the pairs of customer and class that one line names.
+const maxNamedPairs = 4
+
+// writeImpact prints one line for all pairs that are affected alike.
+func writeImpact(p *printer, impact []policy.RouteChange) {
+	pairs := map[string][]string{}
+	var effects []string
+	for _, c := range impact {
+		effect := effectText(c)
+		if pairs[effect] == nil {
+			effects = append(effects, effect)
+		}
+		pairs[effect] = append(pairs[effect], fmt.Sprintf("%s %s", c.Customer, c.Class))
+	}
+	for _, effect := range effects {
+		list := pairs[effect]
+		p.printf("  %s: %s", effect, strings.Join(list[:min(len(list), maxNamedPairs)], ", "))
+		if more := len(list) - maxNamedPairs; more > 0 {
+			p.printf(" and %d more", more)
 		}
 		p.printf("\n")
 	}
-	return p.err
+}
+
+// maxNamedUpstreams bounds the upstreams that one line names on each side.
+const maxNamedUpstreams = 8
+
+func idsText(ids []domain.UpstreamID) string {
+	if more := len(ids) - maxNamedUpstreams; more > 0 {
+		return fmt.Sprintf("%v and %d more", ids[:maxNamedUpstreams], more)
+	}
+	return fmt.Sprint(ids)
+}
+
+// effectText says what changes for one customer and class.
+func effectText(c policy.RouteChange) string {
+	var parts []string
+	if c.OldTier != c.NewTier {
+		parts = append(parts, fmt.Sprintf("tier %s -> %s", orNone(string(c.OldTier)), orNone(string(c.NewTier))))
+	}
+	if c.OldLevel != c.NewLevel {
+		parts = append(parts, fmt.Sprintf("service level %s -> %s", orNone(c.OldLevel), orNone(c.NewLevel)))
+	}
+	if len(c.Gained) > 0 {
+		parts = append(parts, "gains "+idsText(c.Gained))
+	}
+	if len(c.Lost) > 0 {
+		parts = append(parts, "loses "+idsText(c.Lost))
+	}
+	if c.LeftWithout {
+		parts = append(parts, "has no upstream left")
+	}
+	return strings.Join(parts, ", ")
 }
 
 func orNone(text string) string {
