--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -20,7 +20,7 @@
 	slotReserve = 1
 	// lowSlotReserve is the same for tiers that do not preempt, so that urgent
 	// work of other daemons finds a free slot instead of preempting.
-	lowSlotReserve = 2
+	lowSlotReserve = 3
 	// refusalPause keeps new work away from an upstream that refused some.
 	refusalPause = 250 * time.Millisecond
 	// warmup is how long the limit of a new or returning upstream grows.
