Test the call state machine against late answers

Cause: NewCall and Answered were not covered; RunCall uses the machine without them. Change: a test with answers of an abandoned and of the accepted attempt. Before and after: go test -race ./internal/exchange passes; no change of code. Conclusion: one answer reaches the caller.

--- a/internal/exchange/runner_test.go
+++ b/internal/exchange/runner_test.go
@@ -379,3 +379,24 @@
 		assert.Equal(t, len(first.cancelled), 1)
 	})
 }
+
+// TestCallHasOneAnswer guards against a late answer of an earlier attempt that
+// reaches the caller beside the accepted one.
+func TestCallHasOneAnswer(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	c := NewCall(Config{Request: "r", Repeatable: true}, nil)
+	c.Admitted(now, "a")
+	c.Failed(now, 0, 0, ports.ErrStreamBroken)
+	c.Picked(now, "b")
+	emitted := 0
+	for _, n := range []int{0, 1, 1, 0} {
+		for _, action := range c.Answered(now, n) {
+			if action.Kind == ActionEmit {
+				emitted++
+				assert.Equal(t, action.Event.Attempt, domain.AttemptID("r.1"))
+			}
+		}
+	}
+	assert.Equal(t, emitted, 1)
+	assert.Assert(t, c.Done())
+}
