--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -105,7 +105,7 @@
 			table(strings.ToUpper(string(role)[:1])+string(role)[1:], "kind", "quantity", "planned", "today", "unit", "limit", "arithmetic", "mechanism")
 		}
 		now := today[string(f.Role)+f.Kind+f.Name]
-		row(f.Kind, f.Name, marked(f), marked(now), f.Unit, number(f.Limit), f.Basis, f.Mechanism)
+		row(f.Kind, f.Name, marked(f), marked(now), f.Unit, limitOf(f), f.Basis, f.Mechanism)
 	}
 	table("Slopes", "slope", "x", "y", "unit", "range of x", "measured y", "slope", "intercept", "R²", "note")
 	for i := range r.Slopes {
@@ -116,6 +116,13 @@
 	}
 }
 
+func limitOf(f *Figure) string {
+	if f.Limit == 0 {
+		return ""
+	}
+	return number(f.Limit)
+}
+
 // marked shows a value and whether it breaks its limit.
 func marked(f *Figure) string {
 	switch {
