--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -26,15 +26,17 @@
 // none that does not.
 func (d *Daemon) enforce(doc configlog.Document) {
 	name := fmt.Sprintf("revision-%d", doc.Revision)
-	_, compiled, list := policy.Load(doc.Revision, policy.Source{Name: name, Data: doc.Content})
+	document, compiled, list := policy.Load(doc.Revision, policy.Source{Name: name, Data: doc.Content})
 	if compiled == nil {
 		d.rejectRevision(doc, list)
 		return
 	}
+	d.document.Store(document)
 	d.policy.Store(compiled)
 	d.apply(time.Now())
 	d.cluster.upstreamsChanged(compiled)
 	d.cluster.announce(d.previous, doc)
+	go d.director.configured(d.cluster.ctx, compiled)
 	d.previous = doc
 	d.cfg.Metrics.Gauge("auburndyke_revision").Update(float64(doc.Revision))
 	d.cfg.Log.Event(telemetry.ConfigurationInForce).Uint64("revision", uint64(doc.Revision)).
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	mib = 1 << 20
 
 	defaultShutdownBound     = 25 * time.Second
+	defaultLameDuck          = 3 * time.Second
 	defaultMaxBody           = 4 * mib
 	defaultMaxHeader         = 64 * kib
 	defaultMaxConnections    = 4096
@@ -50,6 +51,10 @@
 	// ShutdownBound is how long a stop waits for requests in progress. Zero
 	// does not wait. Default 25s.
 	ShutdownBound time.Duration `toml:"shutdown_bound"`
+	// LameDuck is how long a stopping daemon answers readiness checks with
+	// "unready" while it still accepts requests, so that the load balancer
+	// notices first. Default 3s.
+	LameDuck time.Duration `toml:"lame_duck"`
 
 	Caller   Caller   `toml:"caller"`
 	Admin    Admin    `toml:"admin"`
@@ -139,6 +144,7 @@
 func (s *Settings) SetDefaults() {
 	s.LogLevel = LogInfo
 	s.ShutdownBound = defaultShutdownBound
+	s.LameDuck = defaultLameDuck
 	s.Caller.SetDefaults()
 	s.Platform.SetDefaults()
 }
