--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -89,7 +89,7 @@
 	planned := Planned()
 	sizes := []int{8, 32, 128, 512, 2500}
 	if r.options.smoke {
-		sizes = sizes[:3]
+		sizes = sizes[:2]
 	}
 	for _, n := range sizes {
 		all, err := newBench(n, 1, 0)
@@ -186,7 +186,11 @@
 	for i := range Planned().Tiers {
 		tiers = append(tiers, policy.Tier{ID: domain.TierID(fmt.Sprint("tier-", i)), Rank: i, MinShare: 0.02})
 	}
-	for _, waiting := range []int{10, 100, 1000, 10_000} {
+	counts := []int{10, 100, 1000, 10_000}
+	if r.options.smoke {
+		counts = counts[:2]
+	}
+	for _, waiting := range counts {
 		q := admission.NewQueue(tiers)
 		now := time.Unix(1_700_000_000, 0)
 		id := 0
@@ -214,7 +218,11 @@
 // measureLookups measures limiter and policy lookups against the number of
 // customers.
 func measureLookups(r *recorder, least time.Duration) error {
-	for _, n := range []int{10, 500, 2000} {
+	counts := []int{10, 500, 2000}
+	if r.options.smoke {
+		counts = counts[:1]
+	}
+	for _, n := range counts {
 		s := Planned()
 		s.Customers, s.Upstreams = n, 100
 		p, err := compiled(document(s))
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
 	"github.com/auburndyke/auburndyke/internal/adapters/platformclient"
@@ -77,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	e := engine.New(engine.Config{ID: upstreamID(0), Models: []string{string(modelID(0))}, Slots: slotsPerUp})
+	e := engine.New(engine.Config{ID: upstreamID(0), Models: []string{string(modelID(0))}, Slots: slotsPerUp, PrefillPerToken: time.Microsecond})
 	e.Start(m)
 	defer func() { _ = e.Close() }()
 	client, err := engineclient.New("http://"+m.Addr().String(), engineclient.Options{})
