--- a/internal/adapters/peerws/startup.go
+++ b/internal/adapters/peerws/startup.go
@@ -83,6 +83,7 @@
 	}
 	a.client = &http.Client{
 		Transport: &http.Transport{
+			DialContext:         cfg.Dial,
 			TLSClientConfig:     cfg.ClientTLS,
 			TLSHandshakeTimeout: handshakeTimeout,
 			DisableKeepAlives:   true,
