Tell routing since when a request waits

Cause: lower tiers wait for their own region before they go to another one, but the gateway did not say since when, so the wait did not act. Change: the query carries the request's arrival.

--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -97,7 +97,7 @@
 			return routing.Choice{}, false
 		}
 		query := j.query
-		query.Route, query.Policy = j.route, j.policy
+		query.Route, query.Policy, query.Since = j.route, j.policy, j.arrived
 		query.Exclude = indexes(p, tried)
 		query.Explain = j.gateway.explanation()
 		choice, ok := router.Pick(now, &query, rng)
