Keep serving in a platform outage without breaking drains

The strict rule of the drain gate would have stopped all serving 27 s into an outage, when no lease can be renewed. Ruled out: an order to refuse new work, since plain services take no orders. Change: new work needs a recent platform read, or a recent peer and at least half of the own region; an ended lease counts as stopped only if the VM has gone, a later run exists, or more than half of its region has acknowledged. The daemon uses drain.Gate instead of a rule of its own. Before and after: TestEndedLeasesOfCutOffRegion fails with the earlier acceptance rule (leave accepted with a whole region cut off) and passes with the new one; go test ./internal/drain and ./internal/dev pass.

--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -7,30 +7,47 @@
 
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/drain"
+	"github.com/auburndyke/auburndyke/internal/membership"
 	"github.com/auburndyke/auburndyke/internal/mesh"
+	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
-// evidence is what this daemon's view of leaves rests on. A daemon that hears
-// neither the platform nor any peer cannot learn of a leave and therefore
-// starts no new work, since the upstreams do not refuse it themselves.
+// evidence is what this daemon's view of leaves rests on; see drain.Gate.
 type evidence struct {
 	platform atomic.Int64 // start of the last successful read, Unix ns
 	peers    atomic.Int64 // when any neighbour was last heard, Unix ns
-	alone    atomic.Bool  // no other daemon is known
+	quorum   atomic.Bool
+	alone    atomic.Bool
 }
 
 func (e *evidence) platformRead(at time.Time) { e.platform.Store(at.UnixNano()) }
 
-// fresh reports whether new work may start now.
+// fresh reports whether new work may start now at upstreams that are not known
+// to leave. No upstream fences, since the upstream protocol has no such order.
 func (e *evidence) fresh(now time.Time) bool {
-	limit := now.Add(-drain.ViewLimit).UnixNano()
-	if e.platform.Load() >= limit || e.peers.Load() >= limit {
-		return true
+	verdict := drain.Gate(now, false, false, false, drain.Evidence{
+		PlatformRead: time.Unix(0, e.platform.Load()),
+		PeerHeard:    time.Unix(0, e.peers.Load()),
+		Quorum:       e.quorum.Load(),
+		Alone:        e.alone.Load(),
+	})
+	return verdict == drain.Allow
+}
+
+// observeRoster takes over what the roster says about the own region.
+func (e *evidence) observeRoster(v *membership.View, self ports.Member) {
+	total, live := 1, 1
+	for _, m := range v.Entries() {
+		if m.Region != self.Region || m.Daemon == self.Daemon {
+			continue
+		}
+		total++
+		if m.Status == membership.Live {
+			live++
+		}
 	}
-	// Without peers, only this daemon or the platform can accept a leave, and
-	// the platform is down or cut off. The operators of a single daemon prefer
-	// that it goes on.
-	return e.alone.Load()
+	e.quorum.Store(2*live >= total)
+	e.alone.Store(len(v.Entries()) <= 1)
 }
 
 // observeMesh asks the mesh when a neighbour was last heard.
@@ -46,7 +63,7 @@
 			c.peers.Store(&peers)
 		})
 	}()
-	c.evidence.alone.Store(len(c.view.Load().Members()) <= 1)
+	c.evidence.observeRoster(c.view.Load(), c.self)
 }
 
 func peerStatuses(n *mesh.Node) []administration.PeerStatus {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -217,9 +217,7 @@
 	fences := c.upstreams[d.fact.Upstream].Fences
 	stopped, idle := c.view != nil, true
 	for _, p := range d.participants {
-		// The end of a lease proves that the daemon stopped only for upstreams
-		// that do not fence; see Gate.
-		stopped = stopped && (p.acked || (p.ended && (d.fenced || !fences)))
+		stopped = stopped && (p.acked || (p.ended && (d.fenced || (!fences && c.stopsItself(d, p)))))
 		idle = idle && (p.idle() || (p.ended && d.runs == 0))
 	}
 	if !d.accepted && (d.fenced || stopped) {
@@ -244,6 +242,33 @@
 	}
 }
 
+// stopsItself tells whether a daemon whose lease has ended is known to send no
+// new work to an upstream that does not fence: its VM has gone, a later run of
+// it is in the roster, or more than half of its region has acknowledged, so that Gate stops it or a daemon that it hears has told
+// it. The end of the lease alone proves nothing, because a region that is cut
+// off from the platform goes on serving.
+func (c *Controller) stopsItself(d *drain, p *participant) bool {
+	if vm := c.vms[string(p.member.Daemon)]; vm != nil && !vm.missing.IsZero() {
+		return true
+	}
+	if c.view != nil {
+		if e, ok := c.view.Find(p.member.Daemon); ok && e.Incarnation > p.member.Incarnation {
+			return true
+		}
+	}
+	total, acked := 0, 0
+	for _, other := range d.participants {
+		if other.member.Region != p.member.Region {
+			continue
+		}
+		total++
+		if other.acked {
+			acked++
+		}
+	}
+	return 2*acked > total
+}
+
 // driveFence tells the upstream until it confirms, and now and then after.
 func (c *Controller) driveFence(now time.Time, d *drain) {
 	up, ok := c.upstreams[d.fact.Upstream]
--- a/internal/drain/fleet_test.go
+++ b/internal/drain/fleet_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +39,7 @@
 // node is one daemon: both cores and a load generator.
 type node struct {
 	id      domain.DaemonID
+	region  domain.Region
 	ctl     *Controller
 	holder  *Holder
 	facts   *mesh.State
@@ -99,7 +101,7 @@
 	core := membership.NewCore(membership.Config{Rand: w.rng})
 	var facts []ports.Fact
 	for _, n := range left {
-		facts = append(facts, ports.Fact{Kind: ports.FactDaemonJoined, Member: &ports.Member{Daemon: n.id, Incarnation: 1}})
+		facts = append(facts, ports.Fact{Kind: ports.FactDaemonJoined, Member: &ports.Member{Daemon: n.id, Incarnation: 1, Region: n.region}})
 	}
 	core.Handle(w.now, membership.FactsReceived{Facts: facts})
 	for _, n := range w.nodes {
@@ -213,9 +215,9 @@
 
 // load tries to start one request at each upstream now and then.
 func (w *world) load(n *node) {
-	evidence := Evidence{PlatformRead: w.now, PeerHeard: w.now, HoldsLease: true}
+	evidence := Evidence{PlatformRead: w.now, PeerHeard: w.now, Quorum: true}
 	if n.cut {
-		evidence = Evidence{PlatformRead: n.cutSince, PeerHeard: n.cutSince, HoldsLease: true}
+		evidence = Evidence{PlatformRead: n.cutSince, PeerHeard: n.cutSince, Quorum: true}
 	}
 	for _, id := range w.order {
 		target := w.targets[id]
@@ -364,6 +366,37 @@
 	assert.Assert(t, !w.targets["u00"].accepted.IsZero())
 }
 
+// Guards against a leave that is accepted over the head of a region that is cut
+// off and goes on serving, and against one that a single dead daemon blocks.
+func TestEndedLeasesOfCutOffRegion(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		cut      []int
+		accepted bool
+	}{
+		{"whole region cut off", []int{1, 2, 3}, false},
+		{"half of the region acknowledges", []int{1, 2}, false},
+		{"most of the region acknowledges", []int{3}, true},
+	} {
+		w := newWorld(t, 4, 2, false)
+		for _, n := range w.nodes[1:] {
+			n.region = "b"
+		}
+		w.roster(w.nodes)
+		w.run(2 * time.Second)
+		left := w.nodes
+		for _, i := range c.cut {
+			w.isolate(w.nodes[i])
+		}
+		left = slices.DeleteFunc(slices.Clone(left), func(n *node) bool { return n.cut })
+		w.leave(w.nodes[0], "u00")
+		w.run(2 * time.Second)
+		w.roster(left)
+		w.run(5 * time.Second)
+		assert.Equal(t, !w.targets["u00"].accepted.IsZero(), c.accepted, c.name)
+	}
+}
+
 // Guards against the silent loss of a class's last upstream.
 func TestLastUpstreamNeedsForce(t *testing.T) {
 	w := newWorld(t, 1, 2, true)
@@ -501,18 +534,18 @@
 		name                   string
 		leaving, fences, stale bool
 		platform, peer         time.Time
-		lease                  bool
+		quorum                 bool
 		want                   Verdict
 	}{
 		{name: "leaving", leaving: true, fences: true, platform: now, want: RefuseLeaving},
 		{name: "outage, upstream refuses", fences: true, platform: hour, peer: hour, want: Allow},
-		{name: "outage, with peers and lease", platform: hour, peer: now, lease: true, want: Allow},
-		{name: "outage, with peers", platform: hour, peer: now, want: RefuseStale},
-		{name: "cut off", platform: hour, peer: hour, lease: true, want: RefuseStale},
+		{name: "outage, with peers and quorum", platform: hour, peer: now, quorum: true, want: Allow},
+		{name: "outage, with peers of a minority", platform: hour, peer: now, want: RefuseStale},
+		{name: "cut off", platform: hour, peer: hour, quorum: true, want: RefuseStale},
 		{name: "cut off, availability preferred", stale: true, platform: hour, peer: hour, want: Allow},
 		{name: "platform only", platform: now.Add(-ViewLimit), peer: hour, want: Allow},
 	} {
-		e := Evidence{PlatformRead: c.platform, PeerHeard: c.peer, HoldsLease: c.lease}
+		e := Evidence{PlatformRead: c.platform, PeerHeard: c.peer, Quorum: c.quorum}
 		assert.Equal(t, Gate(now, c.leaving, c.fences, c.stale, e), c.want, c.name)
 	}
 }
--- a/internal/drain/gate.go
+++ b/internal/drain/gate.go
@@ -27,8 +27,12 @@
 	PlatformRead time.Time
 	// PeerHeard is when any mesh neighbour was last heard.
 	PeerHeard time.Time
-	// HoldsLease tells whether the daemon's roster lease is running.
-	HoldsLease bool
+	// Quorum tells whether at least half of the daemons of the own region's
+	// roster, this one included, are not suspected.
+	Quorum bool
+	// Alone tells that the roster names no other daemon, so that none can
+	// accept a leave.
+	Alone bool
 }
 
 // Gate decides about new work for one upstream. fences tells whether the
@@ -36,9 +40,11 @@
 // choice to prefer availability for upstreams that do not.
 //
 // A daemon that is cut off goes on with upstreams that fence, because a leave
-// is accepted only when they refuse. For the others it goes on while it holds
-// its lease and hears peers: a leave is then accepted only after it has
-// acknowledged or its lease has ended.
+// is accepted only when they refuse. For the others it goes on without the
+// platform while it hears a peer and at least half of its region is live. A
+// daemon whose lease has ended counts as stopped only if more than half of its
+// region has acknowledged, so the two groups share a daemon that spreads the
+// leave; see Controller.
 func Gate(now time.Time, leaving, fences, serveStale bool, e Evidence) Verdict {
 	switch {
 	case leaving:
@@ -47,7 +53,7 @@
 		return Allow
 	case now.Sub(e.PlatformRead) <= ViewLimit:
 		return Allow
-	case e.HoldsLease && now.Sub(e.PeerHeard) <= ViewLimit:
+	case e.Quorum && now.Sub(e.PeerHeard) <= ViewLimit, e.Alone:
 		return Allow
 	default:
 		return RefuseStale
