Release a drained upstream although a daemon has died

Cause: a daemon whose lease ended never acknowledges a zero, so the release needs the upstream's own load report. The controller accepted such a report only after the upstream had confirmed a fence, which no upstream of the protocol does, and the daemon never passed reports on. Each drain after a crash or after the planned stop of a daemon stayed quiet for good.

Change: for an upstream that does not fence, a report counts that was measured after every daemon had acknowledged or lost its lease. Polls pass reports of draining upstreams on, and the holder of the drain lease asks quiet upstreams that wait only for ended daemons, once a second.

Conclusion: the release waits for the lease of a dead daemon at most.

--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -142,6 +142,7 @@
 		c.follow(c.members.Handle(now, membership.Tick{}))
 		c.readShared()
 		c.observeMesh()
+		c.askQuiet(now)
 	}
 	c.ticks++
 	c.count(now)
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -150,6 +150,48 @@
 	c.drive(c.holder.Handle(time.Now(), drain.Counted{Upstream: upstream, Epoch: c.epochs[upstream], InProgress: c.counts[upstream]}))
 }
 
+// reported gives the load report of a draining upstream to the drain
+// controller. Daemons whose lease ended cannot report zero any more, so that
+// the upstream's own word is needed for its release.
+func (c *cluster) reported(upstream domain.UpstreamID, report ports.LoadReport, began time.Time) {
+	if !(*c.leftShared.Load())[upstream] {
+		return
+	}
+	running := drain.Running{Upstream: upstream, Requests: report.Running + report.Queued, Measured: began.Add(-report.Age)}
+	c.mailbox.post(func() { c.drive(c.controller.Handle(time.Now(), running)) })
+}
+
+// askQuiet asks quiet upstreams that wait only for daemons whose lease has
+// ended. The holder of the drain lease does so, because its routing table may
+// not have the upstream.
+func (c *cluster) askQuiet(now time.Time) {
+	p := c.daemon.policy.Load()
+	if p == nil || !c.lease.Held(now) {
+		return
+	}
+	for _, s := range *c.drains.Load() {
+		if s.Phase != drain.Quiet || len(s.Unknown) == 0 || len(s.InProgress) > 0 {
+			continue
+		}
+		for i := range p.Upstreams {
+			if u := &p.Upstreams[i]; u.ID == s.Upstream {
+				go c.askLoad(u.ID, u.Address)
+			}
+		}
+	}
+}
+
+func (c *cluster) askLoad(upstream domain.UpstreamID, address string) {
+	client, err := c.daemon.backends.get(address)
+	if err != nil {
+		return
+	}
+	began := time.Now()
+	if report, err := client.Load(c.ctx); err == nil {
+		c.reported(upstream, report, began)
+	}
+}
+
 func (c *cluster) writeRecord(a drain.Commit) {
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, tableTimeout)
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -135,6 +135,7 @@
 	if err != nil {
 		return
 	}
+	began := time.Now()
 	report, err := client.Load(ctx)
 	if err != nil {
 		d.cfg.Log.Event(telemetry.LoadReportError).Str("upstream", string(u.ID)).Err(err).Msg("")
@@ -142,6 +143,7 @@
 	}
 	now := time.Now()
 	u.Report(now, report)
+	d.cluster.reported(u.ID, report, began)
 	if u.Kind != domain.KindEngine {
 		return
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -43,7 +43,8 @@
 	fenced    bool
 	fencedAt  time.Time
 	fenceAt   time.Time
-	runs      int // the upstream's own report; -1 means none since the fence
+	runs      int // the upstream's own report; -1 means none since new work ended
+	quietAt   time.Time
 	version   ports.Version
 	written   Record
 	writing   bool
@@ -164,7 +165,14 @@
 
 func (c *Controller) onRunning(e Running) {
 	d := c.drains[e.Upstream]
-	if d != nil && d.fenced && e.Measured.After(d.fencedAt) {
+	if d == nil {
+		return
+	}
+	afterFence := d.fenced && e.Measured.After(d.fencedAt)
+	// An upstream that does not fence gets no new work once every daemon has
+	// acknowledged or lost its lease.
+	afterQuiet := !c.upstreams[e.Upstream].Fences && !d.quietAt.IsZero() && e.Measured.After(d.quietAt)
+	if afterFence || afterQuiet {
 		d.runs = e.Requests
 	}
 }
@@ -176,7 +184,7 @@
 	}
 	if d.fact.Kind == ports.FactUpstreamLeaving {
 		c.updateParticipants(d)
-		c.advance(d)
+		c.advance(now, d)
 		c.refresh(now, d)
 	}
 	c.driveRecord(now, d)
@@ -205,7 +213,7 @@
 
 // advance computes the phase. It only rises within one epoch, except that a
 // daemon that joins later has to acknowledge too.
-func (c *Controller) advance(d *drain) {
+func (c *Controller) advance(now time.Time, d *drain) {
 	fences := c.upstreams[d.fact.Upstream].Fences
 	stopped, idle := c.view != nil, true
 	for _, p := range d.participants {
@@ -223,6 +231,9 @@
 	phase := Draining
 	if stopped {
 		phase = Quiet
+		if d.quietAt.IsZero() {
+			d.quietAt = now
+		}
 	}
 	if stopped && idle {
 		phase = Releasable
