--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +72,7 @@
 	platformURL string
 	options     Options
 	work        sync.WaitGroup
+	mu          sync.Mutex // guards Members while daemons are added
 }
 
 // Member is one daemon of a Fleet.
@@ -159,7 +161,7 @@
 		if i == 0 {
 			address = f.options.Callers
 		}
-		if err := f.startDaemon(i, domain.DaemonID(fmt.Sprintf("daemon-%d", i+1)), address); err != nil {
+		if _, err := f.startDaemon(i, domain.DaemonID(fmt.Sprintf("daemon-%d", i+1)), address); err != nil {
 			return err
 		}
 	}
@@ -169,10 +171,13 @@
 // StartDaemon starts one more daemon in the region and zone of number i and
 // does not wait for it. An id must not be in use by a running daemon.
 func (f *Fleet) StartDaemon(i int, id domain.DaemonID) (*Member, error) {
-	if err := f.startDaemon(i, id, freePort); err != nil {
-		return nil, err
-	}
-	return f.Members[len(f.Members)-1], nil
+	return f.startDaemon(i, id, freePort)
+}
+
+func (f *Fleet) members() []*Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.Members)
 }
 
 func (f *Fleet) startPlatform() error {
@@ -237,8 +242,8 @@
 	defer client.Close()
 	proposer := configlog.NewProposer(client, nil, func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) })
 	base := domain.Revision(0)
-	if len(f.Members) > 0 {
-		base = f.Members[0].Revision()
+	for _, m := range f.members() {
+		base = max(base, m.Revision())
 	}
 	result, err := proposer.Propose(ctx, configlog.Change{
 		ID:      uuid.NewString(),
@@ -253,21 +258,21 @@
 	return result, err
 }
 
-func (f *Fleet) startDaemon(i int, id domain.DaemonID, address string) error {
+func (f *Fleet) startDaemon(i int, id domain.DaemonID, address string) (*Member, error) {
 	region := &f.Document.Regions[i%len(f.Document.Regions)]
 	zone := region.Zones[(i/len(f.Document.Regions))%len(region.Zones)]
 	listener, err := f.options.Network.Listen(string(id), region.ID, address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	sending := httpsend.Options{Dial: f.options.Network.Dial(string(id))}
 	client, err := platformclient.New(f.platformURL, platformclient.Options{Name: string(id), Transport: sending})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	peers, err := f.options.Network.Listen(string(id), region.ID, freePort)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	peerAddress := peers.Addr().String()
 	metrics := telemetry.NewMetrics()
@@ -294,13 +299,15 @@
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
+	f.mu.Lock()
 	f.Members = append(f.Members, m)
+	f.mu.Unlock()
 	f.work.Go(func() {
 		defer close(m.done)
 		defer client.Close()
 		m.err = m.Run(ctx)
 	})
-	return nil
+	return m, nil
 }
 
 // WaitReady waits until every daemon is ready.
@@ -346,7 +353,7 @@
 
 // Close stops the daemons gracefully, then the stand-ins.
 func (f *Fleet) Close() {
-	for _, m := range f.Members {
+	for _, m := range f.members() {
 		m.stop()
 	}
 	f.work.Wait()
