--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -29,6 +29,8 @@
 	// list. It names every VM, so that reading it on each of 330 daemons would
 	// exceed their control traffic; three cover the loss of two at once.
 	vmReaders = 3
+	// leaveLinger lets the last facts leave before the connections close.
+	leaveLinger = 300 * time.Millisecond
 	// tableTimeout bounds one call to the table.
 	tableTimeout = 2 * time.Second
 	scanPage     = 1000
@@ -280,6 +282,20 @@
 	}
 }
 
+// leave tells the others that this daemon has stopped as planned, so that they
+// need not wait for the end of its lease.
+func (c *cluster) leave() {
+	member := c.member()
+	if member.Incarnation == 0 {
+		return
+	}
+	c.submit(mesh.LocalFacts{Facts: []ports.Fact{{
+		Kind: ports.FactDaemonGone, Seq: 1, Stamp: mesh.StampAt(time.Now()),
+		Member: &ports.Member{Daemon: member.Daemon, Incarnation: member.Incarnation, Region: member.Region, Zone: member.Zone},
+	}}})
+	time.Sleep(leaveLinger)
+}
+
 // owner identifies this run of the daemon in claims.
 func (c *cluster) owner() claims.Owner {
 	return claims.Owner{Daemon: c.self.Daemon, Incarnation: domain.Incarnation(c.incarnation.Load())}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,16 +142,12 @@
 	defer stop()
 	d.cluster.ctx = background
 	var group run.Group
-	group.Add(func() error {
-		<-ctx.Done()
-		return context.Cause(ctx)
-	}, func(error) {})
 	for _, loop := range d.loops() {
 		loopCtx, cancel := context.WithCancel(background)
 		group.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
 	}
-	// The last actor is interrupted last, but all interrupts run before any
-	// actor is waited for; so the graceful part happens in its interrupt.
+	// The group ends when its first actor returns, so the signal to stop is
+	// handled by the actor that waits for the requests in progress.
 	served := make(chan error, 1)
 	go func() { served <- d.callers.Serve(d.cfg.Callers) }()
 	err := d.runUntilStopped(ctx, &group, served)
@@ -229,6 +225,9 @@
 		_ = d.callers.Close()
 	}
 	d.claims.Close(bound)
+	if cut == 0 {
+		d.cluster.leave()
+	}
 	d.cfg.Log.Event(telemetry.ShutdownComplete).Int("cut", cut).Msg("")
 }
 
--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -47,9 +47,11 @@
 	drains    map[domain.UpstreamID]*drain
 	vms       map[string]*listedVM
 	down      map[domain.UpstreamID]bool
-	view      *membership.View
-	holder    bool
-	actions   []Action
+	// stopped holds the last incarnation of daemons that stopped as planned.
+	stopped map[domain.DaemonID]domain.Incarnation
+	view    *membership.View
+	holder  bool
+	actions []Action
 }
 
 // listedVM is what the VM list says about one VM.
@@ -63,7 +65,7 @@
 func NewController(cfg Config) *Controller {
 	return &Controller{
 		cfg: cfg, upstreams: map[domain.UpstreamID]Upstream{}, drains: map[domain.UpstreamID]*drain{},
-		vms: map[string]*listedVM{}, down: map[domain.UpstreamID]bool{},
+		vms: map[string]*listedVM{}, down: map[domain.UpstreamID]bool{}, stopped: map[domain.DaemonID]domain.Incarnation{},
 	}
 }
 
@@ -120,6 +122,13 @@
 	}
 }
 
+// noteStop remembers a daemon that says itself that it has stopped.
+func (c *Controller) noteStop(f *ports.Fact) {
+	if f.Kind == ports.FactDaemonGone && f.Seq > 0 && f.Member != nil {
+		c.stopped[f.Member.Daemon] = max(c.stopped[f.Member.Daemon], f.Member.Incarnation)
+	}
+}
+
 func (c *Controller) emit(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Controller) onUpstreams(list []Upstream) {
--- a/internal/drain/gate.go
+++ b/internal/drain/gate.go
@@ -41,10 +41,9 @@
 //
 // A daemon that is cut off goes on with upstreams that fence, because a leave
 // is accepted only when they refuse. For the others it goes on without the
-// platform while it hears a peer and at least half of its region is live. A
-// daemon whose lease has ended counts as stopped only if more than half of its
-// region has acknowledged, so the two groups share a daemon that spreads the
-// leave; see Controller.
+// platform while it hears a peer and at least half of its region is live.
+// Daemons whose lease has ended count as stopped only if they cannot be such a
+// group; see Controller.
 func Gate(now time.Time, leaving, fences, serveStale bool, e Evidence) Verdict {
 	switch {
 	case leaving:
