Let drains follow the configuration and say how to repeat a change

Cause: against two daemons and the platform stand-in, a roll-forward to a revision before a drain left the upstream out of service while the configuration said that it serves; a drain during an outage was answered "nothing was changed"; upstream drain at a daemon without a configuration was answered "does not exist".

--- a/internal/adapters/adminhttp/change.go
+++ b/internal/adapters/adminhttp/change.go
@@ -17,6 +17,7 @@
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
 // Headers of a change.
@@ -233,6 +234,7 @@
 	if err != nil {
 		return err
 	}
+	s.followDrains(ctx, p)
 	return c.JSON(http.StatusOK, answer)
 }
 
@@ -254,14 +256,10 @@
 	})
 	if err != nil {
 		failure := controlAnswer(err)
-		failure.ChangeID = p.id
 		if failure.Code == administration.CodeInternal {
-			failure = &administration.ErrorAnswer{
-				Code:     administration.CodeUnknownOutcome,
-				Message:  "the outcome is unknown; repeat the same call with the same change id to find out",
-				ChangeID: p.id,
-			}
+			failure = controlAnswer(ports.ErrUnknownOutcome)
 		}
+		failure.ChangeID, failure.Base = p.id, p.Base
 		s.audit(c, p, string(failure.Code), 0)
 		return nil, failure
 	}
--- a/internal/adapters/adminhttp/change_test.go
+++ b/internal/adapters/adminhttp/change_test.go
@@ -101,7 +101,7 @@
 }
 
 // Guards against draining the last upstream of a class by accident, and
-// against a drain that cannot be forced or ended.
+// against a drain that cannot be forced or ended, also by a roll-forward.
 func TestDrainLastUpstream(t *testing.T) {
 	b := newBench(t, adminhttp.Options{})
 	base := func() string { c, _ := b.control.Current(); return string(rune('0' + c.Revision)) }
@@ -118,6 +118,10 @@
 	assert.Assert(t, strings.Contains(b.log.String(), `"AD5002"`), b.log.String())
 	back := b.accepted("POST", "/admin/v1/upstreams/booking-3/undrain", callOptions{token: operatorToken, id: "back", base: base()})
 	assert.Equal(t, back.Drain.Phase, administration.PhaseServing)
+	drains := func() int { f, _ := b.control.Status(context.Background()); return len(f.Drains) }
+	assert.Equal(t, drains(), 2)
+	b.accepted("POST", "/admin/v1/config/rollforward", callOptions{token: operatorToken, id: "earlier", base: base(), body: `{"to":1}`})
+	assert.Equal(t, drains(), 0, "a drain goes on although the configuration says that the upstream serves")
 }
 
 // Guards against a drain that waits for the platform.
--- a/internal/adapters/adminhttp/control.go
+++ b/internal/adapters/adminhttp/control.go
@@ -30,7 +30,8 @@
 	// Drain starts (or with draining false ends) the drain of an upstream of
 	// the configuration in force without waiting for the log, so that it works
 	// while the platform is down, and returns its state. Repeating it changes
-	// nothing. The call that records it in the configuration is made apart.
+	// nothing. The call that records it in the configuration is made apart;
+	// changes that set the draining field otherwise are followed by this call.
 	Drain(ctx context.Context, upstream domain.UpstreamID, draining bool) (administration.Drain, error)
 	// Status returns the state of the fleet as this daemon knows it, with
 	// daemons by identifier and only upstreams that do not serve in Drains.
--- a/internal/adapters/adminhttp/drain.go
+++ b/internal/adapters/adminhttp/drain.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		failure := answerOf(err)
 		failure.Drain = &state
-		failure.Message = "the drain has started but is not recorded: " + failure.Message
+		failure.Message = fmt.Sprintf("the drain has started but is not recorded (%s); repeat the same call with the same change id", failure.Code)
 		return failure
 	}
 	answer.Drain = &state
@@ -83,6 +83,28 @@
 	return c.JSON(http.StatusOK, answer)
 }
 
+// followDrains starts and ends the drains of upstreams whose draining field an
+// accepted change has set, for example a roll-forward to a revision before a
+// drain. Otherwise the drain would go on although the configuration says that
+// the upstream serves.
+func (s *server) followDrains(ctx context.Context, p *planned) {
+	for _, change := range p.Changes {
+		if change.Kind != policy.ItemUpstream || change.Op != policy.ChangeChanged {
+			continue
+		}
+		for _, f := range change.Fields {
+			if f.Field != "draining" {
+				continue
+			}
+			upstream := domain.UpstreamID(change.ID)
+			if _, err := s.control.Drain(ctx, upstream, f.New == "true"); err != nil {
+				s.options.Log.Event(telemetry.DrainWarning).Str("upstream", change.ID).
+					Str("reason", "drain does not follow the configuration").Str("wanted", f.New).Err(err).Msg("")
+			}
+		}
+	}
+}
+
 // warn records what a forced drain takes away.
 func (s *server) warn(p *planned, upstream domain.UpstreamID) {
 	for _, w := range p.Warnings {
--- a/internal/adapters/cli/admin.go
+++ b/internal/adapters/cli/admin.go
@@ -217,11 +217,13 @@
 	return resp.revision, json.Unmarshal(resp.body, into)
 }
 
-// head returns the revision in force, or zero before the first.
-func (c *adminClient) head(ctx context.Context) (domain.Revision, error) {
+// head returns the revision in force. If first is set, it is zero while there is
+// none; a daemon that has only just started may lack one that exists, but a
+// change based on zero then conflicts.
+func (c *adminClient) head(ctx context.Context, first bool) (domain.Revision, error) {
 	resp, err := c.do(ctx, adminRequest{method: http.MethodGet, path: itemsPath("tiers")})
 	var answer *administration.ErrorAnswer
-	if errors.As(err, &answer) && answer.Code == administration.CodeNotReady {
+	if first && errors.As(err, &answer) && answer.Code == administration.CodeNotReady {
 		return 0, nil
 	}
 	return resp.revision, err
@@ -242,6 +244,8 @@
 	changeID string
 	dryRun   bool
 	force    bool
+	// first allows the change to be the first of a deployment.
+	first bool
 }
 
 func (o *changeOptions) addFlags(cmd *cobra.Command) {
@@ -266,10 +270,12 @@
 	}
 	var unreachable *unreachableError
 	if errors.As(err, &unreachable) && sent && !o.dryRun {
+		base, _ := strconv.ParseUint(o.base, 10, 64)
 		return answer, &administration.ErrorAnswer{
 			Code:     administration.CodeUnknownOutcome,
-			Message:  fmt.Sprintf("%v; repeat with --change-id %s --base %s to find out whether the change was accepted", err, o.changeID, o.base),
+			Message:  fmt.Sprintf("%v; the change may have been accepted", err),
 			ChangeID: o.changeID,
+			Base:     domain.Revision(base),
 		}
 	}
 	return answer, err
@@ -310,7 +316,7 @@
 // prepare fills in the base and the change id.
 func (c *adminClient) prepare(ctx context.Context, o *changeOptions, r *adminRequest) error {
 	if o.base == "" {
-		head, err := c.head(ctx)
+		head, err := c.head(ctx, o.first)
 		if err != nil {
 			return err
 		}
--- a/internal/adapters/cli/admin_test.go
+++ b/internal/adapters/cli/admin_test.go
@@ -17,6 +17,7 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/configlog"
+	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/standin/control"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
 )
@@ -148,7 +149,7 @@
 	d.url = mute.URL
 	out, code := d.run("operator", change...)
 	assert.Equal(t, code, ExitUnknown, out)
-	assert.Assert(t, strings.Contains(out, "change id x"), out)
+	assert.Assert(t, strings.Contains(out, "--change-id x --base 1"), out)
 	mute.Close()
 	out, code = d.run("operator", change...)
 	assert.Equal(t, code, ExitUnavailable, out)
@@ -167,3 +168,12 @@
 	assert.Equal(t, code, ExitUnavailable, out)
 	assert.Equal(t, calls, 0)
 }
+
+// Guards against edits of a configuration that the daemon does not have yet.
+func TestDaemonWithoutConfiguration(t *testing.T) {
+	d := newDeployment(t, adminhttp.Options{Bootstrap: administration.BootstrapTokens(policy.HashKey("mb-operator-token"))})
+	out, code := d.run("operator", "upstream", "drain", "lesson-03")
+	assert.Equal(t, code, ExitUnavailable, out)
+	out, code = d.run("operator", "config", "apply", "fragment.toml")
+	assert.Equal(t, code, ExitOK, out)
+}
--- a/internal/adapters/cli/config_admin.go
+++ b/internal/adapters/cli/config_admin.go
@@ -87,6 +87,7 @@
 			if err != nil {
 				return err
 			}
+			change.first = true
 			answer, err := client.change(cmd.Context(), change, r)
 			if err != nil {
 				return err
--- a/internal/adapters/cli/report.go
+++ b/internal/adapters/cli/report.go
@@ -58,8 +58,8 @@
 	if a.Drain != nil {
 		writeDrain(p, *a.Drain)
 	}
-	if a.ChangeID != "" {
-		p.printf("change id %s\n", a.ChangeID)
+	if a.ChangeID != "" && (a.Drain != nil || a.Code == administration.CodeUnknownOutcome) {
+		p.printf("repeat with --change-id %s --base %d\n", a.ChangeID, a.Base)
 	}
 	return p.err
 }
--- a/internal/administration/message.go
+++ b/internal/administration/message.go
@@ -75,9 +75,11 @@
 
 // ErrorAnswer is the body of every failed call.
 type ErrorAnswer struct {
-	Code      ErrorCode            `json:"code"`
-	Message   string               `json:"message"`
+	Code    ErrorCode `json:"code"`
+	Message string    `json:"message"`
+	// ChangeID and Base are those of a change, for a repeated call.
 	ChangeID  string               `json:"change_id,omitempty"`
+	Base      domain.Revision      `json:"base,omitempty"`
 	Head      domain.Revision      `json:"head,omitempty"`
 	Findings  findings.List        `json:"findings,omitempty"`
 	Conflicts []configlog.Conflict `json:"conflicts,omitempty"`
