--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -136,6 +136,7 @@
 	if err != nil {
 		return
 	}
+	began := time.Now()
 	report, err := client.Load(ctx)
 	if err != nil {
 		d.cfg.Log.Event(telemetry.LoadReportError).Str("upstream", string(u.ID)).Err(err).Msg("")
@@ -146,6 +147,7 @@
 	if u.Kind == domain.KindEngine && !u.Remote && d.director.lease.Held(now) {
 		d.director.core.Post(ctx, placement.Reported{Report: report})
 	}
+	d.cluster.reported(u.ID, report, began)
 	if u.Kind != domain.KindEngine {
 		return
 	}
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	// Daemons is the number of daemons; they are spread over the regions.
 	// Default 2.
 	Daemons int
+	// Region places all daemons in one region. Empty spreads them.
+	Region domain.Region
 	// Callers is the address of the first daemon's caller listener; the other
 	// daemons take free ports. Default 127.0.0.1:0.
 	Callers string
@@ -84,6 +87,7 @@
 	URL     string // of the caller listener
 	Admin   string // URL of the administration listener
 	Metrics *telemetry.Metrics
+	peers   string // address of the peer listener
 	stop    context.CancelFunc
 	done    chan struct{}
 	err     error
@@ -259,9 +263,8 @@
 }
 
 func (f *Fleet) startDaemon(i int, id domain.DaemonID, address string) error {
-	region := &f.Document.Regions[i%len(f.Document.Regions)]
-	zone := region.Zones[(i/len(f.Document.Regions))%len(region.Zones)]
-	listener, err := f.options.Network.Listen(string(id), region.ID, address)
+	region, zone := f.place(i)
+	listener, err := f.options.Network.Listen(string(id), region, address)
 	if err != nil {
 		return err
 	}
@@ -270,33 +273,37 @@
 	if err != nil {
 		return err
 	}
-	peers, err := f.options.Network.Listen(string(id), region.ID, freePort)
+	peers, err := f.options.Network.Listen(string(id), region, freePort)
 	if err != nil {
 		return err
 	}
 	peerAddress := peers.Addr().String()
-	admin, err := f.options.Network.Listen(string(id), region.ID, freePort)
+	admin, err := f.options.Network.Listen(string(id), region, freePort)
 	if err != nil {
 		return err
 	}
-	metrics := telemetry.NewMetrics()
-	m := &Member{ID: id, Region: region.ID, URL: "http://" + listener.Addr().String(), Admin: "http://" + admin.Addr().String(), Metrics: metrics, done: make(chan struct{})}
-	peerConfig := peerws.Config{
-		Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region.ID, Zone: zone},
+	mesh := peerws.Config{
+		Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region, Zone: zone},
 		Listener: peers,
 		Dial:     sending.Dial,
 	}
-	transport := peerws.New(peerConfig)
+	transport := peerws.New(mesh)
+	metrics := telemetry.NewMetrics()
+	m := &Member{
+		ID: id, Region: region, Metrics: metrics, peers: peerAddress, done: make(chan struct{}),
+		URL: "http://" + listener.Addr().String(), Admin: "http://" + admin.Addr().String(),
+	}
 	m.Daemon = daemon.New(daemon.Config{
 		ID:            id,
-		Region:        region.ID,
+		Region:        region,
 		Zone:          zone,
 		Boot:          uuid.NewString(),
 		Callers:       listener,
 		Caller:        callerhttp.Options{},
 		Peers:         f.options.Peers(id, transport),
-		Asker:         peerws.NewAsker(peerConfig),
 		PeerAddress:   peerAddress,
+		Seeds:         f.seeds(),
+		Asker:         peerws.NewAsker(mesh),
 		Admin:         admin,
 		Platform:      client,
 		Upstream:      engineclient.Options{Transport: sending},
@@ -318,6 +325,26 @@
 	return nil
 }
 
+// place returns the region and zone of the daemon with an index.
+func (f *Fleet) place(i int) (domain.Region, domain.AvailabilityZone) {
+	regions := f.Document.Regions
+	at := slices.IndexFunc(regions, func(r policy.Region) bool { return r.ID == f.options.Region })
+	if at >= 0 {
+		return regions[at].ID, regions[at].Zones[i%len(regions[at].Zones)]
+	}
+	region := &regions[i%len(regions)]
+	return region.ID, region.Zones[(i/len(regions))%len(region.Zones)]
+}
+
+// seeds lists the peer addresses of the daemons that run already.
+func (f *Fleet) seeds() []string {
+	seeds := make([]string, len(f.Members))
+	for i, m := range f.Members {
+		seeds[i] = m.peers
+	}
+	return seeds
+}
+
 // WaitReady waits until every daemon is ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, m := range f.Members {
