--- a/internal/capacity/catalogue.go
+++ b/internal/capacity/catalogue.go
@@ -39,7 +39,7 @@
 	{"mesh/fact-bytes", "daemons", "bytes of a fact at a daemon", "B", "internal/mesh", "sent and received"},
 	{"mesh/change-time", "daemons", "time until the last daemon has a change", "ms", "internal/mesh", "links of 1 ms inside a region, 40 ms between regions"},
 	{"mesh/hops", "daemons", "links on the longest shortest path", "", "internal/mesh", ""},
-	{"platform/reads", "daemons", "reads of the fleet", "1/s", "internal/membership, internal/configlog, internal/lease", "roster, drain lease, drain records, config/head"},
+	{"platform/reads", "daemons", "reads of the fleet", "1/s", "internal/membership, internal/configlog, internal/lease", "roster, leases of drains and placement, drain records, config/head"},
 	{"platform/writes", "daemons", "writes of the fleet", "1/s", "internal/membership, internal/lease", ""},
 	{"platform/core-cpu", "daemons", "processor time of a daemon", "% of a core", "internal/membership, internal/configlog, internal/lease", "includes the stand-in's table, without sockets"},
 	{"platform/recovery-reads", "daemons", "reads in the busiest second after an outage of 2 min", "1/s", "internal/backoff, internal/membership", ""},
@@ -63,6 +63,7 @@
 	{"polling/read-bytes", "", "bytes of a read of config/head", "B", "internal/adapters/platformclient", "both directions, HTTP and TCP/IP headers"},
 	{"polling/read-cpu", "", "processor time of the same", "µs", "internal/adapters/platformclient", "includes the stand-in"},
 	{"polling/write-bytes", "", "bytes of a write", "B", "internal/adapters/platformclient", "both directions, HTTP and TCP/IP headers"},
+	{"operators/impact", "upstreams (customers 0.8 x)", "processor time of the impact of one drained upstream", "ms", "internal/policy", ""},
 	{"operators/document", "customers and upstreams", "configuration text", "B", "internal/policy", ""},
 	{"operators/delta", "", "row of a change of one label", "B", "internal/configlog", ""},
 }
--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -283,7 +283,14 @@
 	compile, _ := perCall(least, func() { keep, _ = policy.Compile(d, 1) })
 	r.add("configuration/decode", x, millis(decode))
 	r.add("configuration/compile", x, millis(compile))
-	keep, d = nil, nil
+	next, err := d.SetDraining(upstreamID(7), true)
+	if err != nil {
+		return err
+	}
+	changed, _ := policy.Compile(next, 2)
+	impact, _ := perCall(least, func() { policy.Impact(keep, changed) })
+	r.add("operators/impact", x, millis(impact))
+	keep, d, next, changed = nil, nil, nil, nil
 	empty := heldBytes()
 	d, _ = policy.Decode("revision", text)
 	keep, _ = policy.Compile(d, 1)
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -167,7 +167,7 @@
 // upstreams so that reports of reportBytes take reportBudget bytes per second.
 const (
 	reportBytes       = 400.0
-	reportBudget      = 1500.0
+	reportBudget      = 1000.0
 	minReportInterval = 1.0
 	maxReportInterval = 30.0
 )
@@ -252,6 +252,10 @@
 	return total
 }
 
+// sweptPerSecond is the number of claim rows that one daemon sweeps: a page
+// of 1,000 rows each minute.
+const sweptPerSecond = 1000.0 / 60
+
 func (m *model) platform() {
 	s := m.size
 	n, role := float64(s.Daemons), RolePlatform
@@ -277,6 +281,7 @@
 	m.add(role, "state", "rows of daemons", 2*n+float64(len(leaseNames)), "", 0, "2 x daemons + leases")
 	m.add(role, "state", "objects a day", s.ChangesPerDay, "", 0, "changes")
 	m.add(role, "state", "objects a day, volume", document*s.ChangesPerDay/(1<<20), "MiB", 0, "operators/document x changes")
+	m.add(role, "messages", "claims to sweep, 1% of requests", 0.01*s.RequestsPerSecond, "1/s", sweptPerSecond, "requests/s; the limit is one page of 1,000 rows a minute (internal/daemon)")
 	m.add(role, "state", "claim rows, 1% of requests, 24 h", 0.01*s.RequestsPerSecond*secondsPerDay, "", 0, "requests/s x 24 h")
 }
 
@@ -299,6 +304,7 @@
 	s, role := m.size, RoleOperators
 	items := float64(s.Customers + s.Upstreams)
 	m.add(role, "messages", "changes", s.ChangesPerDay/secondsPerDay*60, "1/min", 0, "changes a day")
+	m.add(role, "processor", "impact of a change", m.at("operators/impact", float64(s.Upstreams)), "ms", 0, "operators/impact at upstreams")
 	m.add(role, "state", "configuration text", m.at("operators/document", items)/1024, "KiB", 0, "operators/document at customers + upstreams")
 	m.add(role, "messages", "delta of one label", m.at("operators/delta", 1), "B", 0, "operators/delta")
 	m.add(role, "messages", "reads for each change", m.at("platform/change-reads", 1), "", 0, "platform/change-reads")
--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -45,8 +45,9 @@
 	due   time.Time
 }
 
-// leaseNames are the leases that every daemon competes for.
-var leaseNames = []string{"drain"}
+// leaseNames are the leases that daemons compete for: those of placement by the
+// daemons of the region, that of drains by all.
+var leaseNames = []string{"placement/region-0", "placement/region-1", "placement/region-2", "drain"}
 
 func newTableFleet(n int, document configlog.Document) *tableFleet {
 	p := platform.New(platform.Config{})
@@ -73,6 +74,9 @@
 		f.cores, f.follow = append(f.cores, core), append(f.follow, follower)
 	}
 	for k, name := range leaseNames {
+		if k < 3 && regionOf(k) != self.Region {
+			continue
+		}
 		l := lease.New(lease.Config{Name: name, Owner: lease.Owner{Daemon: self.Daemon}}, rng(uint64(k)+3))
 		f.leases = append(f.leases, &candidate{lease: l, due: f.now})
 	}
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -126,7 +126,9 @@
 			}
 			_ = stream.Close()
 		}
-		bytes, err := callBytes(m, 2, func() error {
+		// The ends of the streams would count otherwise.
+		time.Sleep(50 * time.Millisecond)
+		bytes, err := callBytes(m, 10, func() error {
 			list, err := client.CacheEvents(ctx, 0)
 			events = len(list)
 			return err
