Read a job's route before the job is queued

Cause: a request that began to wait read its route without the pool's lock, while a change of the configuration gave it a new one under the lock. A policy and a route of different revisions could be kept together, whose indexes then point to other upstreams or past the list. The race detector showed it in one daemon of a run of processes (AUBURNDYKE_RACE=1 AUBURNDYKE_PROCESSES=1).

Change: admit and readmit look up the count of the demand before the request is queued.

Conclusion: no access to a queued job's route is left outside the lock.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -57,6 +57,9 @@
 // admit waits for a place for w.
 func (p *pool) admit(ctx context.Context, w *waiter) (routing.Choice, *domain.Failure) {
 	now := time.Now()
+	// Once the request is queued, a change of the configuration may give its
+	// job a new route under p.mu.
+	demand := p.gateway.demandOf(w.job)
 	p.mu.Lock()
 	d := p.queue.Offer(now, &w.Request)
 	p.follow(now, d)
@@ -66,21 +69,21 @@
 	}
 	p.pumpLocked(now)
 	p.mu.Unlock()
-	return p.wait(ctx, w)
+	return p.wait(ctx, w, demand)
 }
 
 // readmit waits for another place after a preemption.
 func (p *pool) readmit(ctx context.Context, w *waiter) (routing.Choice, *domain.Failure) {
 	now := time.Now()
+	demand := p.gateway.demandOf(w.job)
 	p.mu.Lock()
 	p.queue.Requeue(now, &w.Request)
 	p.pumpLocked(now)
 	p.mu.Unlock()
-	return p.wait(ctx, w)
+	return p.wait(ctx, w, demand)
 }
 
-func (p *pool) wait(ctx context.Context, w *waiter) (routing.Choice, *domain.Failure) {
-	demand := p.gateway.demandOf(w.job)
+func (p *pool) wait(ctx context.Context, w *waiter, demand *demandCount) (routing.Choice, *domain.Failure) {
 	demand.waiting.Add(int64(w.Tokens))
 	defer demand.waiting.Add(-int64(w.Tokens))
 	select {
