Keep background work alive until a planned stop is complete

Cause: the signal to stop ended the first actor of the run group, which interrupted all loops at once. While the daemon then waited for its requests, nothing pumped the queue, read the drain rows or heard peers, so that after 2 s its view of leaves was stale and no queued request, retry or resumption could start. Such a request hung until the shutdown bound cut it.

Change: one actor waits for the signal, stops the callers' server gracefully and only then returns; the loops are interrupted afterwards.

Conclusion: a planned stop ends queued requests with their answers.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,41 +121,34 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group run.Group
-	group.Add(func() error {
-		<-ctx.Done()
-		return context.Cause(ctx)
-	}, func(error) {})
+	served := make(chan error, 1)
+	go func() { served <- d.callers.Serve(d.cfg.Callers) }()
+	group.Add(func() error { return d.serve(ctx, served, background.Done()) }, func(error) { stop() })
 	for _, loop := range d.loops() {
 		loopCtx, cancel := context.WithCancel(background)
 		group.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
 	}
-	// The last actor is interrupted last, but all interrupts run before any
-	// actor is waited for; so the graceful part happens in its interrupt.
-	served := make(chan error, 1)
-	go func() { served <- d.callers.Serve(d.cfg.Callers) }()
-	err := d.runUntilStopped(ctx, &group, served)
+	err := group.Run()
 	d.backends.close()
+	if err == nil || errors.Is(err, context.Canceled) {
+		return nil
+	}
 	return err
 }
 
-func (d *Daemon) runUntilStopped(ctx context.Context, group *run.Group, served <-chan error) error {
-	stopped := make(chan struct{})
-	group.Add(func() error {
-		select {
-		case err := <-served:
-			return eris.Wrap(err, "caller listener failed")
-		case <-ctx.Done():
-			d.shutdown()
-			return nil
-		case <-stopped:
-			return nil
-		}
-	}, func(error) { close(stopped) })
-	err := group.Run()
-	if err == nil || errors.Is(err, context.Canceled) {
+// serve returns when the daemon has stopped gracefully. The group interrupts
+// its other actors when the first one returns, so that requests in progress
+// have the background work until they end.
+func (d *Daemon) serve(ctx context.Context, served <-chan error, failed <-chan struct{}) error {
+	select {
+	case err := <-served:
+		return eris.Wrap(err, "caller listener failed")
+	case <-ctx.Done():
+		d.shutdown()
+		return context.Cause(ctx)
+	case <-failed:
 		return nil
 	}
-	return err
 }
 
 // loops lists the background work of the daemon.
