--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -146,8 +146,7 @@
 	c.count(now)
 	c.drive(c.controller.Handle(now, drain.Tick{}))
 	c.drive(c.holder.Handle(now, drain.Tick{}))
-	statuses := c.controller.Statuses()
-	c.drains.Store(&statuses)
+	c.publishDrains()
 }
 
 // deliver takes what the mesh hands up. It runs on the mesh's goroutine.
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -61,12 +61,19 @@
 }
 
 func (c *cluster) answer(upstream domain.UpstreamID, err error) {
+	c.publishDrains()
 	for _, waiting := range c.waiting[upstream] {
 		waiting <- err
 	}
 	delete(c.waiting, upstream)
 }
 
+// publishDrains makes the drains' state visible to Drains.
+func (c *cluster) publishDrains() {
+	statuses := c.controller.Statuses()
+	c.drains.Store(&statuses)
+}
+
 // shareWithDrains gives facts to the drain cores.
 func (c *cluster) shareWithDrains(now time.Time, facts []ports.Fact) {
 	c.drive(c.controller.Handle(now, drain.FactsReceived{Facts: facts}))
--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -111,6 +111,7 @@
 func (c *Controller) onFacts(now time.Time, facts []ports.Fact) {
 	touched := map[domain.UpstreamID]*drain{}
 	for _, f := range facts {
+		c.noteStop(&f)
 		if c.onFact(now, f, FromFact) {
 			if d := c.drains[f.Upstream]; d != nil {
 				touched[f.Upstream] = d
