Require TLS on administration listeners off loopback

Cause: the check of settings still said that an administration listener without tokens accepts everyone; it refuses everyone, but without TLS it would receive tokens in clear text. Change: an administration listener off loopback needs admin.tls.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -126,8 +126,8 @@
 	s := &c.settings.Admin
 	at, ok := c.listen("admin.address", s.Address)
 	c.pair("admin.tls", s.TLS)
-	if ok && !at.Addr().IsLoopback() && len(s.TokenHashes) == 0 {
-		c.errorf("admin.address", "loopback address, or token_sha256", "the administration interface on %s accepts everyone", s.Address)
+	if ok && !at.Addr().IsLoopback() && !s.TLS.Enabled() {
+		c.errorf("admin.address", "loopback address, or admin.tls", "the administration interface on %s would receive tokens in clear text", s.Address)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,8 +93,9 @@
 	// Address is the IP:port to listen on. Required.
 	Address string `toml:"address"`
 	TLS     TLS    `toml:"tls"`
-	// TokenHashes holds the SHA-256 hashes of accepted bearer tokens. Empty
-	// accepts every request and is permitted on loopback addresses only.
+	// TokenHashes holds the SHA-256 hashes of operators' bearer tokens that are
+	// accepted while the configuration in force names no administration token.
+	// Empty accepts none until then.
 	TokenHashes []policy.KeyHash `toml:"token_sha256"`
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,7 +53,7 @@
 		{"zero", `"1MiB"`, `"0B"`, `caller.max_body is zero`},
 		{"address", `10.0.0.1:8000`, `10.0.0.1`, `s.toml:8:11: error: invalid address "10.0.0.1" in caller.address`},
 		{"same address", `127.0.0.1:20101`, `127.0.0.1:20201`, `peer.address uses the address of admin.address`},
-		{"open administration", `127.0.0.1:20101`, `10.0.0.1:20101`, `accepts everyone`},
+		{"open administration", `127.0.0.1:20101`, `10.0.0.1:20101`, `tokens in clear text`},
 		{"open peers", `address = "127.0.0.1:20201"`, `address = "10.0.0.1:20201"`, `peer connections on 10.0.0.1:20201 are not authenticated`},
 		{"unspecified peer", `seeds =`, "advertise = \"0.0.0.0:1\"\nseeds =", `peers cannot connect to 0.0.0.0:1`},
 		{"seed", `"127.0.0.1:20202"`, `"peer:20202"`, `s.toml:16:29: error: invalid address "peer:20202" in peer.seeds.1`},
