--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,9 @@
 type Backend interface {
 	ports.Engine
 	ports.Service
+	// ResetPool closes idle connections, which may be as silent as one that
+	// was found so.
+	ResetPool()
 }
 
 // Options configures a Gateway.
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -33,7 +33,8 @@
 
 // place is one attempt's slot and its progress.
 type place struct {
-	choice routing.Choice
+	choice  routing.Choice
+	backend Backend
 	intervals
 }
 
@@ -50,7 +51,7 @@
 // assign turns a choice into an assignment whose slot is released at the end
 // of the attempt.
 func (o *observer) assign(choice *routing.Choice, backend Backend) exchange.Assignment {
-	p := &place{choice: *choice}
+	p := &place{choice: *choice, backend: backend}
 	o.mu.Lock()
 	o.slots[choice.ID] = p
 	o.mu.Unlock()
@@ -139,6 +140,9 @@
 func (o *observer) AttemptEnded(n int, upstream domain.UpstreamID, result exchange.Result, tokens int, _ time.Duration) {
 	if p := o.at(upstream); p != nil {
 		p.choice.Slot.Release(time.Now(), slotResult(result))
+		if result == exchange.ResultSilent {
+			p.backend.ResetPool()
+		}
 	}
 	if result != exchange.ResultFinished && result != exchange.ResultCancelled {
 		o.job.gateway.logAttemptFailed(o.job, n, upstream, result, tokens)
