Keep control traffic, log lines and claim rows within bounds

Cause: the capacity page found cache events at 49 KB/s, a scan of drain records each second, routing lines that list 2,500 upstreams (139 KB), and claims that are swept slower than 0.6% of the requests create them. Two start-up tests stopped daemons as planned where they mean a crash; since a planned stop is told, the rosters they expect no longer exist. Change: cache events within 300 B/s, drain records every 4 s while peers are heard, a count in place of the list of upstreams outside the subset, up to 32 pages of claims a minute, subsets of 8 and 2 in place of 12 and 3. The tests crash daemons through their network and expect the same as before.

--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -25,6 +25,8 @@
 	controlTick  = 250 * time.Millisecond
 	ticksPerBeat = 4
 	drainLease   = "drain"
+	// recordInterval is how often drain records are read while peers are heard.
+	recordInterval = 4 * time.Second
 	// vmReaders is the number of daemons, chosen by hash, that read the VM
 	// list. It names every VM, so that reading it on each of 330 daemons would
 	// exceed their control traffic; three cover the loss of two at once.
@@ -63,8 +65,10 @@
 	epochs      map[domain.UpstreamID]uint64       // drains to count for
 	counts      map[domain.UpstreamID]int
 	recordsFrom ports.Version
-	latest      configlog.Document
-	ticks       int
+	// askedRecords is when the drain records were last asked for.
+	askedRecords time.Time
+	latest       configlog.Document
+	ticks        int
 }
 
 func newCluster(d *Daemon, transport ports.PeerTransport) *cluster {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
@@ -84,8 +85,10 @@
 	cluster  *cluster
 	director *director
 	rebuild  chan struct{}
-	applying sync.Mutex // serializes changes of the request path's snapshot
-	callers  *http.Server
+	// cacheBudget bounds the traffic of cache events, in bytes.
+	cacheBudget *rate.Limiter
+	applying    sync.Mutex // serializes changes of the request path's snapshot
+	callers     *http.Server
 }
 
 // New returns a daemon that works once Run is called.
@@ -96,7 +99,7 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
-	d := &Daemon{cfg: cfg, backends: newBackends(cfg.Upstream), rebuild: make(chan struct{}, 1)}
+	d := &Daemon{cfg: cfg, backends: newBackends(cfg.Upstream), rebuild: make(chan struct{}, 1), cacheBudget: rate.NewLimiter(cacheBudget, cacheBurst)}
 	d.seeds.Store(cfg.Seed)
 	d.cluster = newCluster(d, cfg.Peers)
 	d.director = newDirector(d)
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -212,23 +212,34 @@
 
 // readShared reads changed drain records and, on a few daemons, the VM list.
 func (c *cluster) readShared() {
-	since, readsVMs := c.recordsFrom, c.readsVMs()
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, tableTimeout)
-		defer cancel()
-		began := time.Now()
-		rows, err := scanAll(ctx, c.daemon.cfg.Platform, drain.RecordPrefix, since)
-		if err != nil {
-			return
-		}
+	now := time.Now()
+	// Leaves also travel as facts, so that the table is asked less often while
+	// peers are heard.
+	if !c.evidence.hearsPeers(now) || now.Sub(c.askedRecords) >= recordInterval {
+		c.askedRecords = now
+		go c.readRecords(c.recordsFrom)
+	}
+	if c.readsVMs() {
+		go c.readVMs()
+	}
+}
+
+func (c *cluster) readRecords(since ports.Version) {
+	ctx, cancel := context.WithTimeout(c.ctx, tableTimeout)
+	defer cancel()
+	began := time.Now()
+	rows, err := scanAll(ctx, c.daemon.cfg.Platform, drain.RecordPrefix, since)
+	if err == nil {
 		c.mailbox.post(func() { c.recordsRead(began, rows) })
-		if !readsVMs {
-			return
-		}
-		if vms, err := c.daemon.cfg.Platform.VMs(ctx); err == nil {
-			c.mailbox.post(func() { c.vmsListed(vms) })
-		}
-	}()
+	}
+}
+
+func (c *cluster) readVMs() {
+	ctx, cancel := context.WithTimeout(c.ctx, tableTimeout)
+	defer cancel()
+	if vms, err := c.daemon.cfg.Platform.VMs(ctx); err == nil {
+		c.mailbox.post(func() { c.vmsListed(vms) })
+	}
 }
 
 // readsVMs reports whether this daemon is among the few that read the VM list;
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -34,6 +34,12 @@
 	return verdict == drain.Allow
 }
 
+// hearsPeers reports whether a peer was heard lately in a region with a quorum,
+// so that new work does not rest on the platform.
+func (e *evidence) hearsPeers(now time.Time) bool {
+	return e.quorum.Load() && now.Sub(time.Unix(0, e.peers.Load())) <= drain.ViewLimit
+}
+
 // observeRoster takes over what the roster says about the own region.
 func (e *evidence) observeRoster(v *membership.View, self ports.Member) {
 	total, live := 1, 1
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -25,6 +25,12 @@
 	// control traffic stays within 3 KB/s at any size.
 	reportBytes  = 400
 	reportBudget = 1000
+	// cacheEventBytes is the approximate size of one cache event. Reading all
+	// events of 72 upstreams would take tens of KB/s at the planned size, so that
+	// they are read within cacheBudget bytes per second, with gaps.
+	cacheEventBytes = 55
+	cacheBudget     = 300
+	cacheBurst      = 64 << 10
 	// minReportInterval is the shortest poll interval.
 	minReportInterval = time.Second
 	// maxReportInterval is the longest one.
@@ -151,10 +157,15 @@
 	if u.Kind != domain.KindEngine {
 		return
 	}
+	if !d.cacheBudget.AllowN(now, 1) {
+		// Routing still knows the prefixes that this daemon sent there.
+		return
+	}
 	events, err := client.CacheEvents(ctx, u.State.Prefixes.LastSeq())
 	if err != nil {
 		return
 	}
+	d.cacheBudget.ReserveN(now, min(len(events)*cacheEventBytes, cacheBurst))
 	for _, e := range events {
 		u.State.Prefixes.Apply(e)
 	}
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -22,6 +22,9 @@
 	demandInterval = time.Second
 	// housekeepingInterval is how often one daemon removes old rows.
 	housekeepingInterval = time.Minute
+	// sweepPages is the number of pages of 1,000 claims that one round looks at.
+	// With a retention of a day it keeps up with 530 claims a second.
+	sweepPages = 32
 	// historyKept is how long records of revisions stay.
 	historyKept = 90 * 24 * time.Hour
 	// deltasKept is how many of the newest revisions keep their delta.
@@ -165,12 +168,23 @@
 		if !d.cluster.lease.Held(time.Now()) {
 			continue
 		}
-		if _, _, err := sweeper.Step(ctx); err != nil {
-			d.cfg.Log.Event(telemetry.PlatformError).Str("call", "sweep claims").Err(err).Msg("")
-		}
+		d.sweepClaims(ctx, sweeper)
 		if err := configlog.Compact(ctx, d.cfg.Platform, configlog.Retention{Deltas: deltasKept, History: historyKept}); err != nil {
 			d.cfg.Log.Event(telemetry.PlatformError).Str("call", "compact configuration log").Err(err).Msg("")
 		}
 	}
 	return nil
 }
+
+// sweepClaims looks at up to sweepPages pages of claims.
+func (d *Daemon) sweepClaims(ctx context.Context, sweeper *claims.Sweeper) {
+	for range sweepPages {
+		_, last, err := sweeper.Step(ctx)
+		if err != nil {
+			d.cfg.Log.Event(telemetry.PlatformError).Str("call", "sweep claims").Err(err).Msg("")
+		}
+		if err != nil || last {
+			return
+		}
+	}
+}
--- a/internal/daemon/site.go
+++ b/internal/daemon/site.go
@@ -12,10 +12,10 @@
 const (
 	// subsetSize is the number of upstreams of one model or service in its own
 	// region that a daemon uses. With fewer in the region it uses all of them.
-	subsetSize = 12
+	subsetSize = 8
 	// remoteSubsetSize is the same for each other region, for overflow and for
 	// the loss of the own region's upstreams.
-	remoteSubsetSize = 3
+	remoteSubsetSize = 2
 )
 
 // poolKey groups upstreams that can replace each other.
--- a/internal/dev/startup_test.go
+++ b/internal/dev/startup_test.go
@@ -12,15 +12,16 @@
 )
 
 // startInOutage starts three daemons of one region and, after the platform
-// failed, a fourth. stopped of the three do not answer.
-func startInOutage(t *testing.T, stopped int) (fourth *Member, revision domain.Revision) {
-	fleet := startFleet(t, Options{Daemons: 3, Region: "north-coast"})
+// failed, a fourth. crashed of the three do not answer.
+func startInOutage(t *testing.T, crashed int) (fourth *Member, revision domain.Revision) {
+	network := newCrashNetwork()
+	fleet := startFleet(t, Options{Daemons: 3, Region: "north-coast", Network: network})
 	waitFor(t, 10*time.Second, "every daemon sees the others", fleet.meshComplete)
 	revision = fleet.relabel(t, "outage")
 	waitFor(t, spreadBound, "revision in force", func() bool { return fleet.allAt(revision) })
 	fleet.Platform.SetFaults(platform.Faults{Down: []platform.Service{platform.ServiceTable, platform.ServiceObjects, platform.ServiceVMs}})
-	for _, m := range fleet.Members[:stopped] {
-		assert.NilError(t, m.Stop())
+	for _, m := range fleet.Members[:crashed] {
+		network.crash(m.ID)
 	}
 	fourth, err := fleet.StartDaemon(3, "daemon-4")
 	assert.NilError(t, err)
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -109,6 +109,8 @@
 type Explanation struct {
 	Candidates []Scored
 	Excluded   []Exclusion
+	// OutsideSubset counts the route's upstreams that this daemon does not use.
+	OutsideSubset int
 	// Chosen is the index in Policy.Upstreams, or -1.
 	Chosen int
 	// Near is the number of candidates that the picker sampled from.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -130,12 +130,15 @@
 		r.filterTranslated(s)
 		return
 	}
-	if q.Explain == nil && len(t.members)*sparseFactor < len(q.Route.Upstreams) {
+	if len(t.members)*sparseFactor < len(q.Route.Upstreams) {
+		considered := 0
 		for _, u := range t.members {
 			if _, allowed := slices.BinarySearch(q.Route.Upstreams, u.Index); allowed {
 				r.consider(s, u)
+				considered++
 			}
 		}
+		q.outside(len(q.Route.Upstreams) - considered)
 		return
 	}
 	for _, i := range q.Route.Upstreams {
@@ -144,8 +147,8 @@
 			// Only a route of another policy has such an index.
 		case t.upstreams[i] != nil:
 			r.consider(s, t.upstreams[i])
-		case q.Explain != nil:
-			q.exclude(t.Policy.Upstreams[i].ID, ReasonSubset)
+		default:
+			q.outside(1)
 		}
 	}
 }
@@ -160,7 +163,7 @@
 			r.consider(s, u)
 			continue
 		}
-		q.exclude(id, ReasonSubset)
+		q.outside(1)
 	}
 }
 
@@ -173,6 +176,14 @@
 	s.candidates = append(s.candidates, Candidate{Upstream: u, proving: u.State.health.proving()})
 }
 
+// outside counts upstreams outside the daemon's subset. At the planned size
+// they are thousands, so they are not listed.
+func (q *Query) outside(n int) {
+	if q.Explain != nil {
+		q.Explain.OutsideSubset += n
+	}
+}
+
 func (q *Query) exclude(id domain.UpstreamID, reason Reason) {
 	if q.Explain != nil {
 		q.Explain.Excluded = append(q.Explain.Excluded, Exclusion{id, reason})
