Compare relayed and direct latency at the same time

Cause: the added p99 was the difference of two runs, one after the other.

Change: direct and relayed streams run at the same time through the same engines, and the median of five runs counts.

--- a/internal/capacity/relay.go
+++ b/internal/capacity/relay.go
@@ -169,10 +169,11 @@
 // Unwrap lets http.ResponseController find the flusher.
 func (w *stampWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// url returns where stream i goes.
+// url returns where stream i goes. Pairs of streams share an engine, so that
+// every second stream alone reaches all engines too.
 func (r *relay) url(i int, direct bool) string {
 	if direct {
-		return r.targets[i%len(r.targets)]
+		return r.targets[i/2%len(r.targets)]
 	}
 	return r.daemon
 }
@@ -285,11 +286,22 @@
 	spent
 	events float64 // per second
 	held   float64 // bytes held with all streams in progress
-	delays []time.Duration
+	// direct and relayed are the times between an engine's write and the
+	// caller's read, sorted.
+	direct, relayed []time.Duration
 }
 
+// way tells whether stream i goes to an engine directly.
+type way func(i int) bool
+
+func toEngine(int) bool { return true }
+
+func toDaemon(int) bool { return false }
+
+func alternately(i int) bool { return i%2 == 0 }
+
 // streams runs n long streams and observes them for a span.
-func (r *relay) streams(ctx context.Context, n int, span time.Duration, direct, stamp bool) (window, error) {
+func (r *relay) streams(ctx context.Context, n int, span time.Duration, direct way, stamp bool) (window, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var events, started atomic.Int64
@@ -303,7 +315,7 @@
 		}
 		work.Go(func() {
 			first := true
-			err := r.stream(ctx, i, 100_000, direct, func() {
+			err := r.stream(ctx, i, 100_000, direct(i), func() {
 				if first {
 					first = false
 					started.Add(1)
@@ -336,16 +348,16 @@
 	cancel()
 	work.Wait()
 	if stamp {
-		w.delays = r.delays(read)
+		w.direct, w.relayed = r.delays(read, direct)
 	}
 	// Engines end abandoned attempts when they see the closed connections.
 	time.Sleep(200 * time.Millisecond)
 	return w, nil
 }
 
-// delays returns the times between an engine's write and the caller's read.
-func (r *relay) delays(read [][]time.Time) []time.Duration {
-	var out []time.Duration
+// delays returns the times between an engine's write and the caller's read, of
+// direct and of relayed streams.
+func (r *relay) delays(read [][]time.Time, way way) (direct, relayed []time.Duration) {
 	for i, times := range read {
 		s, ok := r.stamps.LoadAndDelete(i)
 		if !ok {
@@ -353,13 +365,18 @@
 		}
 		written := s.(*stamps)
 		written.mu.Lock()
+		to := &relayed
+		if way(i) {
+			to = &direct
+		}
 		for k := range min(len(times), len(written.times)) {
-			out = append(out, times[k].Sub(written.times[k]))
+			*to = append(*to, times[k].Sub(written.times[k]))
 		}
 		written.mu.Unlock()
 	}
-	slices.Sort(out)
-	return out
+	slices.Sort(direct)
+	slices.Sort(relayed)
+	return direct, relayed
 }
 
 func quantile(sorted []time.Duration, q float64) time.Duration {
@@ -382,7 +399,7 @@
 	}
 	for _, n := range loads {
 		// A fresh set of engines for each point keeps ended attempts out.
-		a, b, err := pairOf(ctx, n, span, s.TokenInterval, false)
+		a, b, err := pairOf(ctx, n, span, s.TokenInterval)
 		if err != nil {
 			return err
 		}
@@ -396,11 +413,13 @@
 	return measureDelays(ctx, r, full/2, span)
 }
 
-// delayRuns is the number of pairs of runs whose median counts, because other
-// users of the machine delay single runs by far more than a daemon does.
+// delayRuns is the number of runs whose median counts, because other users of
+// the machine delay single runs by far more than a daemon does.
 const delayRuns = 5
 
 // measureDelays measures the latency that a daemon adds to token events.
+// Direct and relayed streams run at the same time, so that both suffer the same
+// disturbance.
 func measureDelays(ctx context.Context, r *recorder, streams int, span time.Duration) error {
 	var p50, p99, floor []time.Duration
 	events := 0.0
@@ -409,14 +428,14 @@
 		runs = 1
 	}
 	for range runs {
-		a, b, err := pairOf(ctx, streams, span, Planned().TokenInterval, true)
+		w, err := mixed(ctx, 2*streams, span, Planned().TokenInterval)
 		if err != nil {
 			return err
 		}
-		p50 = append(p50, quantile(b.delays, 0.5)-quantile(a.delays, 0.5))
-		p99 = append(p99, quantile(b.delays, 0.99)-quantile(a.delays, 0.99))
-		floor = append(floor, quantile(a.delays, 0.99))
-		events += b.events / float64(runs)
+		p50 = append(p50, quantile(w.relayed, 0.5)-quantile(w.direct, 0.5))
+		p99 = append(p99, quantile(w.relayed, 0.99)-quantile(w.direct, 0.99))
+		floor = append(floor, quantile(w.direct, 0.99))
+		events += w.events / 2 / float64(runs)
 	}
 	for _, list := range [][]time.Duration{p50, p99, floor} {
 		slices.Sort(list)
@@ -428,16 +447,26 @@
 	return nil
 }
 
-func pairOf(ctx context.Context, n int, span, interval time.Duration, stamp bool) (direct, relayed window, err error) {
+// mixed runs n streams of which every other one is direct.
+func mixed(ctx context.Context, n int, span, interval time.Duration) (window, error) {
+	rel, err := newRelay(8, n, interval, 1)
+	if err != nil {
+		return window{}, err
+	}
+	defer rel.close()
+	return rel.streams(ctx, n, span, alternately, true)
+}
+
+func pairOf(ctx context.Context, n int, span, interval time.Duration) (direct, relayed window, err error) {
 	rel, err := newRelay(8, n, interval, 1)
 	if err != nil {
 		return direct, relayed, err
 	}
 	defer rel.close()
-	if direct, err = rel.streams(ctx, n, span, true, stamp); err != nil {
+	if direct, err = rel.streams(ctx, n, span, toEngine, false); err != nil {
 		return direct, relayed, err
 	}
-	relayed, err = rel.streams(ctx, n, span, false, stamp)
+	relayed, err = rel.streams(ctx, n, span, toDaemon, false)
 	return direct, relayed, err
 }
 
@@ -448,7 +477,7 @@
 		counts, interval = []int{20}, 100*time.Millisecond
 	}
 	for _, n := range counts {
-		direct, relayed, err := pairOf(ctx, n, 50*time.Millisecond, interval, false)
+		direct, relayed, err := pairOf(ctx, n, 50*time.Millisecond, interval)
 		if err != nil {
 			return err
 		}
