--- a/internal/faultmatrix/cell.go
+++ b/internal/faultmatrix/cell.go
@@ -21,8 +21,8 @@
 	pairGap       = 500 * time.Millisecond
 	drainAttempts = 3
 	// stopBurst requests of stopTokens each are in progress at a planned stop.
-	stopBurst  = 24
-	stopTokens = 30
+	stopBurst  = 16
+	stopTokens = 20
 )
 
 // cell is one step with the faults that are injected at it.
@@ -41,7 +41,7 @@
 		return []string{"start: " + err.Error()}
 	}
 	defer s.close()
-	if !until(startBound, s.acquainted) {
+	if !c.step.early && !until(startBound, s.acquainted) {
 		return []string{"start: the daemons do not know each other"}
 	}
 	stopWatch := make(chan struct{})
@@ -49,7 +49,9 @@
 	load, stopLoad := context.WithCancel(context.Background())
 	s.work.Go(func() { s.traffic(load) })
 	s.work.Go(func() { s.bookings(load) })
-	time.Sleep(warmup)
+	if !c.step.early {
+		time.Sleep(warmup)
+	}
 	done := s.arm(c.faults)
 	c.step.drive(s)
 	done()
--- a/internal/faultmatrix/step.go
+++ b/internal/faultmatrix/step.go
@@ -16,6 +16,8 @@
 	name string
 	// upstream tells that an upstream takes part in the step.
 	upstream bool
+	// early drives the step while the daemons do not know each other yet.
+	early bool
 	// drive does the step and calls scene.before and scene.after at the
 	// moments when faults are injected.
 	drive func(s *scene)
@@ -51,6 +53,11 @@
 	}
 }
 
+// startStep asks for a drain while the daemons do not know each other yet.
+func startStep() step {
+	return step{name: "drain: request at start", upstream: true, early: true, drive: drainRequest}
+}
+
 func acceptConfiguration(s *scene) {
 	s.before()
 	s.reconfigure(driveBound)
--- a/internal/faultmatrix/traffic.go
+++ b/internal/faultmatrix/traffic.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	callInterval    = 600 * time.Millisecond
-	bookingInterval = 1500 * time.Millisecond
+	callInterval    = 800 * time.Millisecond
+	bookingInterval = 2 * time.Second
 	// callBound is how long a caller keeps trying in all.
 	callBound   = 4 * time.Minute
 	retryPause  = 300 * time.Millisecond
