Run the fleet as processes under faults and check the ledgers

Cause: tests inside one process cannot show faults of start-up, signals, settings and lost connections.

Every answer is compared with the expected text, and I1 to I8 are checked as far as callers, ledgers and metrics show them.

--- a/internal/processrun/check_test.go
+++ b/internal/processrun/check_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/standin/engine"
 	"github.com/auburndyke/auburndyke/internal/standin/service"
 )
@@ -22,6 +23,8 @@
 	// leaveBound the time after which a leaving upstream gets no work (I6).
 	spreadBound = 3 * time.Second
 	leaveBound  = 3 * time.Second
+	// urgentClass is the class of the highest tier.
+	urgentClass = "guest-question"
 )
 
 // classFigures counts one class.
@@ -165,6 +168,9 @@
 		if rec.Wrong != "" {
 			p.violated("I3: %s: %s", rec.Class, rec.Wrong)
 		}
+		if shedUrgent(&rec) {
+			p.violated("I1: a request of class %s was shed although lower tiers ran: %+v", rec.Class, rec.Tries)
+		}
 		if rec.Key == "" && !rec.Complete {
 			p.violated("I2: a request of class %s was not answered: %+v", rec.Class, rec.Tries)
 		}
@@ -181,6 +187,14 @@
 	}
 }
 
+// shedUrgent holds for the load of these runs, whose lower tiers always have
+// requests running that could give way.
+func shedUrgent(rec *record) bool {
+	return rec.Class == urgentClass && slices.ContainsFunc(rec.Tries, func(t try) bool {
+		return t.Code == string(domain.CodeOverloaded)
+	})
+}
+
 func (c *classFigures) add(rec *record) {
 	c.Requests++
 	if rec.Complete {
@@ -240,17 +254,22 @@
 }
 
 // checkSpread checks each change at each daemon that was up for the whole
-// time that the change had to spread, and that no daemon went back.
+// time that the change had to spread, counted from its return where it came
+// back later, and that no daemon went back.
 func (r *run) checkSpread(p *report) {
 	slices.SortFunc(r.changes, func(a, b change) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, c := range r.changes {
 		slowest := time.Duration(0)
 		for id, spans := range r.up {
 			for _, s := range spans {
-				if s.from.After(c.Accepted) || !s.to.IsZero() && s.to.Before(c.Accepted.Add(spreadBound)) {
+				from := c.Accepted
+				if s.from.After(from) {
+					from = s.from // the daemon came back behind the change
+				}
+				if !s.to.IsZero() && s.to.Before(from.Add(spreadBound)) {
 					continue
 				}
-				took, ok := reached(r.sightings[id], c)
+				took, ok := reached(r.sightings[id], c.Revision, from)
 				if !ok || took > spreadBound {
 					p.violated("I8: revision %d was in force at %s after %v (reached %v)", c.Revision, id, took, ok)
 				}
@@ -268,10 +287,11 @@
 	}
 }
 
-func reached(list []sighting, c change) (time.Duration, bool) {
+// reached returns when a revision or a higher one was first seen after from.
+func reached(list []sighting, revision domain.Revision, from time.Time) (time.Duration, bool) {
 	for _, s := range list {
-		if s.revision >= c.Revision && s.at.After(c.Accepted) {
-			return s.at.Sub(c.Accepted), true
+		if s.revision >= revision && s.at.After(from) {
+			return s.at.Sub(from), true
 		}
 	}
 	return 0, false
--- a/internal/processrun/fleet_test.go
+++ b/internal/processrun/fleet_test.go
@@ -113,6 +113,20 @@
 
 func (f *fleet) log(name string) string { return filepath.Join(f.dir, name+".log") }
 
+// keepLogs shows race reports and panics of the processes.
+func (f *fleet) keepLogs() {
+	files, _ := filepath.Glob(f.log("*"))
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		assert.NilError(f.t, err)
+		for _, mark := range []string{"WARNING: DATA RACE", "panic:"} {
+			if at := strings.Index(string(data), mark); at >= 0 {
+				f.t.Logf("%s: %s", filepath.Base(file), data[at:min(at+4000, len(data))])
+			}
+		}
+	}
+}
+
 func (f *fleet) startPlatform() {
 	address := f.free("127.0.0.1:20900")
 	credential := strings.TrimSpace(f.read("platform.credential"))
--- a/internal/processrun/process_test.go
+++ b/internal/processrun/process_test.go
@@ -23,10 +23,15 @@
 	exited  chan struct{}
 }
 
-// build makes the binary once per test.
+// build makes the binary once per test. AUBURNDYKE_RACE adds the race detector,
+// whose reports make planned stops fail.
 func build(t *testing.T, dir string) string {
 	binary := filepath.Join(dir, "auburndyke")
-	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/auburndyke").CombinedOutput()
+	args := []string{"build", "-o", binary}
+	if os.Getenv("AUBURNDYKE_RACE") != "" {
+		args = append(args, "-race")
+	}
+	out, err := exec.CommandContext(t.Context(), "go", append(args, "../../cmd/auburndyke")...).CombinedOutput()
 	assert.NilError(t, err, string(out))
 	return binary
 }
--- a/internal/processrun/run_test.go
+++ b/internal/processrun/run_test.go
@@ -142,4 +142,7 @@
 	for _, v := range report.Violations {
 		t.Error(v)
 	}
+	if t.Failed() {
+		f.keepLogs()
+	}
 }
