--- a/internal/processrun/process_test.go
+++ b/internal/processrun/process_test.go
@@ -23,10 +23,15 @@
 	exited  chan struct{}
 }
 
-// build makes the binary once per test.
+// build makes the binary once per test. AUBURNDYKE_RACE adds the race detector,
+// whose reports make planned stops fail.
 func build(t *testing.T, dir string) string {
 	binary := filepath.Join(dir, "auburndyke")
-	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/auburndyke").CombinedOutput()
+	args := []string{"build", "-o", binary}
+	if os.Getenv("AUBURNDYKE_RACE") != "" {
+		args = append(args, "-race")
+	}
+	out, err := exec.CommandContext(t.Context(), "go", append(args, "../../cmd/auburndyke")...).CombinedOutput()
 	assert.NilError(t, err, string(out))
 	return binary
 }
@@ -49,15 +54,6 @@
 	return p
 }
 
-func (p *process) running() bool {
-	select {
-	case <-p.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 func (p *process) kill() {
