Start new work only after the leaves of upstreams are known

A roster that was never read also counted as naming nobody else. Ruled out: resting acceptance on a later roster read, which would delay every drain by a scan. Change: a daemon becomes ready when it has heard a neighbour for a second, or is alone by the table's word, or has read the drain records two roster scans after it joined. A daemon without a roster row counts itself in for the peer graph; without that, one that started in an outage lost its neighbours. The delay between polls in an outage is 1.5 to 2.4 s, since 1 to 2 s had put 37 of 330 polls into 100 ms. Before and after: TestDrainWhileDaemonsStart: 3 of 14 cells failed before, 28 of 28 pass (-count=2). TestReturnAfterOutageIsSpread failed at 37 with a bound of 33 and passes. go test ./internal/dev -run 'Start|Minor' passes.

--- a/internal/configlog/follower.go
+++ b/internal/configlog/follower.go
@@ -22,7 +22,7 @@
 	// outageBackoff bounds the delay between polls while the table fails. With
 	// the cap, a revision is found within 3 s of the table's return, and 330
 	// daemons send at most 330 polls per second, which is their normal rate.
-	outageBackoff = backoff.Policy{Floor: pollFloor, Cap: 2 * time.Second}
+	outageBackoff = backoff.Policy{Floor: 1500 * time.Millisecond, Cap: 2400 * time.Millisecond}
 	// fetchBackoff bounds the delay between tries to read a revision.
 	fetchBackoff = backoff.Policy{Floor: 100 * time.Millisecond, Cap: 5 * time.Second}
 )
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -65,6 +65,9 @@
 	epochs      map[domain.UpstreamID]uint64       // drains to count for
 	counts      map[domain.UpstreamID]int
 	recordsFrom ports.Version
+	// joinedAt is when this run was entered in the roster, and heardSince since
+	// when a neighbour has been heard; zero means not yet.
+	joinedAt, heardSince time.Time
 	// askedRecords is when the drain records were last asked for.
 	askedRecords time.Time
 	latest       configlog.Document
@@ -147,6 +150,7 @@
 		c.askQuiet(now)
 	}
 	c.ticks++
+	c.checkSync(now)
 	c.count(now)
 	c.drive(c.controller.Handle(now, drain.Tick{}))
 	c.drive(c.holder.Handle(now, drain.Tick{}))
@@ -246,13 +250,19 @@
 func (c *cluster) viewChanged(v *membership.View) {
 	previous := c.view.Swap(v)
 	logViewChange(c.daemon.cfg.Log, previous, v)
-	c.submit(mesh.RosterChanged{Members: v.Members()})
+	members := v.Members()
+	if _, ok := v.Find(c.self.Daemon); !ok {
+		// A daemon that started during an outage has no row, but needs peers.
+		members = append(members, c.member())
+	}
+	c.submit(mesh.RosterChanged{Members: members})
 	c.drive(c.controller.Handle(time.Now(), drain.ViewChanged{View: v}))
 	c.daemon.requestRebuild()
 }
 
 func (c *cluster) joined(m ports.Member) {
 	c.incarnation.Store(uint64(m.Incarnation))
+	c.joinedAt = time.Now()
 	c.transport.SetIncarnation(m.Incarnation)
 	c.drive(c.holder.Handle(time.Now(), drain.Acting{Incarnation: m.Incarnation}))
 	c.daemon.cfg.Log.Event(telemetry.MemberChanged).Str("member", string(m.Daemon)).Uint64("incarnation", uint64(m.Incarnation)).Str("change", "joined").Msg("")
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -47,7 +47,24 @@
 	d.cfg.Log.Event(telemetry.ConfigurationRejected).Uint64("revision", uint64(doc.Revision)).Err(err).Msg("")
 }
 
+// readiness takes over what the configuration log says.
 func (d *Daemon) readiness(r configlog.Readiness) {
+	d.configured.Store(&r)
+	d.updateReadiness()
+}
+
+// updateReadiness makes the daemon ready when a configuration is in force and
+// the leaves of upstreams are known.
+func (d *Daemon) updateReadiness() {
+	d.readying.Lock()
+	defer d.readying.Unlock()
+	r := configlog.Readiness{Reason: "no configuration is in force yet"}
+	if p := d.configured.Load(); p != nil {
+		r = *p
+	}
+	if r.Ready && !d.cluster.evidence.synced.Load() {
+		r = configlog.Readiness{Reason: "the leaves of upstreams are not known yet: no peer was heard and the roster names others"}
+	}
 	if !r.Ready {
 		d.gateway.SetUnready(r.Reason)
 		d.cfg.Log.Event(telemetry.DaemonUnready).Str("reason", r.Reason).Msg("")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,6 +85,9 @@
 	cluster  *cluster
 	director *director
 	rebuild  chan struct{}
+	// configured is what the configuration log says about readiness.
+	configured atomic.Pointer[configlog.Readiness]
+	readying   sync.Mutex // serializes changes of the readiness
 	// cacheBudget bounds the traffic of cache events, in bytes.
 	cacheBudget *rate.Limiter
 	applying    sync.Mutex // serializes changes of the request path's snapshot
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -18,6 +18,9 @@
 	peers    atomic.Int64 // when any neighbour was last heard, Unix ns
 	quorum   atomic.Bool
 	alone    atomic.Bool
+	// synced means that leaves accepted before this daemon was known to the
+	// others are known here. New work waits for it.
+	synced atomic.Bool
 }
 
 func (e *evidence) platformRead(at time.Time) { e.platform.Store(at.UnixNano()) }
@@ -25,6 +28,9 @@
 // fresh reports whether new work may start now at upstreams that are not known
 // to leave. No upstream fences, since the upstream protocol has no such order.
 func (e *evidence) fresh(now time.Time) bool {
+	if !e.synced.Load() {
+		return false
+	}
 	verdict := drain.Gate(now, false, false, false, drain.Evidence{
 		PlatformRead: time.Unix(0, e.platform.Load()),
 		PeerHeard:    time.Unix(0, e.peers.Load()),
@@ -53,7 +59,47 @@
 		}
 	}
 	e.quorum.Store(2*live >= total)
-	e.alone.Store(len(v.Entries()) <= 1)
+	// A roster that was never read says nothing about other daemons.
+	e.alone.Store(len(v.Entries()) <= 1 && !v.TableAsOf.IsZero())
+}
+
+const (
+	// syncAfterPeer is how long a neighbour is heard until its facts are here.
+	syncAfterPeer = time.Second
+	// syncAfterJoin is when every daemon that reads the roster knows this one,
+	// so that a later leave waits for its acknowledgement: two scans.
+	syncAfterJoin = 2 * membership.ScanInterval
+)
+
+// checkSync decides whether a daemon that has started may start new work. A
+// leave can be accepted without a daemon that nobody knows yet, so the daemon
+// first hears the facts of a neighbour that acknowledged, or is alone by the
+// table's word, or has read the drain records after all others know it.
+func (c *cluster) checkSync(now time.Time) {
+	e := &c.evidence
+	if e.synced.Load() || c.joinedAt.IsZero() && c.heardSince.IsZero() {
+		return
+	}
+	joined := !c.joinedAt.IsZero()
+	switch {
+	case !c.heardSince.IsZero() && now.Sub(c.heardSince) >= syncAfterPeer:
+	case joined && e.alone.Load() && c.view.Load().TableAsOf.After(c.joinedAt):
+	case joined && time.Unix(0, e.platform.Load()).After(c.joinedAt.Add(syncAfterJoin)):
+	default:
+		return
+	}
+	e.synced.Store(true)
+	c.daemon.updateReadiness()
+}
+
+// hear keeps since when a neighbour has been heard without a gap.
+func (c *cluster) hear(now, heard time.Time) {
+	switch {
+	case heard.IsZero() || now.Sub(heard) > drain.ViewLimit:
+		c.heardSince = time.Time{}
+	case c.heardSince.IsZero():
+		c.heardSince = heard
+	}
 }
 
 // observeMesh asks the mesh when a neighbour was last heard.
@@ -62,9 +108,11 @@
 		ctx, cancel := context.WithTimeout(c.ctx, controlTick)
 		defer cancel()
 		_ = c.mesh.Inspect(ctx, func(n *mesh.Node) {
-			if heard := n.LastHeard(); !heard.IsZero() {
+			heard := n.LastHeard()
+			if !heard.IsZero() {
 				c.evidence.peers.Store(heard.UnixNano())
 			}
+			c.mailbox.post(func() { c.hear(time.Now(), heard) })
 			peers := peerStatuses(n)
 			c.peers.Store(&peers)
 		})
