--- a/internal/faultmatrix/caller.go
+++ b/internal/faultmatrix/caller.go
@@ -35,6 +35,8 @@
 	refused bool
 	// broken is the error of the connection.
 	broken error
+	// gaveUp means that the caller ended the request by its own timeout.
+	gaveUp bool
 }
 
 // caller sends requests over the in-memory network.
@@ -66,6 +68,7 @@
 	defer cancel()
 	t.receive(c, ctx, url, m)
 	t.end = time.Now()
+	t.gaveUp = t.broken != nil && ctx.Err() != nil
 	return t
 }
 
--- a/internal/faultmatrix/cell.go
+++ b/internal/faultmatrix/cell.go
@@ -1,6 +1,7 @@
 package faultmatrix
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -30,13 +31,15 @@
 	step   step
 	faults []fault
 	seed   uint64
+	// daemons is their number. Zero means 4.
+	daemons int
 }
 
 // run runs a cell in a bubble of virtual time and returns the violations.
 func (c *cell) run() []string {
 	ctx, cancel := context.WithTimeout(context.Background(), startBound)
 	defer cancel()
-	s, err := newScene(ctx, c.seed)
+	s, err := newScene(ctx, c.seed, cmp.Or(c.daemons, daemons))
 	if err != nil {
 		return []string{"start: " + err.Error()}
 	}
--- a/internal/faultmatrix/ledger.go
+++ b/internal/faultmatrix/ledger.go
@@ -99,13 +99,26 @@
 		s.violate("I3: %s at %s was told ran but no engine ran it", c.class, t.daemon)
 	case t.broken == nil && !t.complete && t.outcome == "":
 		s.violate("I3: %s at %s ended without an answer or an outcome", c.class, t.daemon)
-	case t.broken != nil && !t.refused && !s.disturbed[t.daemon]:
+	case t.gaveUp && !s.disturbed[t.daemon] && s.maxWait(c.class) < tryTimeout:
+		s.violate("I2: %s at %s did not end within its max_wait", c.class, t.daemon)
+	case t.broken != nil && !t.refused && !t.gaveUp && !s.disturbed[t.daemon]:
 		s.violate("I7: %s at %s was cut %v after its start by %v though no fault cut it", c.class, t.daemon, t.end.Sub(t.start), t.broken)
 	case t.code == domain.CodeOverloaded && urgent(c.class):
 		s.violate("I1: %s at %s was shed although capacity suffices", c.class, t.daemon)
 	}
 }
 
+// maxWait is how long a class may wait by the configuration. A caller that
+// gives up earlier is not cut by the system.
+func (s *scene) maxWait(class domain.ClassID) time.Duration {
+	for i := range s.fleet.Document.Classes {
+		if c := &s.fleet.Document.Classes[i]; c.ID == class {
+			return c.MaxWait
+		}
+	}
+	return 0
+}
+
 func urgent(class domain.ClassID) bool { return class == "guest-question" || class == "booking" }
 
 // checkBooking checks I3 and I4 of a call that must not be repeated. The tries
--- a/internal/faultmatrix/scene.go
+++ b/internal/faultmatrix/scene.go
@@ -71,7 +71,7 @@
 	at       time.Time
 }
 
-func newScene(ctx context.Context, seed uint64) (*scene, error) {
+func newScene(ctx context.Context, seed uint64, daemons int) (*scene, error) {
 	s := &scene{
 		net:       newNetwork(),
 		dead:      make(map[domain.DaemonID]bool),
