--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -25,10 +25,14 @@
 	controlTick  = 250 * time.Millisecond
 	ticksPerBeat = 4
 	drainLease   = "drain"
+	// recordInterval is how often drain records are read while peers are heard.
+	recordInterval = 4 * time.Second
 	// vmReaders is the number of daemons, chosen by hash, that read the VM
 	// list. It names every VM, so that reading it on each of 330 daemons would
 	// exceed their control traffic; three cover the loss of two at once.
 	vmReaders = 3
+	// leaveLinger lets the last facts leave before the connections close.
+	leaveLinger = 300 * time.Millisecond
 	// tableTimeout bounds one call to the table.
 	tableTimeout = 2 * time.Second
 	scanPage     = 1000
@@ -61,8 +65,10 @@
 	epochs      map[domain.UpstreamID]uint64       // drains to count for
 	counts      map[domain.UpstreamID]int
 	recordsFrom ports.Version
-	latest      configlog.Document
-	ticks       int
+	// askedRecords is when the drain records were last asked for.
+	askedRecords time.Time
+	latest       configlog.Document
+	ticks        int
 }
 
 func newCluster(d *Daemon, transport ports.PeerTransport) *cluster {
@@ -144,8 +150,7 @@
 	c.count(now)
 	c.drive(c.controller.Handle(now, drain.Tick{}))
 	c.drive(c.holder.Handle(now, drain.Tick{}))
-	statuses := c.controller.Statuses()
-	c.drains.Store(&statuses)
+	c.publishDrains()
 }
 
 // deliver takes what the mesh hands up. It runs on the mesh's goroutine.
@@ -280,6 +285,20 @@
 	}
 }
 
+// leave tells the others that this daemon has stopped as planned, so that they
+// need not wait for the end of its lease.
+func (c *cluster) leave() {
+	member := c.member()
+	if member.Incarnation == 0 {
+		return
+	}
+	c.submit(mesh.LocalFacts{Facts: []ports.Fact{{
+		Kind: ports.FactDaemonGone, Seq: 1, Stamp: mesh.StampAt(time.Now()),
+		Member: &ports.Member{Daemon: member.Daemon, Incarnation: member.Incarnation, Region: member.Region, Zone: member.Zone},
+	}}})
+	time.Sleep(leaveLinger)
+}
+
 // owner identifies this run of the daemon in claims.
 func (c *cluster) owner() claims.Owner {
 	return claims.Owner{Daemon: c.self.Daemon, Incarnation: domain.Incarnation(c.incarnation.Load())}
--- a/internal/dev/cluster_test.go
+++ b/internal/dev/cluster_test.go
@@ -177,3 +177,18 @@
 	assert.NilError(t, fleet.Members[0].Stop())
 	work.Wait()
 }
+
+// Guards against a planned stop that the other daemons take for a crash, so
+// that drains wait for the end of its lease.
+func TestPlannedStopIsTold(t *testing.T) {
+	fleet := startFleet(t, Options{Daemons: 4})
+	waitFor(t, 10*time.Second, "every daemon sees the others", fleet.meshComplete)
+	stopped := fleet.Members[3]
+	assert.NilError(t, stopped.Stop())
+	for _, m := range fleet.Members[:3] {
+		waitFor(t, 2*time.Second, "the stop is known", func() bool {
+			_, known := m.Roster().Find(stopped.ID)
+			return !known
+		})
+	}
+}
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -77,6 +77,7 @@
 	platformURL string
 	options     Options
 	work        sync.WaitGroup
+	mu          sync.Mutex // guards Members while daemons are added
 }
 
 // Member is one daemon of a Fleet.
@@ -168,7 +169,7 @@
 		if i == 0 {
 			address = f.options.Callers
 		}
-		if err := f.startDaemon(i, domain.DaemonID(fmt.Sprintf("daemon-%d", i+1)), address); err != nil {
+		if _, err := f.startDaemon(i, domain.DaemonID(fmt.Sprintf("daemon-%d", i+1)), address); err != nil {
 			return err
 		}
 	}
@@ -178,10 +179,13 @@
 // StartDaemon starts one more daemon in the region and zone of number i and
 // does not wait for it. An id must not be in use by a running daemon.
 func (f *Fleet) StartDaemon(i int, id domain.DaemonID) (*Member, error) {
-	if err := f.startDaemon(i, id, freePort); err != nil {
-		return nil, err
-	}
-	return f.Members[len(f.Members)-1], nil
+	return f.startDaemon(i, id, freePort)
+}
+
+func (f *Fleet) members() []*Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.Members)
 }
 
 func (f *Fleet) startPlatform() error {
@@ -246,8 +250,8 @@
 	defer client.Close()
 	proposer := configlog.NewProposer(client, nil, func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) })
 	base := domain.Revision(0)
-	if len(f.Members) > 0 {
-		base = f.Members[0].Revision()
+	for _, m := range f.members() {
+		base = max(base, m.Revision())
 	}
 	result, err := proposer.Propose(ctx, configlog.Change{
 		ID:      uuid.NewString(),
@@ -262,25 +266,25 @@
 	return result, err
 }
 
-func (f *Fleet) startDaemon(i int, id domain.DaemonID, address string) error {
+func (f *Fleet) startDaemon(i int, id domain.DaemonID, address string) (*Member, error) {
 	region, zone := f.place(i)
 	listener, err := f.options.Network.Listen(string(id), region, address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	sending := httpsend.Options{Dial: f.options.Network.Dial(string(id))}
 	client, err := platformclient.New(f.platformURL, platformclient.Options{Name: string(id), Transport: sending})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	peers, err := f.options.Network.Listen(string(id), region, freePort)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	peerAddress := peers.Addr().String()
 	admin, err := f.options.Network.Listen(string(id), region, freePort)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	mesh := peerws.Config{
 		Self:     ports.Member{Daemon: id, Address: peerAddress, Region: region, Zone: zone},
@@ -316,13 +320,15 @@
 	transport.Handle("GET "+peerws.StatusPath, m.StatusHandler())
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop = stop
+	f.mu.Lock()
 	f.Members = append(f.Members, m)
+	f.mu.Unlock()
 	f.work.Go(func() {
 		defer close(m.done)
 		defer client.Close()
 		m.err = m.Run(ctx)
 	})
-	return nil
+	return m, nil
 }
 
 // place returns the region and zone of the daemon with an index.
@@ -338,6 +344,8 @@
 
 // seeds lists the peer addresses of the daemons that run already.
 func (f *Fleet) seeds() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	seeds := make([]string, len(f.Members))
 	for i, m := range f.Members {
 		seeds[i] = m.peers
@@ -388,7 +396,7 @@
 
 // Close stops the daemons gracefully, then the stand-ins.
 func (f *Fleet) Close() {
-	for _, m := range f.Members {
+	for _, m := range f.members() {
 		m.stop()
 	}
 	f.work.Wait()
--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -47,9 +47,11 @@
 	drains    map[domain.UpstreamID]*drain
 	vms       map[string]*listedVM
 	down      map[domain.UpstreamID]bool
-	view      *membership.View
-	holder    bool
-	actions   []Action
+	// stopped holds the last incarnation of daemons that stopped as planned.
+	stopped map[domain.DaemonID]domain.Incarnation
+	view    *membership.View
+	holder  bool
+	actions []Action
 }
 
 // listedVM is what the VM list says about one VM.
@@ -63,7 +65,7 @@
 func NewController(cfg Config) *Controller {
 	return &Controller{
 		cfg: cfg, upstreams: map[domain.UpstreamID]Upstream{}, drains: map[domain.UpstreamID]*drain{},
-		vms: map[string]*listedVM{}, down: map[domain.UpstreamID]bool{},
+		vms: map[string]*listedVM{}, down: map[domain.UpstreamID]bool{}, stopped: map[domain.DaemonID]domain.Incarnation{},
 	}
 }
 
@@ -109,6 +111,7 @@
 func (c *Controller) onFacts(now time.Time, facts []ports.Fact) {
 	touched := map[domain.UpstreamID]*drain{}
 	for _, f := range facts {
+		c.noteStop(&f)
 		if c.onFact(now, f, FromFact) {
 			if d := c.drains[f.Upstream]; d != nil {
 				touched[f.Upstream] = d
@@ -120,6 +123,13 @@
 	}
 }
 
+// noteStop remembers a daemon that says itself that it has stopped.
+func (c *Controller) noteStop(f *ports.Fact) {
+	if f.Kind == ports.FactDaemonGone && f.Seq > 0 && f.Member != nil {
+		c.stopped[f.Member.Daemon] = max(c.stopped[f.Member.Daemon], f.Member.Incarnation)
+	}
+}
+
 func (c *Controller) emit(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Controller) onUpstreams(list []Upstream) {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -216,8 +216,9 @@
 func (c *Controller) advance(now time.Time, d *drain) {
 	fences := c.upstreams[d.fact.Upstream].Fences
 	stopped, idle := c.view != nil, true
+	silentStopped := !fences && c.view != nil && c.silentStopped(d)
 	for _, p := range d.participants {
-		stopped = stopped && (p.acked || (p.ended && (d.fenced || (!fences && c.stopsItself(d, p)))))
+		stopped = stopped && (p.acked || (p.ended && (d.fenced || (!fences && silentStopped))))
 		idle = idle && (p.idle() || (p.ended && d.runs == 0))
 	}
 	if !d.accepted && (d.fenced || stopped) {
@@ -242,31 +243,44 @@
 	}
 }
 
-// stopsItself tells whether a daemon whose lease has ended is known to send no
-// new work to an upstream that does not fence: its VM has gone, a later run of
-// it is in the roster, or more than half of its region has acknowledged, so that Gate stops it or a daemon that it hears has told
-// it. The end of the lease alone proves nothing, because a region that is cut
-// off from the platform goes on serving.
-func (c *Controller) stopsItself(d *drain, p *participant) bool {
-	if vm := c.vms[string(p.member.Daemon)]; vm != nil && !vm.missing.IsZero() {
+// silentStopped tells whether the daemons whose lease ended before they
+// acknowledged are known to send no new work to an upstream that does not
+// fence. The end of a lease alone proves nothing, because a region that is cut
+// off from the platform goes on serving. One such daemon hears nobody, so that
+// Gate stops it, or hears one that has acknowledged and told it. Several may
+// hear each other; Gate stops them unless they are at least half of a region.
+func (c *Controller) silentStopped(d *drain) bool {
+	silent, total := map[domain.Region]int{}, map[domain.Region]int{}
+	count := 0
+	for _, p := range d.participants {
+		total[p.member.Region]++
+		if !p.acked && p.ended && !c.replaced(p) {
+			silent[p.member.Region]++
+			count++
+		}
+	}
+	if count <= 1 {
 		return true
 	}
-	if c.view != nil {
-		if e, ok := c.view.Find(p.member.Daemon); ok && e.Incarnation > p.member.Incarnation {
-			return true
+	for region, n := range silent {
+		if 2*n >= total[region] {
+			return false
 		}
 	}
-	total, acked := 0, 0
-	for _, other := range d.participants {
-		if other.member.Region != p.member.Region {
-			continue
-		}
-		total++
-		if other.acked {
-			acked++
-		}
+	return true
+}
+
+// replaced tells whether a daemon said that it has stopped, its VM has gone
+// from the list, or a later run of it is in the roster.
+func (c *Controller) replaced(p *participant) bool {
+	if c.stopped[p.member.Daemon] >= p.member.Incarnation {
+		return true
+	}
+	if vm := c.vms[string(p.member.Daemon)]; vm != nil && !vm.missing.IsZero() {
+		return true
 	}
-	return 2*acked > total
+	e, ok := c.view.Find(p.member.Daemon)
+	return ok && e.Incarnation > p.member.Incarnation
 }
 
 // driveFence tells the upstream until it confirms, and now and then after.
--- a/internal/mesh/fact.go
+++ b/internal/mesh/fact.go
@@ -88,6 +88,7 @@
 	return cmp.Or(
 		cmp.Compare(a.Member.Incarnation, b.Member.Incarnation),
 		cmp.Compare(a.Kind, b.Kind),
+		cmp.Compare(a.Seq, b.Seq),
 		cmp.Compare(a.Member.Address, b.Member.Address),
 		cmp.Compare(a.Member.Region, b.Member.Region),
 		cmp.Compare(a.Member.Zone, b.Member.Zone),
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -38,7 +38,8 @@
 	FactUpstreamGone
 	// FactDaemonJoined tells where a daemon incarnation can be reached.
 	FactDaemonJoined
-	// FactDaemonGone ends a daemon incarnation.
+	// FactDaemonGone ends a daemon incarnation. Seq is 1 if the daemon says so
+	// itself after a planned stop, when it has no request in progress.
 	FactDaemonGone
 	// FactDrainAck is one daemon's acknowledgement of a drain epoch.
 	FactDrainAck
