--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -21,6 +21,9 @@
 	scanPage = 1000
 	// stepInterval is the time between two events of the simulated daemons.
 	stepInterval = 100 * time.Millisecond
+	// recordInterval is how often a daemon that hears its peers reads changed
+	// drain records; see internal/daemon.
+	recordInterval = 4 * time.Second
 )
 
 // tableFleet runs the platform's periodic users of a fleet in virtual time:
@@ -96,7 +99,8 @@
 		for i := range f.cores {
 			if f.now.Sub(f.start)%time.Second == time.Duration(i%10)*stepInterval {
 				f.core(i, membership.Tick{})
-				// Each daemon reads changed drain records every second.
+			}
+			if f.now.Sub(f.start)%recordInterval == time.Duration(i%40)*stepInterval {
 				_, _ = f.scan(drain.RecordPrefix, f.version)
 			}
 			if due, ok := f.follow[i].Deadline(); ok && !f.now.Before(due) {
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -73,8 +73,8 @@
 // The subset sizes of internal/daemon: for each model, a daemon uses so many
 // upstreams of its own region and of each other region.
 const (
-	localSubset  = 12
-	remoteSubset = 3
+	localSubset  = 8
+	remoteSubset = 2
 )
 
 // poolSize is the number of upstreams of one model in one region.
--- a/internal/capacity/subset.go
+++ b/internal/capacity/subset.go
@@ -11,7 +11,7 @@
 
 // measureSubsets measures balance, reassignment and cost of subsets.
 func measureSubsets(ctx context.Context, r *recorder) error {
-	sizes := []struct{ daemons, upstreams, size int }{{8, 25, 8}, {32, 242, localSubset}, {110, 139, localSubset}, {330, 2500, 108}}
+	sizes := []struct{ daemons, upstreams, size int }{{8, 25, 8}, {32, 242, localSubset}, {110, 139, localSubset}, {330, 2500, 72}}
 	if r.options.smoke {
 		sizes = sizes[:2]
 	}
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -87,19 +87,16 @@
 	}
 	defer client.Close()
 	const calls = 50
-	var load, cache float64
+	var load float64
 	used := readUsage()
 	if load, err = callBytes(m, calls, func() error { _, err := client.Load(ctx); return err }); err != nil {
 		return err
 	}
-	if cache, err = callBytes(m, calls, func() error { _, err := client.CacheEvents(ctx, 0); return err }); err != nil {
-		return err
-	}
 	cost := readUsage().since(used)
 	if err := measureCacheEvents(ctx, r, client, m); err != nil {
 		return err
 	}
-	r.add("polling/report-bytes", 1, load+cache)
+	r.add("polling/report-bytes", 1, load)
 	r.add("polling/report-cpu", 1, micros(cost.cpu)/calls)
 	return measurePlatformWire(ctx, r)
 }
