Become unready while new work is held back

Cause: a daemon that hears neither platform nor peers starts no new work, but looked ready, so that callers waited there up to their class's max_wait. Change: after 3 s in this state the daemon is unready and says why. Before and after: TestCutOffDaemonBecomesUnready fails before and passes after; go test ./internal/faultmatrix passes (212 cells).

--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -68,6 +68,8 @@
 	// joinedAt is when this run was entered in the roster, and heardSince since
 	// when a neighbour has been heard; zero means not yet.
 	joinedAt, heardSince time.Time
+	// staleSince is since when new work is held back; zero means that it is not.
+	staleSince time.Time
 	// askedRecords is when the drain records were last asked for.
 	askedRecords time.Time
 	latest       configlog.Document
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -65,6 +65,9 @@
 	if r.Ready && !d.cluster.evidence.synced.Load() {
 		r = configlog.Readiness{Reason: "the leaves of upstreams are not known yet: no peer was heard and the roster names others"}
 	}
+	if r.Ready && d.cluster.evidence.stale.Load() {
+		r = configlog.Readiness{Reason: "neither the platform nor a peer is heard, so that leaves of upstreams are not known"}
+	}
 	if !r.Ready {
 		d.gateway.SetUnready(r.Reason)
 		d.cfg.Log.Event(telemetry.DaemonUnready).Str("reason", r.Reason).Msg("")
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -21,6 +21,8 @@
 	// synced means that leaves accepted before this daemon was known to the
 	// others are known here. New work waits for it.
 	synced atomic.Bool
+	// stale means that new work has been held back for staleLimit.
+	stale atomic.Bool
 }
 
 func (e *evidence) platformRead(at time.Time) { e.platform.Store(at.UnixNano()) }
@@ -77,7 +79,11 @@
 // table's word, or has read the drain records after all others know it.
 func (c *cluster) checkSync(now time.Time) {
 	e := &c.evidence
-	if e.synced.Load() || c.joinedAt.IsZero() && c.heardSince.IsZero() {
+	if e.synced.Load() {
+		c.checkStale(now)
+		return
+	}
+	if c.joinedAt.IsZero() && c.heardSince.IsZero() {
 		return
 	}
 	joined := !c.joinedAt.IsZero()
@@ -92,6 +98,25 @@
 	c.daemon.updateReadiness()
 }
 
+// staleLimit is how long new work may be held back by a stale view before the
+// daemon becomes unready, so that the load balancer sends callers elsewhere.
+const staleLimit = 3 * time.Second
+
+// checkStale makes the daemon unready while its view of leaves is stale.
+func (c *cluster) checkStale(now time.Time) {
+	e := &c.evidence
+	if e.fresh(now) {
+		c.staleSince = time.Time{}
+	} else if c.staleSince.IsZero() {
+		c.staleSince = now
+	}
+	stale := !c.staleSince.IsZero() && now.Sub(c.staleSince) >= staleLimit
+	if stale != e.stale.Load() {
+		e.stale.Store(stale)
+		c.daemon.updateReadiness()
+	}
+}
+
 // hear keeps since when a neighbour has been heard without a gap.
 func (c *cluster) hear(now, heard time.Time) {
 	switch {
--- a/internal/dev/startup_test.go
+++ b/internal/dev/startup_test.go
@@ -50,3 +50,17 @@
 	assert.Assert(t, !ok)
 	assert.Assert(t, strings.Contains(reason, "1 of 3 live daemons"), reason)
 }
+
+// Guards against a daemon that is cut off and still looks ready to the load
+// balancer, although it starts no new work.
+func TestCutOffDaemonBecomesUnready(t *testing.T) {
+	network := newCrashNetwork()
+	fleet := startFleet(t, Options{Daemons: 3, Network: network})
+	waitFor(t, 10*time.Second, "every daemon sees the others", fleet.meshComplete)
+	cut := fleet.Members[0]
+	network.crash(cut.ID)
+	waitFor(t, 15*time.Second, "the daemon is unready", func() bool {
+		ok, reason := cut.Gateway().Ready()
+		return !ok && strings.Contains(reason, "neither the platform nor a peer")
+	})
+}
--- a/internal/faultmatrix/fault.go
+++ b/internal/faultmatrix/fault.go
@@ -66,7 +66,7 @@
 		{name: "partition two-way", hold: partition, inject: cutRegion(false), unfit: anywhere},
 		{name: "engine straggles", hold: outage, inject: slowUpstream, unfit: atUpstreams},
 		{name: "engine crashes", hold: downTime, inject: crashUpstream, unfit: atUpstreams},
-		{name: "engine ignores fencing", unfit: nowhere("the daemon sends no orders with fencing tokens yet")},
+		{name: "engine ignores fencing", unfit: nowhere("no scene changes what engines hold, so no order is sent; internal/placement and internal/recordtest test fencing")},
 		{name: "clock rate differs", unfit: nowhere("a bubble has one clock; internal/lease tests clocks of different rates")},
 	}
 }
