Run processes through an outage longer than the leases

Cause: the long run's outage ends before any lease does.

Change: AUBURNDYKE_PROCESSES=outage loses answers of the platform, takes it down for 38 s, and during that pauses an engine, drains an upstream, and kills and restarts two daemons.

--- a/internal/processrun/doc.go
+++ b/internal/processrun/doc.go
@@ -7,5 +7,6 @@
 // It finds what tests inside one process cannot: faults of start-up, signals,
 // lost connections and settings. It is slow and needs some 30 processes, so it
 // runs only with AUBURNDYKE_PROCESSES set: "smoke" for 2 daemons and 4
-// upstreams during 10 s, any other value for the long run.
+// upstreams during 10 s, "outage" for a platform that is down for longer than
+// the daemons' leases, any other value for the long run.
 package processrun
--- a/internal/processrun/run_test.go
+++ b/internal/processrun/run_test.go
@@ -108,6 +108,8 @@
 	switch os.Getenv("AUBURNDYKE_PROCESSES") {
 	case "":
 		t.Skip("AUBURNDYKE_PROCESSES is not set")
+	case "outage":
+		steps = outageScript()
 	case "smoke":
 		s, steps = size{daemons: 2, engines: 3, services: 1, workers: 8, load: 10 * time.Second, speed: 4}, smokeScript()
 	}
