Let the caller adapter depend on the gateway, not the reverse

Cause: imports point inwards only, but the request path imported its HTTP adapter for the types of requests. Change: Generation, ServiceCall and Sink belong to internal/gateway; the adapter uses them and keeps the interface that it needs. Before and after: go list shows no import of callerhttp in internal/gateway; tests of both packages pass. Conclusion: no change in behaviour.

--- a/internal/adapters/callerhttp/parse.go
+++ b/internal/adapters/callerhttp/parse.go
@@ -6,6 +6,7 @@
 	"unicode/utf8"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/gateway"
 	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
@@ -22,7 +23,7 @@
 }
 
 // ParseGeneration reads a caller's JSON body for an endpoint.
-func ParseGeneration(endpoint ports.Endpoint, data []byte) (*Generation, *domain.Failure) {
+func ParseGeneration(endpoint ports.Endpoint, data []byte) (*gateway.Generation, *domain.Failure) {
 	if !utf8.Valid(data) {
 		return nil, invalid("the body is not valid UTF-8")
 	}
@@ -48,7 +49,7 @@
 		return nil, failure
 	}
 	model, adapter, _ := strings.Cut(body.Model, ":")
-	return &Generation{
+	return &gateway.Generation{
 		Endpoint:  endpoint,
 		Model:     domain.ModelID(model),
 		Adapter:   adapter,
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/gateway"
 	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
@@ -170,7 +171,7 @@
 	}
 }
 
-func (s *server) stream(c echo.Context, g *Generation) error {
+func (s *server) stream(c echo.Context, g *gateway.Generation) error {
 	sink := newStreamSink(c, g.Request, s.options.WriteTimeout)
 	failure := s.gateway.Generate(c.Request().Context(), g, sink)
 	switch {
@@ -183,7 +184,7 @@
 	}
 }
 
-func (s *server) whole(c echo.Context, g *Generation) error {
+func (s *server) whole(c echo.Context, g *gateway.Generation) error {
 	sink := &wholeSink{}
 	if failure := s.gateway.Generate(c.Request().Context(), g, sink); failure != nil {
 		return writeFailure(c, failure)
@@ -208,7 +209,7 @@
 	if request.URL.RawQuery != "" {
 		path += "?" + request.URL.RawQuery
 	}
-	answer, failure := s.gateway.Call(request.Context(), &ServiceCall{
+	answer, failure := s.gateway.Call(request.Context(), &gateway.ServiceCall{
 		Request:        newRequestID(),
 		Customer:       customer,
 		Class:          domain.ClassID(request.Header.Get(HeaderClass)),
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/gateway"
 	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
@@ -157,7 +158,7 @@
 
 // completion returns the protocol's object for the whole answer. Tokens are
 // counted over all attempts that contributed to it.
-func (s *wholeSink) completion(g *Generation, now time.Time) completion {
+func (s *wholeSink) completion(g *gateway.Generation, now time.Time) completion {
 	text := s.text.String()
 	object := "chat.completion"
 	one := choice{FinishReason: s.final.FinishReason, Logprobs: json.RawMessage("null")}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/exchange"
@@ -24,13 +23,14 @@
 	outageWait = 30 * time.Second
 )
 
-// Call runs one call to a plain service; see callerhttp.Gateway.
-func (g *Gateway) Call(ctx context.Context, c *callerhttp.ServiceCall) (*ports.ServiceResponse, *domain.Failure) {
+// Call runs one call to a plain service and returns its answer, or why there is
+// none.
+func (g *Gateway) Call(ctx context.Context, c *ServiceCall) (*ports.ServiceResponse, *domain.Failure) {
 	j, failure := g.newJob(c.Request, c.Customer, c.Class)
 	if failure != nil {
 		return nil, failure
 	}
-	if failure := g.enter(j.id); failure != nil {
+	if failure := g.enter(); failure != nil {
 		return nil, failure
 	}
 	defer g.active.end(j.id)
@@ -69,7 +69,7 @@
 	return false
 }
 
-func (j *job) runCall(ctx context.Context, c *callerhttp.ServiceCall, o *observer) (*ports.ServiceResponse, *domain.Failure) {
+func (j *job) runCall(ctx context.Context, c *ServiceCall, o *observer) (*ports.ServiceResponse, *domain.Failure) {
 	choice, failure := j.pool.admit(ctx, j.waiter)
 	if failure != nil {
 		return nil, failure
@@ -86,7 +86,7 @@
 	return j.runClaimed(ctx, c, o, &choice, backend)
 }
 
-func (j *job) exchangeCall(ctx context.Context, c *callerhttp.ServiceCall, o *observer, choice *routing.Choice, backend Backend) (*ports.ServiceResponse, exchange.Outcome) {
+func (j *job) exchangeCall(ctx context.Context, c *ServiceCall, o *observer, choice *routing.Choice, backend Backend) (*ports.ServiceResponse, exchange.Outcome) {
 	cfg := j.exchangeConfig(choice)
 	cfg.FirstTokenSilence = 0
 	a := o.assign(choice, backend)
@@ -123,7 +123,7 @@
 
 // runClaimed runs a call that must not be repeated: it claims the key, sends
 // the call at most once and records the outcome.
-func (j *job) runClaimed(ctx context.Context, c *callerhttp.ServiceCall, o *observer, choice *routing.Choice, backend Backend) (*ports.ServiceResponse, *domain.Failure) {
+func (j *job) runClaimed(ctx context.Context, c *ServiceCall, o *observer, choice *routing.Choice, backend Backend) (*ports.ServiceResponse, *domain.Failure) {
 	claimCtx, cancel := j.claimContext(ctx)
 	defer cancel()
 	decision := j.gateway.options.Claims.Begin(claimCtx, claims.Request{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/admission"
 	"github.com/auburndyke/auburndyke/internal/claims"
@@ -44,7 +43,8 @@
 	Seed uint64
 }
 
-// Gateway implements callerhttp.Gateway.
+// Gateway is the path of a request through one daemon. Its methods may be
+// called concurrently.
 type Gateway struct {
 	options Options
 	log     *telemetry.Log
@@ -66,8 +66,6 @@
 	pools     map[string]*pool
 }
 
-var _ callerhttp.Gateway = (*Gateway)(nil)
-
 // New returns a gateway without a configuration. It is unready until Apply.
 func New(options Options) *Gateway {
 	g := &Gateway{
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -6,20 +6,20 @@
 	"fmt"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/exchange"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/routing"
 )
 
-// Generate runs one generation; see callerhttp.Gateway.
-func (g *Gateway) Generate(ctx context.Context, r *callerhttp.Generation, sink callerhttp.Sink) *domain.Failure {
+// Generate runs one generation and emits its events in order. It returns nil
+// after the whole answer was emitted.
+func (g *Gateway) Generate(ctx context.Context, r *Generation, sink Sink) *domain.Failure {
 	j, failure := g.newJob(r.Request, r.Customer, r.Class)
 	if failure != nil {
 		return failure
 	}
-	if failure := g.enter(j.id); failure != nil {
+	if failure := g.enter(); failure != nil {
 		return failure
 	}
 	defer g.active.end(j.id)
@@ -39,7 +39,7 @@
 }
 
 // enter counts a request in, unless the daemon is stopping.
-func (g *Gateway) enter(domain.RequestID) *domain.Failure {
+func (g *Gateway) enter() *domain.Failure {
 	g.active.begin()
 	if g.stopping.Load() {
 		g.active.count.Add(-1)
@@ -49,7 +49,7 @@
 }
 
 // generation fills in what routing needs to know of a generation.
-func (j *job) generation(r *callerhttp.Generation) *domain.Failure {
+func (j *job) generation(r *Generation) *domain.Failure {
 	model := j.policy.Models[r.Model]
 	if model == nil {
 		return domain.NotRun(domain.CodeUnknownModel, "model "+string(r.Model)+" does not exist")
@@ -71,7 +71,7 @@
 	return nil
 }
 
-func (j *job) runGeneration(ctx context.Context, r *callerhttp.Generation, o *observer) *domain.Failure {
+func (j *job) runGeneration(ctx context.Context, r *Generation, o *observer) *domain.Failure {
 	choice, failure := j.pool.admit(ctx, j.waiter)
 	if failure != nil {
 		return failure
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -5,7 +5,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/admission"
 	"github.com/auburndyke/auburndyke/internal/claims"
@@ -169,7 +168,7 @@
 	g.log.Event(telemetry.AttemptFailed).Str("upstream", string(choice.ID)).Str("address", choice.Address).Err(err).Msg("")
 }
 
-func (g *Gateway) logClaim(j *job, c *callerhttp.ServiceCall, d *claims.Decision) {
+func (g *Gateway) logClaim(j *job, c *ServiceCall, d *claims.Decision) {
 	g.metrics.Counter("auburndyke_claims_total", "verdict", string(d.Verdict)).Inc(1)
 	g.log.Event(telemetry.ClaimSettled).Str("request", string(j.id)).Str("service", c.Service).
 		Str("verdict", string(d.Verdict)).Err(d.Err).Msg("")
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/exchange"
 	"github.com/auburndyke/auburndyke/internal/ports"
@@ -16,7 +15,7 @@
 // what counts for the latency targets.
 type observer struct {
 	job  *job
-	sink callerhttp.Sink // nil for service calls
+	sink Sink // nil for service calls
 
 	mu    sync.Mutex // Pick and Readmit may run on other goroutines than Run
 	slots map[domain.UpstreamID]*place
@@ -44,7 +43,7 @@
 	tokens int
 }
 
-func newObserver(j *job, sink callerhttp.Sink) *observer {
+func newObserver(j *job, sink Sink) *observer {
 	return &observer{job: j, sink: sink, slots: make(map[domain.UpstreamID]*place, 1)}
 }
 
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/auburndyke/auburndyke/examples"
-	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
@@ -32,7 +31,7 @@
 	g.Apply(time.Now(), before, site, 1)
 	j, failure := g.newJob("r1", "maraval-surf-school", "guest-question")
 	assert.Assert(t, failure == nil)
-	failure = j.generation(&callerhttp.Generation{Endpoint: ports.EndpointCompletion, Model: "lesson", Prompt: []byte(`"Is the swell up?"`)})
+	failure = j.generation(&Generation{Endpoint: ports.EndpointCompletion, Model: "lesson", Prompt: []byte(`"Is the swell up?"`)})
 	assert.Assert(t, failure == nil)
 	j.enqueue("lesson")
 	ctx, cancel := context.WithCancel(t.Context())
