--- a/internal/policy/group.go
+++ b/internal/policy/group.go
@@ -98,24 +98,22 @@
 }
 
 func customerLabel(c *Customer, key string) (string, bool) {
-	switch key {
-	case labelID:
-		return string(c.ID), true
-	case labelTeam:
-		return c.Team, c.Team != ""
-	}
-	value, ok := c.Labels[key]
-	return value, ok
+	return ownedLabel(string(c.ID), c.Team, c.Labels, key)
 }
 
 func classLabel(c *Class, key string) (string, bool) {
+	return ownedLabel(string(c.ID), c.Team, c.Labels, key)
+}
+
+// ownedLabel returns a label of an item that may belong to a team.
+func ownedLabel(id, team string, labels map[string]string, key string) (string, bool) {
 	switch key {
 	case labelID:
-		return string(c.ID), true
+		return id, true
 	case labelTeam:
-		return c.Team, c.Team != ""
+		return team, team != ""
 	}
-	value, ok := c.Labels[key]
+	value, ok := labels[key]
 	return value, ok
 }
 
