--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -142,12 +142,19 @@
 	exchange.PurposeHedge:    telemetry.RequestHedged,
 }
 
+var purposeNames = map[exchange.Purpose]string{
+	exchange.PurposeRetry:    "retry",
+	exchange.PurposeContinue: "continue",
+	exchange.PurposeHedge:    "hedge",
+	exchange.PurposeMove:     "move",
+}
+
 func (g *Gateway) logAttempt(j *job, n int, upstream domain.UpstreamID, purpose exchange.Purpose) {
 	event, ok := purposeEvents[purpose]
 	if !ok {
 		return
 	}
-	g.log.Event(event).Str("request", string(j.id)).Int("attempt", n).Str("upstream", string(upstream)).Int("purpose", int(purpose)).Msg("")
+	g.log.Event(event).Str("request", string(j.id)).Int("attempt", n).Str("upstream", string(upstream)).Str("purpose", purposeNames[purpose]).Msg("")
 }
 
 var resultNames = map[exchange.Result]string{
