Write the events that the catalogue promises, and remove three

Cause: AD2004, AD3003, AD4005, AD4006 and AD6003 were documented, and AD3003 even named as an alarm, but nothing wrote them; the tests compared catalogue and page only. Beside them: a lease owner built twice, an unused field and parameter. Change: failed polls (AD3003) and orders (AD6003) are logged; the other three events are gone; TestCatalogueIsWritten searches the code for each event. Conclusion: an alarm of the operators' page can now fire.

--- a/internal/adapters/telemetry/events.go
+++ b/internal/adapters/telemetry/events.go
@@ -30,7 +30,6 @@
 	AdmissionDecision = Event{"AD2001", "admission_decision", zerolog.InfoLevel, "A request was queued, dispatched or refused; reason says why."}
 	RoutingDecision   = Event{"AD2002", "routing_decision", zerolog.InfoLevel, "An upstream was picked; candidates, scores and exclusions are listed."}
 	AttemptFailed     = Event{"AD2003", "attempt_failed", zerolog.WarnLevel, "An attempt at an upstream failed; error says how."}
-	StreamResumed     = Event{"AD2004", "stream_resumed", zerolog.InfoLevel, "A broken or silent stream was resumed on the same upstream."}
 	StreamContinued   = Event{"AD2005", "stream_continued", zerolog.InfoLevel, "A generation was continued on another upstream."}
 	RequestHedged     = Event{"AD2006", "request_hedged", zerolog.InfoLevel, "A second attempt was started before the first token."}
 	RequestPreempted  = Event{"AD2007", "request_preempted", zerolog.InfoLevel, "A running request gave way to a higher tier."}
@@ -43,12 +42,10 @@
 	ConfigurationPoll     = Event{"AD3003", "configuration_poll_failed", zerolog.WarnLevel, "The configuration head could not be read."}
 	ConfigurationProposed = Event{"AD3004", "configuration_proposed", zerolog.InfoLevel, "A change was accepted, merged or found in conflict."}
 
-	PeerConnected   = Event{"AD4001", "peer_connected", zerolog.InfoLevel, "A connection to another daemon is open."}
-	PeerLost        = Event{"AD4002", "peer_lost", zerolog.WarnLevel, "A connection to another daemon ended or went silent."}
-	MemberChanged   = Event{"AD4003", "member_changed", zerolog.InfoLevel, "A daemon joined, is suspected, or is gone."}
-	RosterRenewal   = Event{"AD4004", "roster_renewal_failed", zerolog.WarnLevel, "The daemon's roster row could not be renewed."}
-	SubsetChanged   = Event{"AD4005", "subset_changed", zerolog.InfoLevel, "The set of upstreams that this daemon sends to changed."}
-	PeerFrameRefuse = Event{"AD4006", "peer_frame_rejected", zerolog.WarnLevel, "A frame from another daemon was malformed or too large."}
+	PeerConnected = Event{"AD4001", "peer_connected", zerolog.InfoLevel, "A connection to another daemon is open."}
+	PeerLost      = Event{"AD4002", "peer_lost", zerolog.WarnLevel, "A connection to another daemon ended or went silent."}
+	MemberChanged = Event{"AD4003", "member_changed", zerolog.InfoLevel, "A daemon joined, is suspected, or is gone."}
+	RosterRenewal = Event{"AD4004", "roster_renewal_failed", zerolog.WarnLevel, "The daemon's roster row could not be renewed."}
 
 	DrainStep    = Event{"AD5001", "drain_step", zerolog.InfoLevel, "An upstream moved to another drain phase; reason says why."}
 	DrainWarning = Event{"AD5002", "drain_warning", zerolog.WarnLevel, "A drain needs attention, for example the last upstream of a class."}
@@ -69,10 +66,10 @@
 var Catalogue = []Event{
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
 	CertificatesLoaded, CertificatesRejected,
-	AdmissionDecision, RoutingDecision, AttemptFailed, StreamResumed, StreamContinued,
+	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
-	PeerConnected, PeerLost, MemberChanged, RosterRenewal, SubsetChanged, PeerFrameRefuse,
+	PeerConnected, PeerLost, MemberChanged, RosterRenewal,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
--- a/internal/adapters/telemetry/telemetry_test.go
+++ b/internal/adapters/telemetry/telemetry_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -48,6 +50,26 @@
 	}
 }
 
+// Guards against events that the docs promise and that nothing writes.
+func TestCatalogueIsWritten(t *testing.T) {
+	source, err := os.ReadFile("events.go")
+	assert.NilError(t, err)
+	var code strings.Builder
+	err = filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		code.Write(data)
+		return err
+	})
+	assert.NilError(t, err)
+	for _, m := range regexp.MustCompile(`(?m)^\t(\w+) += Event\{`).FindAllStringSubmatch(string(source), -1) {
+		used := regexp.MustCompile(`telemetry\.` + m[1] + `\b`).MatchString(code.String())
+		assert.Assert(t, used, "nothing writes event %s", m[1])
+	}
+}
+
 // Guards against log lines without their code and against lines below the
 // configured level.
 func TestLogLevelAndCode(t *testing.T) {
--- a/internal/configlog/watcher.go
+++ b/internal/configlog/watcher.go
@@ -28,6 +28,8 @@
 	AskPeer   func(domain.DaemonID, domain.Revision)
 	Reject    func(Reject)
 	Readiness func(Readiness)
+	// PollFailed hears why config/head could not be read.
+	PollFailed func(error)
 }
 
 // Watcher runs a Follower: it polls the platform and takes in what peers
@@ -90,6 +92,9 @@
 	defer timer.Stop()
 	var event FollowEvent = Tick{}
 	for {
+		if polled, ok := event.(HeadPolled); ok && polled.Err != nil {
+			call(w.hooks.PollFailed, polled.Err)
+		}
 		actions := w.core.Step(time.Now(), event)
 		w.publish()
 		for _, a := range actions {
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -5,8 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
@@ -96,7 +94,7 @@
 	c.members = membership.NewCore(membership.Config{Self: c.self, Boot: d.cfg.Boot, Rand: d.rng()})
 	c.controller = drain.NewController(drain.Config{Self: d.cfg.ID})
 	c.mesh = peerws.NewRunner(mesh.NewNode(mesh.Config{Self: d.cfg.ID, Rand: d.rng()}), transport, c.deliver)
-	c.lease = lease.NewHolder(d.cfg.Platform, lease.Config{Name: drainLease, Owner: lease.Owner{Daemon: d.cfg.ID, Incarnation: domain.Incarnation(xxhash.Sum64String(d.cfg.Boot))}}, d.rng(), c.leaseHooks())
+	c.lease = lease.NewHolder(d.cfg.Platform, lease.Config{Name: drainLease, Owner: d.leaseOwner()}, d.rng(), c.leaseHooks())
 	c.view.Store(c.members.View())
 	c.drains.Store(&[]drain.Status{})
 	c.peers.Store(&[]administration.PeerStatus{})
@@ -153,7 +151,7 @@
 	}
 	c.ticks++
 	c.checkSync(now)
-	c.count(now)
+	c.count()
 	c.drive(c.controller.Handle(now, drain.Tick{}))
 	c.drive(c.holder.Handle(now, drain.Tick{}))
 	c.publishDrains()
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -18,6 +18,9 @@
 				Str("from", string(r.From)).Str("reason", r.Reason).Msg("")
 		},
 		Readiness: d.readiness,
+		PollFailed: func(err error) {
+			d.cfg.Log.Event(telemetry.ConfigurationPoll).Err(err).Msg("")
+		},
 	}
 }
 
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -144,7 +144,7 @@
 }
 
 // count reports changed numbers of requests in progress at draining upstreams.
-func (c *cluster) count(time.Time) {
+func (c *cluster) count() {
 	for upstream := range c.epochs {
 		if n := c.daemon.gateway.Running(upstream); n != c.counts[upstream] {
 			c.counts[upstream] = n
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -14,6 +14,7 @@
 	"github.com/auburndyke/auburndyke/internal/lease"
 	"github.com/auburndyke/auburndyke/internal/placement"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
 const (
@@ -41,9 +42,8 @@
 
 func newDirector(d *Daemon) *director {
 	x := &director{daemon: d}
-	owner := lease.Owner{Daemon: d.cfg.ID, Incarnation: domain.Incarnation(xxhash.Sum64String(d.cfg.Boot))}
 	name := "placement/" + string(d.cfg.Region)
-	x.lease = lease.NewHolder(d.cfg.Platform, lease.Config{Name: name, Owner: owner}, d.rng(), lease.Hooks{
+	x.lease = lease.NewHolder(d.cfg.Platform, lease.Config{Name: name, Owner: d.leaseOwner()}, d.rng(), lease.Hooks{
 		Acquired: func(t domain.FencingToken) { d.logLease(name, t, "acquired", "") },
 		Lost:     func(t domain.FencingToken, reason string) { d.logLease(name, t, "lost", reason) },
 	})
@@ -51,6 +51,12 @@
 	return x
 }
 
+// leaseOwner identifies this run of the process in leases, which it may hold
+// before it has an incarnation in the roster.
+func (d *Daemon) leaseOwner() lease.Owner {
+	return lease.Owner{Daemon: d.cfg.ID, Incarnation: domain.Incarnation(xxhash.Sum64String(d.cfg.Boot))}
+}
+
 func (d *Daemon) logLease(name string, token domain.FencingToken, change, reason string) {
 	d.cfg.Log.Event(telemetry.LeaseChanged).Str("lease", name).Uint64("token", uint64(token)).
 		Str("change", change).Str("reason", reason).Msg("")
@@ -90,7 +96,24 @@
 		return nil, false
 	}
 	client, err := x.daemon.backends.get(u.Address)
-	return client, err == nil
+	return loggedOrders{x.daemon, id, client}, err == nil
+}
+
+// loggedOrders logs the orders that an engine does not accept.
+type loggedOrders struct {
+	daemon   *Daemon
+	upstream domain.UpstreamID
+	engine   placement.Orderer
+}
+
+// Order implements placement.Orderer.
+func (o loggedOrders) Order(ctx context.Context, order ports.Order) error {
+	err := o.engine.Order(ctx, order)
+	if err != nil {
+		o.daemon.cfg.Log.Event(telemetry.OrderFailed).Str("upstream", string(o.upstream)).Str("order", order.ID).
+			Uint64("token", uint64(order.Fencing)).Err(err).Msg("")
+	}
+	return err
 }
 
 // configured tells the director which engines its region has.
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -24,7 +24,6 @@
 	lastAt   time.Time
 	tokens   int
 	bytes    int64
-	prompt   int
 	attempts int
 	wasted   int
 	place    *place // of the latest event
@@ -87,7 +86,6 @@
 	}
 	o.bytes += int64(len(ev.Data))
 	if ev.Final {
-		o.prompt = ev.PromptTokens
 		o.cached(ev)
 	}
 	return o.sink.Emit(ev)
