--- a/internal/adapters/adminhttp/control.go
+++ b/internal/adapters/adminhttp/control.go
@@ -1,6 +1,7 @@
 package adminhttp
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -76,15 +77,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxBodyBytes, 4<<20)
-	setDefault(&o.MaxHeaderBytes, 16<<10)
-	setDefault(&o.HeaderTimeout, 5*time.Second)
-	setDefault(&o.BodyTimeout, 30*time.Second)
-	setDefault(&o.WriteTimeout, time.Minute)
-	setDefault(&o.IdleTimeout, 2*time.Minute)
-	setDefault(&o.ControlTimeout, 8*time.Second)
-	setDefault(&o.MaxConcurrent, 8)
-	setDefault(&o.MaxChanges, 1)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, 4<<20)
+	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, 16<<10)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, 5*time.Second)
+	o.BodyTimeout = cmp.Or(o.BodyTimeout, 30*time.Second)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, time.Minute)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, 2*time.Minute)
+	o.ControlTimeout = cmp.Or(o.ControlTimeout, 8*time.Second)
+	o.MaxConcurrent = cmp.Or(o.MaxConcurrent, 8)
+	o.MaxChanges = cmp.Or(o.MaxChanges, 1)
 	if o.Log == nil {
 		o.Log = telemetry.NopLog()
 	}
@@ -93,10 +94,3 @@
 	}
 	return o
 }
-
-func setDefault[T comparable](value *T, byDefault T) {
-	var zero T
-	if *value == zero {
-		*value = byDefault
-	}
-}
--- a/internal/adapters/engineclient/options.go
+++ b/internal/adapters/engineclient/options.go
@@ -1,6 +1,7 @@
 package engineclient
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/httpsend"
@@ -30,19 +31,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Transport.ResponseHeaderTimeout, 30*time.Second)
-	setDefault(&o.IdleTimeout, time.Minute)
-	setDefault(&o.CallTimeout, 2*time.Second)
-	setDefault(&o.TransferTimeout, 30*time.Second)
-	setDefault(&o.MaxLine, 256<<10)
-	setDefault(&o.MaxEvent, 1<<20)
-	setDefault(&o.MaxBody, 16<<20)
+	o.Transport.ResponseHeaderTimeout = cmp.Or(o.Transport.ResponseHeaderTimeout, 30*time.Second)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, time.Minute)
+	o.CallTimeout = cmp.Or(o.CallTimeout, 2*time.Second)
+	o.TransferTimeout = cmp.Or(o.TransferTimeout, 30*time.Second)
+	o.MaxLine = cmp.Or(o.MaxLine, 256<<10)
+	o.MaxEvent = cmp.Or(o.MaxEvent, 1<<20)
+	o.MaxBody = cmp.Or(o.MaxBody, 16<<20)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/adapters/platformclient/client.go
+++ b/internal/adapters/platformclient/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -57,21 +58,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ReadTimeout, time.Second)
-	setDefault(&o.WriteTimeout, 2*time.Second)
-	setDefault(&o.ReadTries, 3)
-	setDefault(&o.Backoff, 50*time.Millisecond)
-	setDefault(&o.MaxBody, 64<<20)
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, time.Second)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, 2*time.Second)
+	o.ReadTries = cmp.Or(o.ReadTries, 3)
+	o.Backoff = cmp.Or(o.Backoff, 50*time.Millisecond)
+	o.MaxBody = cmp.Or(o.MaxBody, 64<<20)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Client implements ports.Platform. Its methods may be called concurrently.
 type Client struct {
 	points    []*accessPoint
--- a/internal/exchange/action.go
+++ b/internal/exchange/action.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -172,18 +173,11 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.MaxRetries, defaultMaxRetries)
-	setDefault(&c.MaxResumes, defaultMaxResumes)
-	setDefault(&c.MinSilence, defaultMinSilence)
-	setDefault(&c.FirstTokenSilence, defaultFirstTokenSilence)
-	setDefault(&c.ProbeTimeout, defaultProbeTimeout)
-	setDefault(&c.RetryPatience, defaultRetryPatience)
-	setDefault(&c.MoveMargin, defaultMoveMargin)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	c.MaxRetries = cmp.Or(c.MaxRetries, defaultMaxRetries)
+	c.MaxResumes = cmp.Or(c.MaxResumes, defaultMaxResumes)
+	c.MinSilence = cmp.Or(c.MinSilence, defaultMinSilence)
+	c.FirstTokenSilence = cmp.Or(c.FirstTokenSilence, defaultFirstTokenSilence)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, defaultProbeTimeout)
+	c.RetryPatience = cmp.Or(c.RetryPatience, defaultRetryPatience)
+	c.MoveMargin = cmp.Or(c.MoveMargin, defaultMoveMargin)
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -39,23 +40,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	orDefault(&c.LoadAt, 20_000)
-	orDefault(&c.Sustain, 5*time.Second)
-	orDefault(&c.Idle, 10*time.Minute)
-	orDefault(&c.Dwell, 5*time.Minute)
-	orDefault(&c.Advantage, 2)
-	orDefault(&c.Settle, 2*time.Minute)
-	orDefault(&c.Fresh, 10*time.Second)
+	c.LoadAt = cmp.Or(c.LoadAt, 20_000)
+	c.Sustain = cmp.Or(c.Sustain, 5*time.Second)
+	c.Idle = cmp.Or(c.Idle, 10*time.Minute)
+	c.Dwell = cmp.Or(c.Dwell, 5*time.Minute)
+	c.Advantage = cmp.Or(c.Advantage, 2)
+	c.Settle = cmp.Or(c.Settle, 2*time.Minute)
+	c.Fresh = cmp.Or(c.Fresh, 10*time.Second)
 	return c
 }
 
-func orDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
-}
-
 // Event is an input of a Planner.
 type Event interface{ planEvent() }
 
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -58,23 +59,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Role, domain.RoleBoth)
-	setDefault(&c.Slots, 16)
-	setDefault(&c.QueueLimit, 32)
-	setDefault(&c.BaseInterval, 20*time.Millisecond)
-	setDefault(&c.IntervalSlope, time.Millisecond)
-	setDefault(&c.PrefillPerToken, 200*time.Microsecond)
-	setDefault(&c.Speed, 1)
-	setDefault(&c.BlockBytes, 256)
-	setDefault(&c.CacheBlocks, 4096)
-	setDefault(&c.OrphanTime, 5*time.Second)
-	setDefault(&c.Retain, 4096)
+	c.Role = cmp.Or(c.Role, domain.RoleBoth)
+	c.Slots = cmp.Or(c.Slots, 16)
+	c.QueueLimit = cmp.Or(c.QueueLimit, 32)
+	c.BaseInterval = cmp.Or(c.BaseInterval, 20*time.Millisecond)
+	c.IntervalSlope = cmp.Or(c.IntervalSlope, time.Millisecond)
+	c.PrefillPerToken = cmp.Or(c.PrefillPerToken, 200*time.Microsecond)
+	c.Speed = cmp.Or(c.Speed, 1)
+	c.BlockBytes = cmp.Or(c.BlockBytes, 256)
+	c.CacheBlocks = cmp.Or(c.CacheBlocks, 4096)
+	c.OrphanTime = cmp.Or(c.OrphanTime, 5*time.Second)
+	c.Retain = cmp.Or(c.Retain, 4096)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
