Serve the users' platform through a thin relay and adapter

Cause: nothing spoke the platform's store, settings and headers, so the product could not run there. Change: platform/ translates settings, store rows, configuration, registrations and headers; follow copies the store's tables; inventory keeps the registered upstreams; httproute compiles the operator's configuration; balancer picks upstreams by prompt affinity and load; upstreamhttp sends each request at most once; relay carries requests and streams; edge is the process. Before: no path.

--- a/internal/adapters/cli/root.go
+++ b/internal/adapters/cli/root.go
@@ -18,6 +18,7 @@
 	}
 	root.AddCommand(
 		newServeCommand(),
+		newEdgeCommand(),
 		newDevCommand(),
 		newStandinCommand(),
 		NewConfigCommand(),
--- a/internal/adapters/telemetry/events.go
+++ b/internal/adapters/telemetry/events.go
@@ -57,8 +57,16 @@
 	AdminChange  = Event{"AD7001", "admin_change", zerolog.InfoLevel, "An operator changed something through the administration API."}
 	AdminRefused = Event{"AD7002", "admin_refused", zerolog.WarnLevel, "An administration call was refused: not authenticated or out of scope."}
 
-	PlatformError   = Event{"AD8001", "platform_error", zerolog.WarnLevel, "A call to the platform failed."}
-	UpstreamHealth  = Event{"AD8002", "upstream_health", zerolog.InfoLevel, "An upstream was ejected, is on probation, or returned."}
+	PlatformError    = Event{"AD8001", "platform_error", zerolog.WarnLevel, "A call to the platform failed."}
+	UpstreamHealth   = Event{"AD8002", "upstream_health", zerolog.InfoLevel, "An upstream was ejected, is on probation, or returned."}
+	PlatformLost     = Event{"AD8004", "platform_lost", zerolog.WarnLevel, "A table of the platform can't be reached; its copy stays in use and ages."}
+	PlatformRegained = Event{"AD8005", "platform_regained", zerolog.InfoLevel, "A table of the platform is reached again."}
+
+	UpstreamsListed      = Event{"AD8006", "upstreams_listed", zerolog.InfoLevel, "The whole list of registered upstreams was read."}
+	UpstreamRegistered   = Event{"AD8007", "upstream_registered", zerolog.InfoLevel, "An upstream registered itself or changed its registration."}
+	UpstreamUnlisted     = Event{"AD8008", "upstream_unlisted", zerolog.InfoLevel, "The registration of an upstream is gone or can't be read."}
+	RegistrationRejected = Event{"AD8009", "registration_rejected", zerolog.WarnLevel, "A registration can't be read and names no upstream to use."}
+
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
 )
 
@@ -74,6 +82,7 @@
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected,
 }
 
 // Log writes numbered events as JSON lines.
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,204 @@
+package balancer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/inventory"
+)
+
+// Part is one part of a prompt. Prompts that begin with the same parts share
+// them.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Query describes a request that needs an upstream.
+type Query struct {
+	Service string
+	// Parts is the prompt in order; the last part is the request's own.
+	Parts []Part
+	// Zone is the zone of the daemon, which is preferred among equals.
+	Zone domain.AvailabilityZone
+	// Tried lists upstreams that must not be picked again.
+	Tried []domain.UpstreamID
+}
+
+// Load is what an upstream reported about itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Balancer knows the upstreams and what this daemon sent to them. It is safe
+// for concurrent use.
+type Balancer struct {
+	mu        sync.Mutex
+	upstreams map[domain.UpstreamID]*upstream
+	services  map[string][]*upstream
+	speeds    map[string]*prefillSpeed
+}
+
+// New returns a Balancer that knows no upstream.
+func New() *Balancer {
+	return &Balancer{
+		upstreams: make(map[domain.UpstreamID]*upstream),
+		services:  make(map[string][]*upstream),
+		speeds:    make(map[string]*prefillSpeed),
+	}
+}
+
+// Update takes the list of upstreams. What is known of those that stay in the
+// same incarnation is kept. memory returns the number of tokens that an engine
+// of a service holds; zero means a plain service.
+func (b *Balancer) Update(entries []inventory.Entry, memory func(service string) int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := make(map[domain.UpstreamID]*upstream, len(entries))
+	services := make(map[string][]*upstream)
+	for _, e := range entries {
+		u := b.upstreams[e.ID]
+		if u == nil || u.Incarnation != e.Incarnation || u.Address != e.Address {
+			u = &upstream{hash: xxhash.Sum64String(string(e.ID))}
+		}
+		u.Entry = e
+		u.cache.capacity = memory(e.Service)
+		next[e.ID] = u
+		services[e.Service] = append(services[e.Service], u)
+		if b.speeds[e.Service] == nil {
+			b.speeds[e.Service] = &prefillSpeed{}
+		}
+	}
+	b.upstreams, b.services = next, services
+}
+
+// Choice is a picked upstream together with what decided it.
+type Choice struct {
+	Upstream inventory.Entry
+	// Candidates is the number of upstreams that could take the request.
+	Candidates int
+	// Cost is the estimated delay of the pick.
+	Cost time.Duration
+	// Uncached is the number of prompt tokens that the upstream is expected to
+	// read.
+	Uncached int
+	// Rank is the pick's place in the prompt's rendezvous order, from 0.
+	Rank int
+	// InFlight is the number of requests that this daemon has there.
+	InFlight int
+	// ReportAge is the age of the upstream's load report; negative without one.
+	ReportAge time.Duration
+
+	lease *Lease
+}
+
+// Lease returns the handle of the picked place. Done must be called once.
+func (c *Choice) Lease() *Lease { return c.lease }
+
+// Pick returns the upstream with the least cost, or false if none can take the
+// request.
+func (b *Balancer) Pick(now time.Time, q Query) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	candidates := eligible(b.services[q.Service], now, q.Tried)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	prompt := newPrompt(q.Parts)
+	speed := b.speeds[q.Service]
+	home, ranked := rendezvous(candidates, prompt.affinity)
+	var best Choice
+	var picked *upstream
+	for i, u := range candidates {
+		uncached := u.cache.missing(prompt)
+		if prompt.affinity != 0 && u == home {
+			uncached = min(uncached, prompt.own)
+		}
+		cost := u.cost(now, speed, prompt, uncached)
+		if u.Zone != q.Zone {
+			cost += crossZoneCost
+		}
+		if picked == nil || cost < best.Cost {
+			best = Choice{Cost: cost, Uncached: uncached, Rank: ranked[i]}
+			picked = u
+		}
+	}
+	best.Upstream = picked.Entry
+	best.Candidates = len(candidates)
+	best.InFlight = picked.inFlight
+	best.ReportAge = picked.reportAge(now)
+	best.lease = b.start(now, picked, speed, prompt, best.Uncached)
+	return best, true
+}
+
+// eligible returns the upstreams that may take a request. Unlisted and failing
+// ones are left out while there are others.
+func eligible(all []*upstream, now time.Time, tried []domain.UpstreamID) []*upstream {
+	var serving, failing, unlisted []*upstream
+	for _, u := range all {
+		switch {
+		case u.Standing == inventory.Leaving || contains(tried, u.ID):
+		case u.Standing == inventory.Unlisted:
+			unlisted = append(unlisted, u)
+		case u.health.avoided(now):
+			failing = append(failing, u)
+		default:
+			serving = append(serving, u)
+		}
+	}
+	if len(serving) > 0 {
+		return serving
+	}
+	if len(failing) > 0 {
+		return failing
+	}
+	return unlisted
+}
+
+func contains(list []domain.UpstreamID, id domain.UpstreamID) bool {
+	for _, one := range list {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+// rendezvous returns the first upstream in the order that all daemons agree on
+// for an affinity key, and the place of each candidate in that order.
+func rendezvous(candidates []*upstream, key uint64) (*upstream, []int) {
+	ranks := make([]int, len(candidates))
+	if key == 0 {
+		return nil, ranks
+	}
+	weights := make([]uint64, len(candidates))
+	for i, u := range candidates {
+		weights[i] = mix(u.hash ^ key)
+	}
+	var home *upstream
+	for i := range candidates {
+		for j := range candidates {
+			if weights[j] > weights[i] {
+				ranks[i]++
+			}
+		}
+		if ranks[i] == 0 {
+			home = candidates[i]
+		}
+	}
+	return home, ranks
+}
+
+// mix is the finalizer of SplitMix64. It spreads the sum of two hashes.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/balancer/cache.go
@@ -0,0 +1,85 @@
+package balancer
+
+import "container/list"
+
+// prompt is the parts of a prompt as chained hashes, so that equal hashes mean
+// equal beginnings.
+type prompt struct {
+	hashes []uint64
+	tokens []int
+	total  int
+	// own is the number of tokens of the last part.
+	own int
+	// affinity identifies all parts but the last. Zero means that the prompt
+	// shares nothing.
+	affinity uint64
+}
+
+func newPrompt(parts []Part) prompt {
+	var p prompt
+	var h uint64
+	for i, part := range parts {
+		h = mix(h ^ part.ID + 0x9e3779b97f4a7c15)
+		p.hashes = append(p.hashes, h)
+		p.tokens = append(p.tokens, part.Tokens)
+		p.total += part.Tokens
+		if i == len(parts)-2 {
+			p.affinity = h
+		}
+	}
+	if len(parts) > 0 {
+		p.own = parts[len(parts)-1].Tokens
+	}
+	return p
+}
+
+// promptCache predicts which prompt parts an engine's memory holds: those that
+// were sent there last, up to the engine's capacity in tokens.
+type promptCache struct {
+	capacity int
+	used     int
+	order    list.List // of cachedPart, most recently used first
+	parts    map[uint64]*list.Element
+}
+
+type cachedPart struct {
+	hash   uint64
+	tokens int
+}
+
+// missing returns the number of tokens of a prompt that the cache lacks. A
+// part counts as held only if all parts before it are.
+func (c *promptCache) missing(p prompt) int {
+	missing := p.total
+	for i, hash := range p.hashes {
+		if c.parts[hash] == nil {
+			break
+		}
+		missing -= p.tokens[i]
+	}
+	return missing
+}
+
+// add records that the prompt was sent to the engine.
+func (c *promptCache) add(p prompt) {
+	if c.capacity == 0 {
+		return
+	}
+	if c.parts == nil {
+		c.parts = make(map[uint64]*list.Element)
+	}
+	for i, hash := range p.hashes {
+		if e := c.parts[hash]; e != nil {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.parts[hash] = c.order.PushFront(cachedPart{hash, p.tokens[i]})
+		c.used += p.tokens[i]
+	}
+	for c.used > c.capacity {
+		last := c.order.Back()
+		part := c.order.Remove(last).(cachedPart)
+		delete(c.parts, part.hash)
+		c.used -= part.tokens
+	}
+}
--- /dev/null
+++ b/internal/balancer/lease.go
@@ -0,0 +1,81 @@
+package balancer
+
+import (
+	"sync"
+	"time"
+)
+
+// Result tells how a request at an upstream ended.
+type Result uint8
+
+const (
+	// OK is a complete answer.
+	OK Result = iota
+	// Refused means that the upstream did not run the request.
+	Refused
+	// Failed means that the upstream broke off, sent an error or was not
+	// reached.
+	Failed
+	// Abandoned means that the caller left or the time was over; it says
+	// nothing about the upstream.
+	Abandoned
+)
+
+// Lease is the place of one request at an upstream.
+type Lease struct {
+	b        *Balancer
+	u        *upstream
+	speed    *prefillSpeed
+	started  time.Time
+	uncached int
+	reading  bool
+	once     sync.Once
+}
+
+func (b *Balancer) start(now time.Time, u *upstream, speed *prefillSpeed, p prompt, uncached int) *Lease {
+	u.inFlight++
+	l := &Lease{b: b, u: u, speed: speed, started: now, uncached: uncached}
+	if len(p.hashes) > 0 {
+		l.reading = true
+		u.reading += uncached
+		u.cache.add(p)
+		speed.sent(uncached)
+	}
+	return l
+}
+
+// FirstEvent tells that the upstream has begun to answer.
+func (l *Lease) FirstEvent(now time.Time) {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	if !l.reading {
+		return
+	}
+	l.speed.observe(l.uncached, now.Sub(l.started))
+	l.endReading()
+}
+
+func (l *Lease) endReading() {
+	if l.reading {
+		l.reading = false
+		l.u.reading -= l.uncached
+	}
+}
+
+// Report takes the load that the upstream stated in its answer.
+func (l *Lease) Report(now time.Time, load Load) {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	l.u.report, l.u.reportAt, l.u.ownAtReport = load, now, l.u.inFlight
+}
+
+// Done gives the place back. Later calls have no effect.
+func (l *Lease) Done(now time.Time, result Result) {
+	l.once.Do(func() {
+		l.b.mu.Lock()
+		defer l.b.mu.Unlock()
+		l.u.inFlight--
+		l.endReading()
+		l.u.health.observe(now, result)
+	})
+}
--- /dev/null
+++ b/internal/balancer/upstream.go
@@ -0,0 +1,95 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/inventory"
+)
+
+const (
+	// reportLife is how long a load report counts. Streams of the slowest
+	// class last a few seconds, so an older report says nothing of now.
+	reportLife = 3 * time.Second
+	// crossZoneCost is added for an upstream in another zone. It covers the
+	// way there and back and decides between equals only.
+	crossZoneCost = 4 * time.Millisecond
+	// decodeStep is the delay that one more running request adds to the first
+	// event of a new one, through longer engine steps.
+	decodeStep = 3 * time.Millisecond
+	// plainWork is the assumed service time of one request at a plain service.
+	plainWork = 40 * time.Millisecond
+	// rereadWeight counts the reading of uncached tokens more than once,
+	// because it delays every request that runs on the same engine.
+	rereadWeight = 2.0
+)
+
+// upstream is one entry with what this daemon knows of it.
+type upstream struct {
+	inventory.Entry
+	hash   uint64
+	cache  promptCache
+	health health
+	// inFlight is the number of requests that this daemon has there.
+	inFlight int
+	// reading is the number of prompt tokens that this daemon sent and whose
+	// requests have no first event yet.
+	reading int
+
+	report      Load
+	reportAt    time.Time
+	ownAtReport int
+}
+
+// cost estimates the delay until a request's first event, with the reading of
+// uncached tokens weighed by the harm to other requests.
+func (u *upstream) cost(now time.Time, speed *prefillSpeed, p prompt, uncached int) time.Duration {
+	others := u.othersInFlight(now)
+	if len(p.hashes) == 0 {
+		return u.plainCost(others)
+	}
+	waiting := u.othersWaiting(now)
+	cost := speed.duration(u.reading) + time.Duration(float64(speed.duration(uncached))*rereadWeight)
+	cost += time.Duration(waiting * float64(speed.duration(speed.typical())))
+	cost += time.Duration((others + float64(u.inFlight)) * float64(decodeStep))
+	return cost
+}
+
+// plainCost is the expected wait in the upstream's queue.
+func (u *upstream) plainCost(others float64) time.Duration {
+	slots := max(u.Slots, 1)
+	load := others + float64(u.inFlight)
+	cost := load / float64(slots) * float64(plainWork)
+	if over := load - float64(slots) + 1; over > 0 {
+		cost += over / float64(slots) * float64(plainWork)
+	}
+	return time.Duration(cost)
+}
+
+// reportWeight fades a report out with its age.
+func (u *upstream) reportWeight(now time.Time) float64 {
+	if u.reportAt.IsZero() {
+		return 0
+	}
+	age := now.Sub(u.reportAt)
+	if age >= reportLife {
+		return 0
+	}
+	return 1 - float64(age)/float64(reportLife)
+}
+
+// othersInFlight is the estimated number of requests of other daemons.
+func (u *upstream) othersInFlight(now time.Time) float64 {
+	total := u.report.Running + u.report.Waiting - u.ownAtReport
+	return max(0, float64(total)) * u.reportWeight(now)
+}
+
+func (u *upstream) othersWaiting(now time.Time) float64 {
+	return float64(u.report.Waiting) * u.reportWeight(now)
+}
+
+func (u *upstream) reportAge(now time.Time) time.Duration {
+	if u.reportAt.IsZero() {
+		return -1
+	}
+	return now.Sub(u.reportAt)
+}
--- /dev/null
+++ b/internal/edge/stop.go
@@ -0,0 +1,70 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+)
+
+const (
+	// lameDuck is how long new requests are served after the signal to stop.
+	// The balancer needs two failed probes, one second apart, to take the
+	// daemon out.
+	lameDuck = 2500 * time.Millisecond
+	// stopMargin is kept between the end of the last request and StopBound.
+	stopMargin = 300 * time.Millisecond
+	// defaultStopBound replaces a StopBound of zero.
+	defaultStopBound = 8 * time.Second
+	// quietCheck is how often the daemon looks for the end of its requests.
+	quietCheck = 50 * time.Millisecond
+)
+
+// stopper tells whether a planned stop has begun.
+type stopper struct{ begun atomic.Bool }
+
+func (s *stopper) stopping() bool { return s.begun.Load() }
+
+// awaitStop waits for the signal and then lets the requests in progress end.
+// The daemon is not ready from the signal on, serves what still arrives for
+// lameDuck, and then refuses new requests.
+func (e *Edge) awaitStop(ctx, stop context.Context) error {
+	signals, restore := notifyStop()
+	defer restore()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-stop.Done():
+		return nil
+	case <-signals:
+	}
+	bound := e.settings.StopBound
+	if bound == 0 {
+		bound = defaultStopBound
+	}
+	end := time.Now().Add(bound - stopMargin)
+	e.stop.begun.Store(true)
+	e.handler.CloseConnections()
+	e.deps.Log.Event(telemetry.ShutdownStarted).Int("active", e.handler.Active()).Int64("bound_ms", bound.Milliseconds()).Send()
+	pause(ctx, lameDuck)
+	e.handler.RefuseNew()
+	for e.handler.Active() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+		pause(ctx, quietCheck)
+	}
+	e.deps.Log.Event(telemetry.ShutdownComplete).Int("cut", e.handler.Active()).Send()
+	return nil
+}
+
+// stopServing ends the server for callers once the group stops.
+func (e *Edge) stopServing(s *http.Server) { _ = s.Close() } // requests have ended or their time is over
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,164 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburndyke/auburndyke/internal/backoff"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// ErrHistoryGone means that changes after the asked version are no longer
+// known.
+var ErrHistoryGone = errors.New("history is no longer available")
+
+// errStaleRead means that a read shows an earlier state than the copy holds.
+var errStaleRead = errors.New("table was read as of an earlier version")
+
+const (
+	// defaultWait is how long one call waits for a change. A lost answer goes
+	// unnoticed for that long.
+	defaultWait = 3 * time.Second
+	// answerTime is how long an answer may take beyond the wait.
+	answerTime = 1500 * time.Millisecond
+	// rereadAfter is the number of failures in a row after which the whole
+	// table is read again: rows may have lapsed and come back meanwhile.
+	rereadAfter = 1
+	// failureFloor and failureCap bound the pause after a failure.
+	failureFloor = 100 * time.Millisecond
+	failureCap   = time.Second
+)
+
+// Source is a table of the platform.
+type Source interface {
+	// Read returns all rows and the version as of which they are.
+	Read(ctx context.Context) ([]ports.Row, ports.Version, error)
+	// Changes returns the rows that changed after a version, in order. It
+	// waits for the first change, and returns nothing when there is none.
+	Changes(ctx context.Context, after ports.Version, wait time.Duration) ([]ports.Row, ports.Version, error)
+}
+
+// Sink takes what a Follower learns. Its methods are called one at a time.
+type Sink interface {
+	// Replace takes the complete table.
+	Replace(now time.Time, rows []ports.Row, version ports.Version)
+	// Apply takes changed rows.
+	Apply(now time.Time, rows []ports.Row, version ports.Version)
+	// Lost tells that the table can't be reached, and since when.
+	Lost(err error, since time.Time)
+	// Regained tells that the table is reached again.
+	Regained(after time.Duration)
+}
+
+// Follower follows one Source.
+type Follower struct {
+	source Source
+	sink   Sink
+	wait   time.Duration
+	rng    *rand.Rand
+
+	version   ports.Version
+	known     bool
+	failures  int
+	contactAt time.Time
+}
+
+// New returns a Follower. wait is how long one call waits for a change; zero
+// means 3 s.
+func New(source Source, sink Sink, wait time.Duration, rng *rand.Rand) *Follower {
+	if wait == 0 {
+		wait = defaultWait
+	}
+	return &Follower{source: source, sink: sink, wait: wait, rng: rng}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.contactAt = time.Now()
+	pause := backoff.Policy{Floor: failureFloor, Cap: failureCap}
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil {
+			f.reached()
+			continue
+		}
+		f.missed(err)
+		if !sleep(ctx, pause.Delay(f.failures, f.rng)) {
+			break
+		}
+	}
+	return nil
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if !f.known {
+		return f.read(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTime)
+	defer cancel()
+	rows, version, err := f.source.Changes(ctx, f.version, f.wait)
+	if errors.Is(err, ErrHistoryGone) {
+		f.known = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if len(rows) > 0 {
+		f.sink.Apply(time.Now(), rows, version)
+	}
+	f.version = max(f.version, version)
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTime)
+	defer cancel()
+	rows, version, err := f.source.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if version < f.version {
+		return eris.Wrapf(errStaleRead, "version %d after %d", version, f.version)
+	}
+	f.sink.Replace(time.Now(), rows, version)
+	f.version, f.known = version, true
+	return nil
+}
+
+func (f *Follower) reached() {
+	now := time.Now()
+	if f.failures > 0 {
+		f.sink.Regained(now.Sub(f.contactAt))
+	}
+	f.failures = 0
+	f.contactAt = now
+}
+
+func (f *Follower) missed(err error) {
+	f.failures++
+	if f.failures == 1 {
+		f.sink.Lost(err, f.contactAt)
+	}
+	if f.failures >= rereadAfter {
+		f.known = false
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
+	"github.com/auburndyke/auburndyke/internal/balancer"
+)
+
+const (
+	// repeatableIdleAge bounds the idle time of a connection that is used
+	// again for a request which may be repeated.
+	repeatableIdleAge = 10 * time.Second
+	// singleIdleAge is the same for requests that run at most once: a
+	// connection that the upstream has dropped meanwhile loses them.
+	singleIdleAge = 3 * time.Second
+	// minAttempt is the least time that another attempt is worth.
+	minAttempt = 50 * time.Millisecond
+	// refusedPause is the pause before another attempt when every upstream has
+	// refused the request.
+	refusedPause = 50 * time.Millisecond
+)
+
+// result is what became of one attempt.
+type result uint8
+
+const (
+	// delivered means that the caller has its final answer.
+	delivered result = iota
+	// notRun means that the upstream has not run the request.
+	notRun
+	// unknown means that the upstream may have run the request.
+	unknown
+	// failedAnswer means that the upstream ran the request and answered with a
+	// failure that is kept for the caller.
+	failedAnswer
+	// gone means that the caller has left.
+	gone
+)
+
+// attempt is one send to one upstream.
+type attempt struct {
+	q      *request
+	choice balancer.Choice
+	ctx    context.Context
+	answer *upstreamhttp.Answer
+	// verdict is that of the answer.
+	verdict Verdict
+	result  balancer.Result
+	cause   string
+}
+
+// run makes attempts until the caller has a final answer.
+func (q *request) run() {
+	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	defer cancel()
+	q.ctx = ctx
+	var kept *keptAnswer
+	for {
+		choice, ok := q.pick()
+		if !ok {
+			q.giveUp(kept, reasonNoUpstream)
+			return
+		}
+		a := &attempt{q: q, choice: choice}
+		r := a.send(ctx)
+		switch r {
+		case delivered, gone:
+			return
+		case unknown:
+			q.mayHaveRun = true
+		case failedAnswer:
+			q.mayHaveRun = true
+			kept = a.keep()
+			if kept == nil {
+				break
+			}
+		}
+		if reason := q.mayRetry(); reason != "" {
+			q.giveUp(kept, reason)
+			return
+		}
+	}
+}
+
+func (q *request) pick() (balancer.Choice, bool) {
+	choice, ok := q.h.Balancer.Pick(time.Now(), balancer.Query{
+		Service: q.service,
+		Parts:   q.caller.Prompt,
+		Zone:    q.h.Zone,
+		Tried:   q.tried,
+	})
+	if ok {
+		q.logPick(choice)
+	}
+	return choice, ok
+}
+
+// mayRetry returns why there must be no further attempt, or nothing.
+func (q *request) mayRetry() string {
+	switch {
+	case q.mayHaveRun && !q.route.Repeatable():
+		return reasonMayHaveRun
+	case q.sends >= q.route.Attempts:
+		return reasonAttempts
+	case q.remaining() < minAttempt:
+		return reasonTimeout
+	case q.ctx.Err() != nil:
+		return reasonTimeout
+	case q.sends > 0 && !q.h.Retries.Withdraw(time.Now(), q.service):
+		return reasonBudget
+	}
+	return ""
+}
+
+// send sends the request to the chosen upstream and relays its answer.
+func (a *attempt) send(ctx context.Context) result {
+	q := a.q
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a.ctx = ctx
+	a.result = balancer.Failed
+	lease := a.choice.Lease()
+	defer func() { lease.Done(time.Now(), a.result) }()
+
+	answer, err := q.h.Pool.Do(ctx, a.choice.Upstream.Address, a.encode())
+	if err != nil {
+		return a.sendFailed(err)
+	}
+	defer answer.Close()
+	q.sent(a)
+	a.answer = answer
+	a.verdict = q.h.Protocol.ReadAnswer(answer.Status, answer.Header)
+	if a.verdict.HasLoad {
+		lease.Report(time.Now(), a.verdict.Load)
+	}
+	switch {
+	case a.verdict.NotRun:
+		return a.refused()
+	case !a.verdict.Genuine:
+		return a.broken("answer is not marked as the upstream's")
+	case answer.Header.Get("Content-Encoding") != "":
+		return a.broken("answer is encoded")
+	case q.route.Type == streamType && answer.Status == http.StatusOK:
+		return a.relayStream()
+	default:
+		return a.relayWhole()
+	}
+}
+
+func (a *attempt) encode() *upstreamhttp.Request {
+	q := a.q
+	idleAge := singleIdleAge
+	if q.route.Repeatable() {
+		idleAge = repeatableIdleAge
+	}
+	return &upstreamhttp.Request{
+		Method: q.r.Method,
+		Target: q.r.RequestURI,
+		Host:   q.r.Host,
+		Header: q.h.Protocol.ForwardHeader(q.r.Header, Forward{
+			Upstream:  a.choice.Upstream.ID,
+			Customer:  q.customer,
+			Remaining: max(q.remaining()-returnMargin, time.Millisecond),
+			Urgency:   q.priority,
+			Engine:    q.engine,
+			LastEvent: q.caller.LastEvent,
+		}),
+		Body:           q.body,
+		MaxIdleAge:     idleAge,
+		Mine:           func(h http.Header) bool { return q.h.Protocol.Mine(h, q.caller.ID) },
+		HeaderDeadline: q.deadline,
+	}
+}
+
+// sent counts a request that reached its upstream.
+func (q *request) sent(a *attempt) {
+	q.sends++
+	q.tried = append(q.tried, a.choice.Upstream.ID)
+}
+
+func (a *attempt) sendFailed(err error) result {
+	q := a.q
+	var failure *upstreamhttp.SendError
+	wasSent := !errors.As(err, &failure) || failure.Sent
+	if wasSent {
+		q.sent(a)
+	} else {
+		q.tried = append(q.tried, a.choice.Upstream.ID)
+	}
+	if q.r.Context().Err() != nil {
+		a.result = balancer.Abandoned
+		q.outcome.set(outcomeCallerGone, "")
+		return gone
+	}
+	a.cause = err.Error()
+	q.logAttempt(a)
+	if wasSent {
+		return unknown
+	}
+	return notRun
+}
+
+// refused handles an answer that says the request has not run.
+func (a *attempt) refused() result {
+	a.result = balancer.Refused
+	a.cause = "refused"
+	a.drain()
+	a.q.logAttempt(a)
+	return notRun
+}
+
+func (a *attempt) broken(cause string) result {
+	a.cause = cause
+	a.q.logAttempt(a)
+	return unknown
+}
--- /dev/null
+++ b/internal/relay/finish.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+)
+
+// Reasons for which a request is answered by the daemon itself.
+const (
+	reasonNoConfiguration = "no_configuration"
+	reasonStopping        = "stopping"
+	reasonNoRoute         = "no_route"
+	reasonUnknownKey      = "unknown_key"
+	reasonBodyTooLarge    = "body_too_large"
+	reasonBodyBroken      = "body_broken"
+	reasonNoUpstream      = "no_upstream"
+	reasonMayHaveRun      = "may_have_run"
+	reasonAttempts        = "attempts_used"
+	reasonTimeout         = "timeout"
+	reasonBudget          = "retry_budget"
+	reasonBrokenAnswer    = "broken_answer"
+)
+
+// Outcomes of a request besides the status of its answer.
+const (
+	outcomeCallerGone = "caller_gone"
+	outcomeCut        = "cut"
+)
+
+const (
+	// startupRetry is when a caller finds a configuration most likely.
+	startupRetry = 500 * time.Millisecond
+	// stoppingRetry sends the caller to another daemon at once.
+	stoppingRetry = 50 * time.Millisecond
+	// upstreamRetry is when an upstream has room most likely.
+	upstreamRetry = 300 * time.Millisecond
+)
+
+// outcome collects what the final log line says.
+type outcome struct {
+	status     int
+	what       string
+	reason     string
+	detail     string
+	firstEvent time.Duration
+	stream     stream
+	kept       *keptAnswer
+	// aborted tells that the caller's connection must end without a regular
+	// end of the answer.
+	aborted bool
+}
+
+func (o *outcome) answered(status int) { o.status = status }
+
+func (o *outcome) set(what, detail string) { o.what, o.detail = what, detail }
+
+// reject answers a request that can't be served as it is.
+func (q *request) reject(status int, reason string) bool {
+	q.answer(status, reason)
+	return false
+}
+
+// refuse answers that the request has not run and when to come back.
+func (q *request) refuse(status int, reason string, after time.Duration) bool {
+	q.h.Protocol.SetRetryAfter(q.w.Header(), after)
+	q.answer(status, reason)
+	return false
+}
+
+// answer writes an answer of the daemon's own.
+func (q *request) answer(status int, reason string) {
+	q.outcome.reason = reason
+	q.outcome.answered(status)
+	header := q.w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	body := reason + "\n"
+	q.w.WriteHeader(status)
+	if q.r.Method == http.MethodHead {
+		return
+	}
+	if _, err := q.w.Write([]byte(body)); err != nil {
+		q.outcome.set(outcomeCallerGone, err.Error())
+	}
+}
+
+// cut ends a started answer, so that it does not look complete.
+func (q *request) cut(reason string) result {
+	q.outcome.reason = reason
+	q.outcome.set(outcomeCut, "")
+	q.outcome.aborted = true
+	return delivered
+}
+
+// giveUp gives the final answer of a request that no upstream completed.
+func (q *request) giveUp(kept *keptAnswer, reason string) {
+	timedOut := q.remaining() <= minAttempt
+	switch {
+	case q.outcome.stream.started:
+		q.cut(reason)
+	case q.r.Context().Err() != nil:
+		q.outcome.set(outcomeCallerGone, "")
+	case kept != nil:
+		q.outcome.reason = reason
+		q.deliver(*kept)
+	case q.mayHaveRun && timedOut:
+		q.answer(http.StatusGatewayTimeout, reasonTimeout)
+	case q.mayHaveRun:
+		q.answer(http.StatusBadGateway, reason)
+	default:
+		q.refuse(http.StatusServiceUnavailable, reason, upstreamRetry)
+	}
+}
+
+// finish writes the final log line and ends the connection of an answer that
+// broke off.
+func (q *request) finish() {
+	q.logFinish()
+	q.h.Metrics.finished(q)
+	if q.outcome.aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (q *request) id() domain.RequestID { return q.caller.ID }
--- /dev/null
+++ b/internal/relay/log.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/domain"
+)
+
+// logPick writes which upstream a request goes to and what decided it.
+func (q *request) logPick(c balancer.Choice) {
+	line := q.h.Log.Event(telemetry.RoutingDecision)
+	if line == nil {
+		return
+	}
+	line.Str("request", string(q.id())).
+		Str("route", q.route.Name).
+		Str("service", q.service).
+		Str("upstream", string(c.Upstream.ID)).
+		Str("address", c.Upstream.Address).
+		Uint64("revision", uint64(q.table.Version)).
+		Int("candidates", c.Candidates).
+		Int("rank", c.Rank).
+		Int("in_flight", c.InFlight).
+		Int("uncached_tokens", c.Uncached).
+		Int64("cost_ms", c.Cost.Milliseconds()).
+		Int64("report_age_ms", c.ReportAge.Milliseconds()).
+		Int("attempt", len(q.tried)+1).
+		Send()
+}
+
+// logAttempt writes why an attempt failed.
+func (q *request) logAttempt(a *attempt) {
+	line := q.h.Log.Event(telemetry.AttemptFailed)
+	if line == nil {
+		return
+	}
+	line.Str("request", string(q.id())).
+		Str("upstream", string(a.choice.Upstream.ID)).
+		Str("error", a.cause).
+		Bool("sent", a.answer != nil || len(q.tried) == q.sends).
+		Int64("elapsed_ms", time.Since(q.arrived).Milliseconds())
+	if a.answer != nil {
+		line.Int("status", a.answer.Status).Bool("reused_connection", !a.answer.Fresh)
+	}
+	line.Send()
+}
+
+// logFinish writes how a request ended.
+func (q *request) logFinish() {
+	line := q.h.Log.Event(telemetry.RequestFinished)
+	if line == nil {
+		return
+	}
+	line.Str("request", string(q.id())).Str("outcome", string(q.ran())).Int("status", q.outcome.status)
+	if q.outcome.what != "" {
+		line.Str("ended", q.outcome.what)
+	}
+	if q.outcome.reason != "" {
+		line.Str("reason", q.outcome.reason)
+	}
+	if q.outcome.detail != "" {
+		line.Str("detail", q.outcome.detail)
+	}
+	if q.route != nil {
+		line.Str("route", q.route.Name).Str("customer", string(q.customer)).Uint64("revision", uint64(q.table.Version))
+	}
+	if s := &q.outcome.stream; s.started {
+		line.Int("events", s.events).
+			Int64("first_event_ms", q.outcome.firstEvent.Milliseconds()).
+			Int64("max_gap_ms", s.maxGap.Milliseconds())
+	}
+	line.Int("upstreams", q.sends).Int64("elapsed_ms", time.Since(q.arrived).Milliseconds()).Send()
+}
+
+// ran tells whether an upstream ran the request.
+func (q *request) ran() domain.Outcome {
+	switch {
+	case q.outcome.reason == "" && q.outcome.what == "" || q.outcome.kept != nil:
+		return domain.OutcomeRan
+	case q.mayHaveRun || q.outcome.what != "":
+		return domain.OutcomeUnknown
+	default:
+		return domain.OutcomeNotRun
+	}
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+)
+
+// Metrics counts requests and their latencies.
+type Metrics struct {
+	set        *telemetry.Metrics
+	latency    metrics.Histogram
+	firstEvent metrics.Histogram
+	gap        metrics.Histogram
+	attempts   metrics.Counter
+}
+
+// NewMetrics registers the metrics of a relay.
+func NewMetrics(set *telemetry.Metrics) *Metrics {
+	return &Metrics{
+		set:        set,
+		latency:    set.Histogram("auburndyke_request_microseconds"),
+		firstEvent: set.Histogram("auburndyke_first_event_microseconds"),
+		gap:        set.Histogram("auburndyke_stream_max_gap_microseconds"),
+		attempts:   set.Counter("auburndyke_attempts_total"),
+	}
+}
+
+func (m *Metrics) finished(q *request) {
+	o := &q.outcome
+	m.attempts.Inc(int64(q.sends))
+	m.set.Counter("auburndyke_requests_total", "status", strconv.Itoa(o.status), "reason", o.reason, "ended", o.what).Inc(1)
+	m.latency.Update(time.Since(q.arrived).Microseconds())
+	if o.stream.started {
+		m.firstEvent.Update(o.firstEvent.Microseconds())
+		m.gap.Update(o.stream.maxGap.Microseconds())
+	}
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,208 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
+	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/httproute"
+)
+
+const (
+	// defaultWait bounds requests whose caller and route state no time.
+	defaultWait = 60 * time.Second
+	// defaultBodyBytes bounds bodies while the configuration states no limit.
+	defaultBodyBytes = 4 << 20
+	// bodyTimeout bounds the reading of a request body.
+	bodyTimeout = 10 * time.Second
+	// returnMargin is taken off the time that an upstream gets, so that its
+	// answer still reaches the caller in time.
+	returnMargin = 20 * time.Millisecond
+)
+
+// Options sets up a Handler. All fields are required.
+type Options struct {
+	Protocol Protocol
+	Balancer *balancer.Balancer
+	Pool     *upstreamhttp.Pool
+	Retries  *Retries
+	Zone     domain.AvailabilityZone
+	Log      *telemetry.Log
+	Metrics  *Metrics
+}
+
+// Handler is the HTTP handler towards callers.
+type Handler struct {
+	Options
+	table atomic.Pointer[httproute.Table]
+	// closing tells that kept connections end with their next answer.
+	closing atomic.Bool
+	// refusing tells that new requests are refused.
+	refusing atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a Handler that refuses requests until SetTable is called.
+func New(o Options) *Handler { return &Handler{Options: o} }
+
+// SetTable puts a configuration in force.
+func (h *Handler) SetTable(t *httproute.Table) { h.table.Store(t) }
+
+// Table returns the configuration in force, or nil.
+func (h *Handler) Table() *httproute.Table { return h.table.Load() }
+
+// CloseConnections makes every further answer end its connection.
+func (h *Handler) CloseConnections() { h.closing.Store(true) }
+
+// RefuseNew makes the handler refuse requests that arrive from now on.
+func (h *Handler) RefuseNew() { h.refusing.Store(true) }
+
+// Active returns the number of requests in progress.
+func (h *Handler) Active() int { return int(h.active.Load()) }
+
+// request is one request in progress.
+type request struct {
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	caller   Caller
+	table    *httproute.Table
+	route    *httproute.Route
+	service  string
+	engine   bool
+	customer domain.CustomerID
+	priority int
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	ctx      context.Context
+
+	tried []domain.UpstreamID
+	// sends counts the upstreams that the request was sent to.
+	sends int
+	// mayHaveRun is set once an upstream may have run the request.
+	mayHaveRun bool
+	outcome    outcome
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	if h.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{h: h, w: w, r: r, arrived: time.Now(), caller: h.Protocol.ReadCaller(r.Header)}
+	defer q.finish()
+	if q.admit() {
+		q.run()
+	}
+}
+
+// admit finds route and customer and reads the body. It answers the request
+// itself when it reports false.
+func (q *request) admit() bool {
+	q.table = q.h.table.Load()
+	if q.table == nil {
+		return q.refuse(http.StatusServiceUnavailable, reasonNoConfiguration, startupRetry)
+	}
+	if q.h.refusing.Load() {
+		return q.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetry)
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	q.route = q.table.Lookup(q.r.Host, path)
+	if q.route == nil {
+		return q.reject(http.StatusNotFound, reasonNoRoute)
+	}
+	if !q.authorize() {
+		return q.reject(http.StatusUnauthorized, reasonUnknownKey)
+	}
+	q.service = q.route.Pick(rand.Float64())
+	if s := q.table.Service(q.service); s != nil {
+		q.engine = s.Engine != nil
+	}
+	if !q.readBody() {
+		return false
+	}
+	q.h.Retries.Deposit(q.arrived, q.service)
+	return true
+}
+
+// authorize finds the customer of the request's key.
+func (q *request) authorize() bool {
+	q.priority = q.route.Priority
+	if q.route.Public || !q.table.Authenticated() {
+		return true
+	}
+	customer := q.table.Customer(q.caller.Key)
+	if customer == nil {
+		return false
+	}
+	q.customer = customer.Name
+	if customer.HasPriority {
+		q.priority = customer.Priority
+	}
+	return true
+}
+
+func (q *request) readBody() bool {
+	wait := q.caller.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if q.route.Timeout > 0 {
+		wait = min(wait, q.route.Timeout)
+	}
+	q.deadline = q.arrived.Add(wait)
+	limit := q.table.Limits.BodyBytes
+	if limit == 0 {
+		limit = defaultBodyBytes
+	}
+	if q.r.ContentLength == 0 {
+		return true
+	}
+	if q.r.ContentLength > limit {
+		return q.reject(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
+	}
+	control := http.NewResponseController(q.w)
+	// Connections that do not support deadlines are those of tests.
+	_ = control.SetReadDeadline(q.arrived.Add(bodyTimeout))
+	body, err := readAll(q.r.Body, q.r.ContentLength, limit)
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case errors.Is(err, errTooLarge):
+		return q.reject(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
+	case err != nil:
+		return q.reject(http.StatusBadRequest, reasonBodyBroken)
+	}
+	q.body = body
+	return true
+}
+
+var errTooLarge = errors.New("body exceeds the limit")
+
+// readAll reads a body of at most limit bytes. length is -1 if unknown.
+func readAll(body io.Reader, length, limit int64) ([]byte, error) {
+	if length > 0 {
+		buf := make([]byte, length)
+		_, err := io.ReadFull(body, buf)
+		return buf, err
+	}
+	buf, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(buf)) > limit {
+		err = errTooLarge
+	}
+	return buf, err
+}
+
+// remaining is the time until the request's deadline.
+func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
--- /dev/null
+++ b/internal/relay/retries.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/exchange"
+)
+
+// Retries bounds the repeated sends to each service by this daemon's share of
+// a budget that all daemons keep together.
+type Retries struct {
+	ratio float64
+	floor int
+
+	mu      sync.Mutex
+	budgets map[string]*exchange.Budget
+}
+
+// NewRetries returns budgets of ratio repeats per request and floor repeats
+// per window for each service.
+func NewRetries(ratio float64, floor int) *Retries {
+	return &Retries{ratio: ratio, floor: floor, budgets: make(map[string]*exchange.Budget)}
+}
+
+func (r *Retries) budget(service string) *exchange.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budgets[service]
+	if b == nil {
+		b = exchange.NewBudget(r.ratio, r.floor)
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// Deposit counts a request for a service.
+func (r *Retries) Deposit(now time.Time, service string) { r.budget(service).Deposit(now) }
+
+// Withdraw takes one repeat. It reports false when the budget is spent.
+func (r *Retries) Withdraw(now time.Time, service string) bool {
+	return r.budget(service).Withdraw(now)
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,178 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/httproute"
+)
+
+const (
+	streamType = httproute.Stream
+	// eventBuffer is the size of the read buffer for events.
+	eventBuffer = 4 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 256 << 10
+	// silenceGaps is the number of longest allowed pauses after which a stream
+	// that has begun counts as silent.
+	silenceGaps = 3
+	// minSilence is the shortest pause that counts as silence. Engines pause
+	// for the reading of long prompts.
+	minSilence = 1500 * time.Millisecond
+)
+
+// errSilent means that a stream paused for longer than it may.
+var errSilent = errors.New("stream is silent")
+
+// stream is the caller's side of a stream, over all attempts.
+type stream struct {
+	started   bool
+	lastEvent string
+	// lastID is the number of lastEvent, or -1 if it is not a number.
+	lastID int64
+	events int
+	maxGap time.Duration
+	lastAt time.Time
+}
+
+// relayStream relays events until the stream ends. Only complete events reach
+// the caller, so that another upstream can go on behind the last one.
+func (a *attempt) relayStream() result {
+	q := a.q
+	reader := bufio.NewReaderSize(a.answer, eventBuffer)
+	var event []byte
+	first := true
+	for {
+		if err := a.answer.SetReadDeadline(q.readDeadline()); err != nil {
+			return a.streamBroken(err)
+		}
+		var err error
+		event, err = readEvent(reader, event[:0])
+		if err == io.EOF && len(event) == 0 {
+			return a.streamEnded()
+		}
+		if err != nil {
+			return a.streamBroken(err)
+		}
+		if first {
+			first = false
+			a.choice.Lease().FirstEvent(time.Now())
+		}
+		if err := a.relayEvent(event); err != nil {
+			return a.callerFailed(err)
+		}
+	}
+}
+
+// readDeadline is when the stream counts as silent.
+func (q *request) readDeadline() time.Time {
+	if !q.outcome.stream.started || !q.route.Repeatable() {
+		return q.deadline
+	}
+	silence := max(minSilence, silenceGaps*q.route.MaxGap)
+	if at := time.Now().Add(silence); at.Before(q.deadline) {
+		return at
+	}
+	return q.deadline
+}
+
+// readEvent appends one event with its closing blank line to buf. It returns
+// io.EOF with an empty event at the end of the stream.
+func readEvent(r *bufio.Reader, buf []byte) ([]byte, error) {
+	for {
+		line, err := r.ReadSlice('\n')
+		buf = append(buf, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err == io.EOF && len(buf) > 0:
+			return buf, io.ErrUnexpectedEOF
+		case err != nil:
+			return buf, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return buf, nil
+		}
+		if len(buf) > maxEventBytes {
+			return buf, bufio.ErrTooLong
+		}
+	}
+}
+
+// eventID returns the id field of an event, or nothing.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
+
+// relayEvent writes one event to the caller at once.
+func (a *attempt) relayEvent(event []byte) error {
+	q := a.q
+	s := &q.outcome.stream
+	if !s.started {
+		q.startStream(a)
+	}
+	if id := eventID(event); id != "" {
+		s.lastEvent = id
+	}
+	now := time.Now()
+	if s.events > 0 {
+		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	s.events++
+	if _, err := q.w.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(q.w).Flush()
+}
+
+// startStream writes the header of the first upstream.
+func (q *request) startStream(a *attempt) {
+	s := &q.outcome.stream
+	s.started = true
+	q.outcome.firstEvent = time.Since(q.arrived)
+	q.h.Protocol.CopyAnswer(q.w.Header(), a.answer.Header)
+	q.w.WriteHeader(a.answer.Status)
+	q.outcome.answered(a.answer.Status)
+}
+
+// streamEnded handles the regular end of a stream.
+func (a *attempt) streamEnded() result {
+	q := a.q
+	a.result = balancer.OK
+	if !q.outcome.stream.started {
+		q.startStream(a)
+	}
+	return delivered
+}
+
+// streamBroken handles a stream that broke off or went silent. The caller's
+// stream goes on at another upstream where the route allows it.
+func (a *attempt) streamBroken(err error) result {
+	q := a.q
+	if q.r.Context().Err() != nil {
+		a.result = balancer.Abandoned
+		q.outcome.set(outcomeCallerGone, "")
+		return gone
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errSilent
+	}
+	a.cause = err.Error() + " after " + strconv.Itoa(q.outcome.stream.events) + " events"
+	q.logAttempt(a)
+	s := &q.outcome.stream
+	if s.started && s.lastEvent != "" {
+		q.caller.LastEvent = s.lastEvent
+	}
+	return unknown
+}
