--- a/internal/adapters/cli/edge.go
+++ b/internal/adapters/cli/edge.go
@@ -23,11 +23,8 @@
 	cmd := newCommand("edge [--settings FILE]", "Run one daemon on the platform",
 		"Runs one daemon with the platform's settings file, by default the one that\nthe platform names in the environment. SIGTERM stops it gracefully.",
 		func(cmd *cobra.Command, _ []string) error {
-			s, err := platformSettings(file)
-			if err != nil {
-				return failure(err)
-			}
-			return failure(runEdge(cmd.Context(), s, cmd.OutOrStdout()))
+			read := func() (*edge.Settings, error) { return platformSettings(file) }
+			return failure(runEdge(cmd.Context(), read, cmd.OutOrStdout()))
 		})
 	cmd.Args = cobra.NoArgs
 	cmd.Flags().StringVar(&file, "settings", "", "settings file of the platform")
@@ -45,7 +42,11 @@
 	return platform.ReadSettings(file)
 }
 
-func runEdge(ctx context.Context, s *edge.Settings, out io.Writer) (err error) {
+func runEdge(ctx context.Context, read func() (*edge.Settings, error), out io.Writer) (err error) {
+	s, err := read()
+	if err != nil {
+		return err
+	}
 	metrics := telemetry.NewMetrics()
 	dropped := metrics.Counter("auburndyke_log_lines_dropped_total")
 	writer := diode.NewWriter(out, logBuffer, 0, func(missed int) { dropped.Inc(int64(missed)) })
@@ -60,6 +61,7 @@
 		},
 		Configuration: store.Configuration(),
 		Upstreams:     store.Replicas(),
+		ReadSettings:  read,
 		Log:           telemetry.NewLog(writer, zerolog.InfoLevel, string(s.Daemon)),
 		Metrics:       metrics,
 	})
--- a/internal/adapters/telemetry/events.go
+++ b/internal/adapters/telemetry/events.go
@@ -27,6 +27,9 @@
 	CertificatesLoaded   = Event{"AD1006", "certificates_loaded", zerolog.InfoLevel, "Changed TLS files were read and serve new connections."}
 	CertificatesRejected = Event{"AD1007", "certificates_rejected", zerolog.WarnLevel, "Changed TLS files could not be used; the last good ones stay in use."}
 
+	SettingsReloaded = Event{"AD1008", "settings_reloaded", zerolog.InfoLevel, "The settings were read again, after a signal or because the file changed."}
+	SettingsRejected = Event{"AD1009", "settings_rejected", zerolog.ErrorLevel, "Changed settings can't be read; the earlier ones stay in use."}
+
 	AdmissionDecision = Event{"AD2001", "admission_decision", zerolog.InfoLevel, "A request was queued, dispatched or refused; reason says why."}
 	RoutingDecision   = Event{"AD2002", "routing_decision", zerolog.InfoLevel, "An upstream was picked; candidates, scores and exclusions are listed."}
 	AttemptFailed     = Event{"AD2003", "attempt_failed", zerolog.WarnLevel, "An attempt at an upstream failed; error says how."}
@@ -73,7 +76,7 @@
 // Catalogue lists every event in code order.
 var Catalogue = []Event{
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
-	CertificatesLoaded, CertificatesRejected,
+	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected,
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -9,7 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -50,13 +51,15 @@
 	Formats       Formats
 	Configuration follow.Source
 	Upstreams     follow.Source
-	Log           *telemetry.Log
-	Metrics       *telemetry.Metrics
+	// ReadSettings reads the settings again. Nil means that they never change.
+	ReadSettings func() (*Settings, error)
+	Log          *telemetry.Log
+	Metrics      *telemetry.Metrics
 }
 
 // Edge is one daemon.
 type Edge struct {
-	settings *Settings
+	settings atomic.Pointer[Settings]
 	deps     Deps
 	state    *state
 	handler  *relay.Handler
@@ -77,36 +80,37 @@
 		Log:      d.Log,
 		Metrics:  relay.NewMetrics(d.Metrics),
 	})
-	leaveBound := s.LeaveBound
-	if leaveBound == 0 {
-		leaveBound = defaultLeaveBound
-	}
-	return &Edge{
-		settings: s,
-		deps:     d,
-		handler:  handler,
-		pool:     pool,
+	e := &Edge{
+		deps:    d,
+		handler: handler,
+		pool:    pool,
 		state: &state{
 			formats: d.Formats, log: d.Log, handler: handler, balancer: b,
-			inventory: inventory.New(max(leaveBound-leaveMargin, 0)),
+			inventory: inventory.New(removalHold(s)),
 		},
 	}
+	e.settings.Store(s)
+	return e
+}
+
+// removalHold is how long an upstream without a registration may get work.
+func removalHold(s *Settings) time.Duration {
+	return max(cmp.Or(s.LeaveBound, defaultLeaveBound)-leaveMargin, 0)
 }
 
 // Run serves until SIGTERM or ctx ends, and then stops in order.
 func (e *Edge) Run(ctx context.Context) error {
-	if e.settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(e.settings.MemoryBytes) * memoryShare))
-	}
+	s := e.settings.Load()
+	limitMemory(s)
 	e.deps.Log.Event(telemetry.DaemonStarting).
-		Str("zone", string(e.settings.Zone)).Str("callers", e.settings.Callers).
-		Str("readiness", e.settings.Readiness).Str("metrics", e.settings.Metrics).
-		Str("platform", e.settings.Platform).Send()
-	front, err := net.Listen("tcp", e.settings.Callers)
+		Str("zone", string(s.Zone)).Str("callers", s.Callers).
+		Str("readiness", s.Readiness).Str("metrics", s.Metrics).
+		Str("platform", s.Platform).Send()
+	front, err := net.Listen("tcp", s.Callers)
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
-	ready, err := net.Listen("tcp", e.settings.Readiness)
+	ready, err := net.Listen("tcp", s.Readiness)
 	if err != nil {
 		_ = front.Close() // never served
 		return eris.Wrap(err, "listening for readiness probes")
@@ -114,7 +118,7 @@
 	var g run.Group
 	addServer(&g, e.frontServer(), front, e.stopServing)
 	addServer(&g, &http.Server{Handler: e.probes(), ReadHeaderTimeout: headerTimeout}, ready, closeNow)
-	if err := e.addMetrics(&g); err != nil {
+	if err := e.addMetrics(&g, s.Metrics); err != nil {
 		return err
 	}
 	for _, f := range []*follow.Follower{
@@ -124,6 +128,7 @@
 		addLoop(&g, f.Run)
 	}
 	addLoop(&g, e.sweep)
+	addLoop(&g, e.watchSettings)
 	addLoop(&g, func(group context.Context) error { return e.awaitStop(group, ctx) })
 	return g.Run()
 }
@@ -167,11 +172,11 @@
 	return router
 }
 
-func (e *Edge) addMetrics(g *run.Group) error {
-	if e.settings.Metrics == "" {
+func (e *Edge) addMetrics(g *run.Group, address string) error {
+	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", e.settings.Metrics)
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrap(err, "listening for metrics")
 	}
@@ -201,9 +206,16 @@
 	}
 }
 
-// notifyStop returns a channel that tells of signals to stop.
-func notifyStop() (<-chan os.Signal, func()) {
+// limitMemory sets the goal of the garbage collector.
+func limitMemory(s *Settings) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
+}
+
+// notify returns a channel that tells of signals.
+func notify(which ...os.Signal) (<-chan os.Signal, func()) {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(signals, which...)
 	return signals, func() { signal.Stop(signals) }
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -38,6 +38,15 @@
 	expire *time.Timer
 }
 
+// setRemovalHold changes how long an upstream without a registration may get
+// work.
+func (s *state) setRemovalHold(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inventory.SetRemovalHold(d)
+	s.armExpiry()
+}
+
 // ready reports whether requests can be served.
 func (s *state) ready() bool {
 	s.mu.Lock()
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
@@ -31,7 +34,7 @@
 // The daemon is not ready from the signal on, serves what still arrives for
 // lameDuck, and then refuses new requests.
 func (e *Edge) awaitStop(ctx, stop context.Context) error {
-	signals, restore := notifyStop()
+	signals, restore := notify(syscall.SIGTERM, os.Interrupt)
 	defer restore()
 	select {
 	case <-ctx.Done():
@@ -40,10 +43,7 @@
 		return nil
 	case <-signals:
 	}
-	bound := e.settings.StopBound
-	if bound == 0 {
-		bound = defaultStopBound
-	}
+	bound := cmp.Or(e.settings.Load().StopBound, defaultStopBound)
 	end := time.Now().Add(bound - stopMargin)
 	e.stop.begun.Store(true)
 	e.handler.CloseConnections()
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -60,6 +60,9 @@
 	return &Inventory{removalHold: removalHold, records: make(map[domain.UpstreamID]*record)}
 }
 
+// SetRemovalHold changes how long a removed upstream stays Unlisted.
+func (v *Inventory) SetRemovalHold(d time.Duration) { v.removalHold = d }
+
 // Register adds or replaces a registration. It ignores one of an earlier
 // incarnation than the known one.
 func (v *Inventory) Register(r Registration) {
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -34,6 +34,16 @@
 	return b
 }
 
+// SetRatio changes the budget. The counts of the current window start anew.
+func (r *Retries) SetRatio(ratio float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ratio != r.ratio {
+		r.ratio = ratio
+		clear(r.budgets)
+	}
+}
+
 // Deposit counts a request for a service.
 func (r *Retries) Deposit(now time.Time, service string) { r.budget(service).Deposit(now) }
 
