Rank requests by customer and then by route

Ruled out: a missing urgency header; the log shows customer and rank. Change: httproute ranks requests by customer and, among equals, by route, and scales the rank to what engines take. The routing line logs it.

--- a/internal/httproute/table.go
+++ b/internal/httproute/table.go
@@ -17,6 +17,7 @@
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
 	keys     map[string]*Customer
+	ranks    ranks
 	// authenticated is set when the configuration names customers.
 	authenticated bool
 }
@@ -39,6 +40,7 @@
 			return nil, err
 		}
 	}
+	t.ranks = newRanks(c)
 	for i := range c.Customers {
 		customer := &c.Customers[i]
 		for _, key := range customer.Keys {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -165,7 +165,7 @@
 			Upstream:  a.choice.Upstream.ID,
 			Customer:  q.customer,
 			Remaining: max(q.remaining()-returnMargin, time.Millisecond),
-			Urgency:   q.priority,
+			Urgency:   q.table.Scale(q.rank, q.h.Protocol.MaxUrgency()),
 			Engine:    q.engine,
 			LastEvent: q.caller.LastEvent,
 		}),
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -20,8 +20,10 @@
 		Str("upstream", string(c.Upstream.ID)).
 		Str("address", c.Upstream.Address).
 		Uint64("revision", uint64(q.table.Version)).
+		Int("rank", int(q.rank)).
+		Str("customer", string(q.customer)).
 		Int("candidates", c.Candidates).
-		Int("rank", c.Rank).
+		Int("affinity_rank", c.Rank).
 		Int("in_flight", c.InFlight).
 		Int("uncached_tokens", c.Uncached).
 		Int64("cost_ms", c.Cost.Milliseconds()).
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -28,7 +28,7 @@
 	Upstream  domain.UpstreamID
 	Customer  domain.CustomerID // empty on public routes
 	Remaining time.Duration
-	// Urgency is the rank of the request's priority; 0 is first.
+	// Urgency orders the requests at an engine, from 0 (first) to MaxUrgency.
 	Urgency int
 	// Engine marks upstreams that take an urgency.
 	Engine bool
@@ -55,6 +55,8 @@
 	// ForwardHeader returns the header for an upstream: the caller's without
 	// what concerns one connection, its key, or what only the system may set.
 	ForwardHeader(http.Header, Forward) http.Header
+	// MaxUrgency is the least urgent Urgency that an engine takes.
+	MaxUrgency() int
 	// Mine reports whether an answer's header belongs to the request.
 	Mine(answer http.Header, id domain.RequestID) bool
 	// ReadAnswer reads an answer's header.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,7 +80,7 @@
 	service  string
 	engine   bool
 	customer domain.CustomerID
-	priority int
+	rank     httproute.Rank
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
@@ -139,7 +139,7 @@
 
 // authorize finds the customer of the request's key.
 func (q *request) authorize() bool {
-	q.priority = q.route.Priority
+	q.rank = q.table.Rank(q.route, nil)
 	if q.route.Public || !q.table.Authenticated() {
 		return true
 	}
@@ -148,9 +148,7 @@
 		return false
 	}
 	q.customer = customer.Name
-	if customer.HasPriority {
-		q.priority = customer.Priority
-	}
+	q.rank = q.table.Rank(q.route, customer)
 	return true
 }
 
