Pause after a change of the list of upstreams

Change: follow can let changes settle; the list of upstreams settles 0.8 s, which is taken off the time that an unlisted upstream may still be used.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,9 @@
 	leaveMargin = 300 * time.Millisecond
 	// defaultLeaveBound replaces a LeaveBound of zero.
 	defaultLeaveBound = 2500 * time.Millisecond
+	// listSettle is the pause after a change of the list of upstreams. Restarts
+	// and releases change it many times a second.
+	listSettle = 800 * time.Millisecond
 	// sweepInterval is how often expired connections are closed.
 	sweepInterval = 2 * time.Second
 	// headerTimeout bounds the reading of a request's header while the
@@ -95,7 +98,7 @@
 
 // removalHold is how long an upstream without a registration may get work.
 func removalHold(s *Settings) time.Duration {
-	return max(cmp.Or(s.LeaveBound, defaultLeaveBound)-leaveMargin, 0)
+	return max(cmp.Or(s.LeaveBound, defaultLeaveBound)-listSettle-leaveMargin, 0)
 }
 
 // Run serves until SIGTERM or ctx ends, and then stops in order.
@@ -122,8 +125,8 @@
 		return err
 	}
 	for _, f := range []*follow.Follower{
-		follow.New(e.deps.Configuration, configSink{e.state}, 0, newRand()),
-		follow.New(e.deps.Upstreams, upstreamSink{e.state}, 0, newRand()),
+		follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{Rand: newRand()}),
+		follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{Settle: listSettle, Rand: newRand()}),
 	} {
 		addLoop(&g, f.Run)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -59,21 +60,35 @@
 	source Source
 	sink   Sink
 	wait   time.Duration
+	settle time.Duration
 	rng    *rand.Rand
 
+	// changed tells that the last step brought changes.
+	changed   bool
 	version   ports.Version
 	known     bool
 	failures  int
 	contactAt time.Time
 }
 
-// New returns a Follower. wait is how long one call waits for a change; zero
-// means 3 s.
-func New(source Source, sink Sink, wait time.Duration, rng *rand.Rand) *Follower {
-	if wait == 0 {
-		wait = defaultWait
+// Options sets up a Follower. Zero values take the defaults given with each
+// field.
+type Options struct {
+	// Wait is how long one call waits for a change. Default 3 s.
+	Wait time.Duration
+	// Settle is the pause after a change, so that changes that come together
+	// are read together. Default none.
+	Settle time.Duration
+	// Rand spreads the pauses after failures. Required.
+	Rand *rand.Rand
+}
+
+// New returns a Follower.
+func New(source Source, sink Sink, o Options) *Follower {
+	return &Follower{
+		source: source, sink: sink,
+		wait: cmp.Or(o.Wait, defaultWait), settle: o.Settle, rng: o.Rand,
 	}
-	return &Follower{source: source, sink: sink, wait: wait, rng: rng}
 }
 
 // Run follows until ctx ends.
@@ -87,6 +102,9 @@
 		}
 		if err == nil {
 			f.reached()
+			if f.changed && !sleep(ctx, f.settle) {
+				break
+			}
 			continue
 		}
 		f.missed(err)
@@ -111,7 +129,8 @@
 	if err != nil {
 		return err
 	}
-	if len(rows) > 0 {
+	f.changed = len(rows) > 0
+	if f.changed {
 		f.sink.Apply(time.Now(), rows, version)
 	}
 	f.version = max(f.version, version)
@@ -129,7 +148,7 @@
 		return eris.Wrapf(errStaleRead, "version %d after %d", version, f.version)
 	}
 	f.sink.Replace(time.Now(), rows, version)
-	f.version, f.known = version, true
+	f.version, f.known, f.changed = version, true, true
 	return nil
 }
 
