Keep interactive streams apart from the reading of long prompts

Ruled out: the relay's own delay (requests pass in under 2 ms). Change: balancer splits the engines of a service by the share of the work of interactive streams, in an order that all daemons compute alike.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -22,6 +22,13 @@
 	Service string
 	// Parts is the prompt in order; the last part is the request's own.
 	Parts []Part
+	// Route names the route; its requests are of one kind.
+	Route string
+	// MaxGap is the longest pause of the answer's stream that is on time. Zero
+	// means that there is no limit.
+	MaxGap time.Duration
+	// OutputTokens is the expected length of the answer. Zero means unknown.
+	OutputTokens int
 	// Zone is the zone of the daemon, which is preferred among equals.
 	Zone domain.AvailabilityZone
 	// Tried lists upstreams that must not be picked again.
@@ -40,16 +47,22 @@
 type Balancer struct {
 	mu        sync.Mutex
 	upstreams map[domain.UpstreamID]*upstream
-	services  map[string][]*upstream
-	speeds    map[string]*prefillSpeed
+	services  map[string]*service
+}
+
+// service is a group of equal upstreams.
+type service struct {
+	// upstreams are in the order that all daemons agree on.
+	upstreams []*upstream
+	speed     prefillSpeed
+	pools     pools
 }
 
 // New returns a Balancer that knows no upstream.
 func New() *Balancer {
 	return &Balancer{
 		upstreams: make(map[domain.UpstreamID]*upstream),
-		services:  make(map[string][]*upstream),
-		speeds:    make(map[string]*prefillSpeed),
+		services:  make(map[string]*service),
 	}
 }
 
@@ -60,7 +73,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	next := make(map[domain.UpstreamID]*upstream, len(entries))
-	services := make(map[string][]*upstream)
+	for _, s := range b.services {
+		s.upstreams = nil
+	}
 	for _, e := range entries {
 		u := b.upstreams[e.ID]
 		if u == nil || u.Incarnation != e.Incarnation || u.Address != e.Address {
@@ -69,12 +84,20 @@
 		u.Entry = e
 		u.cache.capacity = memory(e.Service)
 		next[e.ID] = u
-		services[e.Service] = append(services[e.Service], u)
-		if b.speeds[e.Service] == nil {
-			b.speeds[e.Service] = &prefillSpeed{}
+		s := b.services[e.Service]
+		if s == nil {
+			s = &service{}
+			b.services[e.Service] = s
 		}
+		s.upstreams = append(s.upstreams, u)
 	}
-	b.upstreams, b.services = next, services
+	for name, s := range b.services {
+		if s.upstreams == nil {
+			delete(b.services, name)
+		}
+		s.upstreams = order(s.upstreams)
+	}
+	b.upstreams = next
 }
 
 // Choice is a picked upstream together with what decided it.
@@ -87,6 +110,10 @@
 	// Uncached is the number of prompt tokens that the upstream is expected to
 	// read.
 	Uncached int
+	// Interactive tells that the request belongs to the pool for streams with
+	// short pauses, which has PoolSize upstreams.
+	Interactive bool
+	PoolSize    int
 	// Rank is the pick's place in the prompt's rendezvous order, from 0.
 	Rank int
 	// InFlight is the number of requests that this daemon has there.
@@ -105,35 +132,61 @@
 func (b *Balancer) Pick(now time.Time, q Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	candidates := eligible(b.services[q.Service], now, q.Tried)
+	s := b.services[q.Service]
+	if s == nil {
+		return Choice{}, false
+	}
+	candidates := eligible(s.upstreams, now, q.Tried)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	prompt := newPrompt(q.Parts)
-	speed := b.speeds[q.Service]
-	home, ranked := rendezvous(candidates, prompt.affinity)
+	best, picked := s.pick(now, q, prompt, candidates)
+	best.Upstream = picked.Entry
+	best.Candidates = len(candidates)
+	best.InFlight = picked.inFlight
+	best.ReportAge = picked.reportAge(now)
+	best.lease = b.start(now, picked, &s.speed, prompt, best.Uncached)
+	return best, true
+}
+
+// pick returns the candidate with the least cost.
+func (s *service) pick(now time.Time, q Query, prompt prompt, candidates []*upstream) (Choice, *upstream) {
 	var best Choice
-	var picked *upstream
-	for i, u := range candidates {
+	if len(prompt.hashes) > 0 {
+		work := float64(prompt.own)/s.speed.tokensPerMS() + float64(q.OutputTokens)*tokenWork
+		best.Interactive = s.pools.observe(now, q.Route, q.MaxGap, prompt.total, work)
+		best.PoolSize = s.pools.size(len(candidates))
+	}
+	// The candidates of the request's own pool are ranked first, so that a
+	// prompt's home is in its pool.
+	pool, rest := candidates[:best.PoolSize], candidates[best.PoolSize:]
+	if !best.Interactive {
+		pool, rest = rest, pool
+	}
+	picked := s.pickFrom(now, q, prompt, pool, 0, &best, nil)
+	picked = s.pickFrom(now, q, prompt, rest, poolPenalty, &best, picked)
+	return best, picked
+}
+
+// pickFrom updates the best choice with the upstreams of one pool.
+func (s *service) pickFrom(now time.Time, q Query, prompt prompt, pool []*upstream, penalty time.Duration, best *Choice, picked *upstream) *upstream {
+	home, ranked := rendezvous(pool, prompt.affinity)
+	for i, u := range pool {
 		uncached := u.cache.missing(prompt)
-		if prompt.affinity != 0 && u == home {
+		if prompt.affinity != 0 && u == home && penalty == 0 {
 			uncached = min(uncached, prompt.own)
 		}
-		cost := u.cost(now, speed, prompt, uncached)
+		cost := u.cost(now, &s.speed, prompt, uncached) + penalty
 		if u.Zone != q.Zone {
 			cost += crossZoneCost
 		}
 		if picked == nil || cost < best.Cost {
-			best = Choice{Cost: cost, Uncached: uncached, Rank: ranked[i]}
+			best.Cost, best.Uncached, best.Rank = cost, uncached, ranked[i]
 			picked = u
 		}
 	}
-	best.Upstream = picked.Entry
-	best.Candidates = len(candidates)
-	best.InFlight = picked.inFlight
-	best.ReportAge = picked.reportAge(now)
-	best.lease = b.start(now, picked, speed, prompt, best.Uncached)
-	return best, true
+	return picked
 }
 
 // eligible returns the upstreams that may take a request. Unlisted and failing
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -88,10 +88,13 @@
 
 func (q *request) pick() (balancer.Choice, bool) {
 	choice, ok := q.h.Balancer.Pick(time.Now(), balancer.Query{
-		Service: q.service,
-		Parts:   q.caller.Prompt,
-		Zone:    q.h.Zone,
-		Tried:   q.tried,
+		Service:      q.service,
+		Parts:        q.caller.Prompt,
+		Route:        q.route.Name,
+		MaxGap:       q.route.MaxGap,
+		OutputTokens: q.caller.OutputTokens,
+		Zone:         q.h.Zone,
+		Tried:        q.tried,
 	})
 	if ok {
 		q.logPick(choice)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -23,6 +23,8 @@
 		Int("rank", int(q.rank)).
 		Str("customer", string(q.customer)).
 		Int("candidates", c.Candidates).
+		Bool("interactive", c.Interactive).
+		Int("pool", c.PoolSize).
 		Int("affinity_rank", c.Rank).
 		Int("in_flight", c.InFlight).
 		Int("uncached_tokens", c.Uncached).
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -17,7 +17,7 @@
 	Key string
 	// Prompt lists the parts of the prompt in order.
 	Prompt []balancer.Part
-	// OutputTokens is the largest number of tokens that the answer may have.
+	// OutputTokens is the expected number of tokens of the answer, or zero.
 	OutputTokens int
 	// LastEvent is the last event that the caller has of the stream.
 	LastEvent string
