Let the size of the interactive pool follow its load with hysteresis

Cause: the pool's size followed each daemon's own estimate within seconds, and each change moves prompts to engines that have not read them. Change: a longer average (10 s) and a change of the size only beyond 12% of the upstreams.

--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -17,13 +17,17 @@
 	// promptWeight is the weight of one request in the mean prompt of a route.
 	promptWeight = 0.05
 	// workLife is the time constant over which work is averaged.
-	workLife = 6 * time.Second
+	workLife = 10 * time.Second
 	// tokenWork is the engine time of one generated token, in milliseconds:
 	// the length of a step, divided by the requests that share it.
 	tokenWork = 0.8
 	// poolPenalty is the cost of leaving the pool. It equals the wait that
 	// makes an upstream of the other pool the better choice.
 	poolPenalty = 400 * time.Millisecond
+	// sizeHysteresis is the share of the upstreams by which the wanted size must
+	// differ before the pool changes. Each change moves prompts to engines that
+	// have not read them.
+	sizeHysteresis = 0.12
 	// minPoolSize is the smallest number of upstreams that is split.
 	minPoolSize = 4
 )
@@ -45,6 +49,8 @@
 	interactive float64
 	other       float64
 	updated     time.Time
+	// share is the part of the upstreams in the pool for interactive streams.
+	share float64
 }
 
 // routeStats describes the requests of one route.
@@ -100,7 +106,11 @@
 	if n < minPoolSize || total == 0 || p.interactive == 0 || p.other == 0 {
 		return 0
 	}
-	return min(max(int(math.Round(p.interactive/total*float64(n))), 1), n-1)
+	wanted := p.interactive / total
+	if p.share == 0 || math.Abs(wanted-p.share) > sizeHysteresis {
+		p.share = wanted
+	}
+	return min(max(int(math.Round(p.share*float64(n))), 1), n-1)
 }
 
 // order sorts upstreams into the order from which the pool is taken. All
