Weigh prompt tokens that are read again four times

Cause: a wait of twice the reading time sent prompts off their home, where they were read again and delayed all streams of the other engine.

--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -20,7 +20,7 @@
 	plainWork = 40 * time.Millisecond
 	// rereadWeight counts the reading of uncached tokens more than once,
 	// because it delays every request that runs on the same engine.
-	rereadWeight = 2.0
+	rereadWeight = 4.0
 )
 
 // upstream is one entry with what this daemon knows of it.
