Ask engines for their load while requests wait

Cause: a daemon of 69 hears of each engine's load once in 13 s, so prompts stayed at overloaded homes. Change: while requests wait, the best two engines are asked before a request is placed; engines without a recent report count as typical; reading weighs more the more requests wait.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -56,6 +56,7 @@
 	upstreams []*upstream
 	speed     prefillSpeed
 	pools     pools
+	load      typicalLoad
 }
 
 // New returns a Balancer that knows no upstream.
@@ -141,7 +142,7 @@
 		return Choice{}, false
 	}
 	prompt := newPrompt(q.Parts)
-	best, picked := s.pick(now, q, prompt, candidates)
+	best, picked := s.pick(now, q, prompt, candidates, s.observe(now, q, prompt))
 	best.Upstream = picked.Entry
 	best.Candidates = len(candidates)
 	best.InFlight = picked.inFlight
@@ -150,12 +151,19 @@
 	return best, true
 }
 
+// observe counts a request and reports whether it is interactive.
+func (s *service) observe(now time.Time, q Query, prompt prompt) bool {
+	if len(prompt.hashes) == 0 {
+		return false
+	}
+	work := float64(prompt.own)/s.speed.tokensPerMS() + float64(q.OutputTokens)*tokenWork
+	return s.pools.observe(now, q.Route, q.MaxGap, prompt.total, work)
+}
+
 // pick returns the candidate with the least cost.
-func (s *service) pick(now time.Time, q Query, prompt prompt, candidates []*upstream) (Choice, *upstream) {
-	var best Choice
+func (s *service) pick(now time.Time, q Query, prompt prompt, candidates []*upstream, interactive bool) (Choice, *upstream) {
+	best := Choice{Interactive: interactive}
 	if len(prompt.hashes) > 0 {
-		work := float64(prompt.own)/s.speed.tokensPerMS() + float64(q.OutputTokens)*tokenWork
-		best.Interactive = s.pools.observe(now, q.Route, q.MaxGap, prompt.total, work)
 		best.PoolSize = s.pools.size(len(candidates))
 	}
 	// The candidates of the request's own pool are ranked first, so that a
@@ -177,7 +185,7 @@
 		if prompt.affinity != 0 && u == home && penalty == 0 {
 			uncached = min(uncached, prompt.own)
 		}
-		cost := u.cost(now, &s.speed, prompt, uncached) + penalty
+		cost := u.cost(now, s, prompt, uncached) + penalty
 		if u.Zone != q.Zone {
 			cost += crossZoneCost
 		}
--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -92,6 +92,12 @@
 	p.updated = now
 }
 
+// classify reports whether the requests of a route are interactive.
+func (p *pools) classify(route string) bool {
+	r := p.routes[route]
+	return r != nil && p.isInteractive(r)
+}
+
 func (p *pools) isInteractive(r *routeStats) bool {
 	var longest time.Duration
 	for _, other := range p.routes {
--- /dev/null
+++ b/internal/balancer/report.go
@@ -0,0 +1,85 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/inventory"
+)
+
+const (
+	// freshReport is the age up to which a load report needs no new question.
+	// Engines state values that are some hundred milliseconds old anyway.
+	freshReport = 250 * time.Millisecond
+	// askedUpstreams is the number of upstreams that are asked for one request.
+	askedUpstreams = 2
+	// loadWeight is the weight of one report in the typical load of a service.
+	loadWeight = 0.05
+	// askPressure is the share of reports with waiting requests from which on
+	// upstreams are asked. Below it, waits are too rare to be worth a question.
+	askPressure = 0.15
+)
+
+// typicalLoad is the mean of the load reports of a service. It stands in for
+// upstreams without a recent report, so that an unknown load is not taken for
+// none.
+type typicalLoad struct {
+	// pressure is the share of reports that show waiting requests.
+	pressure float64
+	waiting  float64
+	running  float64
+}
+
+func (t *typicalLoad) observe(l Load) {
+	waits := 0.0
+	if l.Waiting > 0 {
+		waits = 1
+	}
+	t.pressure += (waits - t.pressure) * loadWeight
+	t.waiting += (float64(l.Waiting) - t.waiting) * loadWeight
+	t.running += (float64(l.Running) - t.running) * loadWeight
+}
+
+// Ask returns the upstreams whose load should be asked before a request is
+// placed: the best ones whose reports are old, while requests wait at the
+// service's engines. It returns none for a plain service.
+func (b *Balancer) Ask(now time.Time, q Query) []inventory.Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[q.Service]
+	if s == nil || len(q.Parts) == 0 || s.load.pressure < askPressure {
+		return nil
+	}
+	var out []inventory.Entry
+	tried := slices.Clone(q.Tried)
+	prompt := newPrompt(q.Parts)
+	for range askedUpstreams {
+		candidates := eligible(s.upstreams, now, tried)
+		if len(candidates) == 0 {
+			break
+		}
+		_, u := s.pick(now, q, prompt, candidates, s.pools.classify(q.Route))
+		if now.Sub(u.reportAt) > freshReport {
+			out = append(out, u.Entry)
+		}
+		tried = append(tried, u.ID)
+	}
+	return out
+}
+
+// Observe takes the load that an upstream stated.
+func (b *Balancer) Observe(now time.Time, id domain.UpstreamID, load Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.upstreams[id]; u != nil {
+		b.reported(now, u, load)
+	}
+}
+
+func (b *Balancer) reported(now time.Time, u *upstream, load Load) {
+	u.report, u.reportAt, u.ownAtReport, u.readingAtReport = load, now, u.inFlight, u.reading
+	if s := b.services[u.Service]; s != nil {
+		s.load.observe(load)
+	}
+}
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -35,21 +35,29 @@
 	// requests have no first event yet.
 	reading int
 
-	report      Load
-	reportAt    time.Time
-	ownAtReport int
+	report   Load
+	reportAt time.Time
+	// ownAtReport and readingAtReport are inFlight and reading when the report
+	// arrived.
+	ownAtReport     int
+	readingAtReport int
 }
 
 // cost estimates the delay until a request's first event, with the reading of
 // uncached tokens weighed by the harm to other requests.
-func (u *upstream) cost(now time.Time, speed *prefillSpeed, p prompt, uncached int) time.Duration {
-	others := u.othersInFlight(now)
+func (u *upstream) cost(now time.Time, s *service, p prompt, uncached int) time.Duration {
+	weight := u.reportWeight(now)
 	if len(p.hashes) == 0 {
-		return u.plainCost(others)
+		return u.plainCost(weight * u.othersReported())
 	}
-	waiting := u.othersWaiting(now)
-	cost := speed.duration(u.reading) + time.Duration(float64(speed.duration(uncached))*rereadWeight)
-	cost += time.Duration(waiting * float64(speed.duration(speed.typical())))
+	others := weight*u.othersReported() + (1-weight)*s.load.running
+	waiting := weight*float64(u.report.Waiting) + (1-weight)*s.load.waiting
+	// A report counts what this daemon had sent before it.
+	known := int(weight * float64(u.readingAtReport))
+	cost := s.speed.duration(max(u.reading-known, 0))
+	// Reading takes more from others the more of them wait.
+	cost += time.Duration(float64(s.speed.duration(uncached)) * rereadWeight * (1 + s.load.waiting))
+	cost += time.Duration(waiting * float64(s.speed.duration(s.speed.typical())))
 	cost += time.Duration((others + float64(u.inFlight)) * float64(decodeStep))
 	return cost
 }
@@ -77,14 +85,9 @@
 	return 1 - float64(age)/float64(reportLife)
 }
 
-// othersInFlight is the estimated number of requests of other daemons.
-func (u *upstream) othersInFlight(now time.Time) float64 {
-	total := u.report.Running + u.report.Waiting - u.ownAtReport
-	return max(0, float64(total)) * u.reportWeight(now)
-}
-
-func (u *upstream) othersWaiting(now time.Time) float64 {
-	return float64(u.report.Waiting) * u.reportWeight(now)
+// othersReported is the number of requests of other daemons in the report.
+func (u *upstream) othersReported() float64 {
+	return float64(max(u.report.Running+u.report.Waiting-u.ownAtReport, 0))
 }
 
 func (u *upstream) reportAge(now time.Time) time.Duration {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -87,7 +87,7 @@
 }
 
 func (q *request) pick() (balancer.Choice, bool) {
-	choice, ok := q.h.Balancer.Pick(time.Now(), balancer.Query{
+	query := balancer.Query{
 		Service:      q.service,
 		Parts:        q.caller.Prompt,
 		Route:        q.route.Name,
@@ -95,7 +95,9 @@
 		OutputTokens: q.caller.OutputTokens,
 		Zone:         q.h.Zone,
 		Tried:        q.tried,
-	})
+	}
+	q.h.askLoads(q.ctx, q.h.Balancer.Ask(time.Now(), query))
+	choice, ok := q.h.Balancer.Pick(time.Now(), query)
 	if ok {
 		q.logPick(choice)
 	}
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -64,6 +64,10 @@
 	// CopyAnswer copies an answer's header for the caller, without what
 	// concerns one connection.
 	CopyAnswer(dst, src http.Header)
+	// ReportTarget is the path at which an engine states its load.
+	ReportTarget() string
+	// ReadReport reads an engine's load.
+	ReadReport(body []byte) (balancer.Load, error)
 	// SetRetryAfter tells a caller when to come back.
 	SetRetryAfter(http.Header, time.Duration)
 }
