Spread demand and load between daemons by datagrams

Cause: each daemon sized the interactive pool by its own requests; among 69 daemons the size was between 0 and 31 of 90 engines at one moment, so that long prompts were read in the middle of interactive streams. Ruled out: spill between the pools (577 thousand of 37 million tokens). Change: peers sends demand and load reports to one random peer every 0.5 s in one datagram of CBOR; daemons find each other in a table of the platform.

--- a/internal/adapters/telemetry/events.go
+++ b/internal/adapters/telemetry/events.go
@@ -50,6 +50,9 @@
 	MemberChanged = Event{"AD4003", "member_changed", zerolog.InfoLevel, "A daemon joined, is suspected, or is gone."}
 	RosterRenewal = Event{"AD4004", "roster_renewal_failed", zerolog.WarnLevel, "The daemon's roster row could not be renewed."}
 
+	PeerMessageRejected = Event{"AD4005", "peer_message_rejected", zerolog.WarnLevel, "A message to or from a peer, or its row in the directory, can't be used."}
+	PeerDirectoryFailed = Event{"AD4006", "peer_directory_failed", zerolog.WarnLevel, "The directory of daemons can't be reached; known peers stay in use."}
+
 	DrainStep    = Event{"AD5001", "drain_step", zerolog.InfoLevel, "An upstream moved to another drain phase; reason says why."}
 	DrainWarning = Event{"AD5002", "drain_warning", zerolog.WarnLevel, "A drain needs attention, for example the last upstream of a class."}
 
@@ -80,7 +83,7 @@
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
-	PeerConnected, PeerLost, MemberChanged, RosterRenewal,
+	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -48,6 +48,8 @@
 	mu        sync.Mutex
 	upstreams map[domain.UpstreamID]*upstream
 	services  map[string]*service
+	// learned holds the reports that peers have not been told.
+	learned map[uint32]Report
 }
 
 // service is a group of equal upstreams.
@@ -64,6 +66,7 @@
 	return &Balancer{
 		upstreams: make(map[domain.UpstreamID]*upstream),
 		services:  make(map[string]*service),
+		learned:   make(map[uint32]Report),
 	}
 }
 
@@ -164,7 +167,7 @@
 func (s *service) pick(now time.Time, q Query, prompt prompt, candidates []*upstream, interactive bool) (Choice, *upstream) {
 	best := Choice{Interactive: interactive}
 	if len(prompt.hashes) > 0 {
-		best.PoolSize = s.pools.size(len(candidates))
+		best.PoolSize = s.pools.size(now, len(candidates))
 	}
 	// The candidates of the request's own pool are ranked first, so that a
 	// prompt's home is in its pool.
--- a/internal/balancer/lease.go
+++ b/internal/balancer/lease.go
@@ -66,7 +66,7 @@
 func (l *Lease) Report(now time.Time, load Load) {
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
-	l.b.reported(now, l.u, load)
+	l.b.stated(now, l.u, load)
 }
 
 // Done gives the place back. Later calls have no effect.
--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -49,6 +49,9 @@
 	interactive float64
 	other       float64
 	updated     time.Time
+	// total is the work of all daemons, told at totalAt.
+	total   Work
+	totalAt time.Time
 	// share is the part of the upstreams in the pool for interactive streams.
 	share float64
 }
@@ -106,13 +109,29 @@
 	return r.gap > 0 && float64(r.gap) <= interactiveGap*float64(longest) && r.prompt <= interactivePrompt*p.prompt
 }
 
+// rate returns the work of this daemon.
+func (p *pools) rate(now time.Time) Work {
+	p.decay(now)
+	life := workLife.Seconds()
+	return Work{Interactive: p.interactive / life, Other: p.other / life}
+}
+
+// work returns the work of all daemons, or of this one while the others are
+// not known.
+func (p *pools) work(now time.Time) Work {
+	if !p.totalAt.IsZero() && now.Sub(p.totalAt) < totalLife {
+		return p.total
+	}
+	return p.rate(now)
+}
+
 // size returns how many of n upstreams belong to interactive streams.
-func (p *pools) size(n int) int {
-	total := p.interactive + p.other
-	if n < minPoolSize || total == 0 || p.interactive == 0 || p.other == 0 {
+func (p *pools) size(now time.Time, n int) int {
+	w := p.work(now)
+	if n < minPoolSize || w.Interactive == 0 || w.Other == 0 {
 		return 0
 	}
-	wanted := p.interactive / total
+	wanted := w.Interactive / (w.Interactive + w.Other)
 	if p.share == 0 || math.Abs(wanted-p.share) > sizeHysteresis {
 		p.share = wanted
 	}
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -73,10 +73,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if u := b.upstreams[id]; u != nil {
-		b.reported(now, u, load)
+		b.stated(now, u, load)
 	}
 }
 
+// stated takes a report that an upstream gave this daemon.
+func (b *Balancer) stated(now time.Time, u *upstream, load Load) {
+	b.reported(now, u, load)
+	b.learned[uint32(u.hash)] = Report{load, now}
+}
+
 func (b *Balancer) reported(now time.Time, u *upstream, load Load) {
 	u.report, u.reportAt, u.ownAtReport, u.readingAtReport = load, now, u.inFlight, u.reading
 	if s := b.services[u.Service]; s != nil {
--- /dev/null
+++ b/internal/balancer/share.go
@@ -0,0 +1,78 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// totalLife is how long the work of all daemons counts after it was told.
+const totalLife = 3 * time.Second
+
+// Work is the engine time per second that requests of a service need, in
+// milliseconds.
+type Work struct {
+	Interactive float64
+	Other       float64
+}
+
+// Report is a load report and when it was stated.
+type Report struct {
+	Load
+	At time.Time
+}
+
+// ShortHash identifies a service or an upstream towards peers.
+func ShortHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// Works returns the work that this daemon brings to each service of engines,
+// by ShortHash.
+func (b *Balancer) Works(now time.Time) map[uint32]Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[uint32]Work)
+	for name, s := range b.services {
+		if s.pools.routes != nil {
+			out[ShortHash(name)] = s.pools.rate(now)
+		}
+	}
+	return out
+}
+
+// SetTotal takes the work that all daemons bring to a service.
+func (b *Balancer) SetTotal(now time.Time, service uint32, total Work) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, s := range b.services {
+		if ShortHash(name) == service {
+			s.pools.total, s.pools.totalAt = total, now
+		}
+	}
+}
+
+// Learned returns the load reports that upstreams gave this daemon since the
+// last call, by ShortHash.
+func (b *Balancer) Learned() map[uint32]Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := b.learned
+	b.learned = make(map[uint32]Report)
+	return out
+}
+
+// SetReports takes load reports that peers learned.
+func (b *Balancer) SetReports(reports map[uint32]Report) {
+	if len(reports) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, u := range b.upstreams {
+		r, ok := reports[uint32(u.hash)]
+		if !ok || !r.At.After(u.reportAt) {
+			continue
+		}
+		r.Slots = u.report.Slots
+		b.reported(r.At, u, r.Load)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/inventory"
+	"github.com/auburndyke/auburndyke/internal/peers"
 	"github.com/auburndyke/auburndyke/internal/relay"
 )
 
@@ -54,6 +55,9 @@
 	Formats       Formats
 	Configuration follow.Source
 	Upstreams     follow.Source
+	// Daemons is the directory in which daemons find each other. Nil means that
+	// there is one daemon.
+	Daemons peers.Directory
 	// ReadSettings reads the settings again. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
 	Log          *telemetry.Log
@@ -130,6 +134,7 @@
 	} {
 		addLoop(&g, f.Run)
 	}
+	e.addPeers(&g)
 	addLoop(&g, e.sweep)
 	addLoop(&g, e.watchSettings)
 	addLoop(&g, func(group context.Context) error { return e.awaitStop(group, ctx) })
@@ -209,6 +214,19 @@
 	}
 }
 
+// addPeers exchanges knowledge with the other daemons.
+func (e *Edge) addPeers(g *run.Group) {
+	s := e.settings.Load()
+	if e.deps.Daemons == nil || s.Peers == "" {
+		return
+	}
+	node := peers.New(peers.Config{
+		Daemon: string(s.Daemon), Address: s.Peers, Directory: e.deps.Daemons,
+		Observer: peerObserver{e.state.balancer}, Rand: newRand(), Log: e.deps.Log,
+	})
+	addLoop(g, node.Run)
+}
+
 // limitMemory sets the goal of the garbage collector.
 func limitMemory(s *Settings) {
 	if s.MemoryBytes > 0 {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -8,19 +8,19 @@
 
 // Settings of one daemon.
 type Settings struct {
-	Daemon  domain.DaemonID
-	Zone    domain.AvailabilityZone
-	Region  domain.Region
-	Address string // IP of the VM
+	Daemon domain.DaemonID
+	Zone   domain.AvailabilityZone
+	Region domain.Region
 	// Callers, Readiness and Metrics are the addresses to listen on. An empty
 	// Metrics serves none.
 	Callers   string
 	Readiness string
 	Metrics   string
+	// Peers is the address for datagrams of other daemons. Empty means that
+	// the daemon works alone.
+	Peers string
 	// Platform is the address of the platform's store.
 	Platform string
-	// InternalPorts is the first and last port for traffic between daemons.
-	InternalPorts []int
 	// MemoryBytes and Descriptors are the limits of the process. Zero means
 	// that none is known.
 	MemoryBytes int64
--- /dev/null
+++ b/internal/peers/node.go
@@ -0,0 +1,220 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+const (
+	// interval is the time between two messages: 2.4 KB/s at full messages.
+	interval = 500 * time.Millisecond
+	// directoryInterval is how often the directory is read again. A daemon that
+	// lost all its peers finds them by it.
+	directoryInterval = 30 * time.Second
+	// directoryRetry is the pause after the directory could not be reached.
+	directoryRetry = 2 * time.Second
+	// directoryTimeout bounds one call to the directory.
+	directoryTimeout = 2 * time.Second
+)
+
+// Directory is a table of the platform with one row for each daemon.
+type Directory interface {
+	Read(ctx context.Context) ([]ports.Row, ports.Version, error)
+	// Put writes one row, whatever it held.
+	Put(ctx context.Context, key string, value []byte) error
+}
+
+// Observer takes what the peers tell and gives what they are told.
+type Observer interface {
+	// Works returns the daemon's own work by service hash.
+	Works(now time.Time) map[uint32]Work
+	// SetTotal takes the work of all daemons for a service.
+	SetTotal(service uint32, total Work, daemons int)
+	// Loads returns the loads that this daemon learned since the last call.
+	Loads() map[uint32]Report
+	// SetLoads takes the loads that peers learned.
+	SetLoads(map[uint32]Report)
+}
+
+// Config sets up a Node. All fields are required.
+type Config struct {
+	Daemon    string
+	Address   string // IP:port to receive at
+	Directory Directory
+	Observer  Observer
+	Rand      *rand.Rand
+	Log       *telemetry.Log
+}
+
+// Node exchanges messages with peers.
+type Node struct {
+	Config
+	mu    sync.Mutex
+	state *State
+}
+
+// New returns a Node that knows no peer.
+func New(c Config) *Node {
+	return &Node{Config: c, state: NewState(c.Daemon, c.Address, uint64(time.Now().UnixMilli()))}
+}
+
+// member is a row of the directory.
+type member struct {
+	Address string `cbor:"1,keyasint"`
+}
+
+// Run exchanges messages until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	address, err := net.ResolveUDPAddr("udp", n.Address)
+	if err != nil {
+		return eris.Wrap(err, "address for peers")
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return eris.Wrap(err, "listening for peers")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	defer stop()
+	go n.keepDirectory(ctx)
+	go n.sendAll(ctx, socket)
+	return n.receiveAll(ctx, socket)
+}
+
+func (n *Node) receiveAll(ctx context.Context, socket *net.UDPConn) error {
+	buf := make([]byte, maxMessageBytes+1)
+	for {
+		size, _, err := socket.ReadFromUDP(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return eris.Wrap(err, "receiving from peers")
+		}
+		if err != nil {
+			continue // an earlier datagram found no receiver
+		}
+		m, err := decode(buf[:size])
+		if err != nil {
+			n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
+			continue
+		}
+		n.mu.Lock()
+		fresh := n.state.Receive(time.Now(), m)
+		n.mu.Unlock()
+		n.Observer.SetLoads(fresh)
+	}
+}
+
+func (n *Node) sendAll(ctx context.Context, socket *net.UDPConn) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.send(now, socket)
+		}
+	}
+}
+
+// send exchanges values with the observer and sends one message.
+func (n *Node) send(now time.Time, socket *net.UDPConn) {
+	target, data, err := n.compose(now)
+	if err != nil {
+		n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
+		return
+	}
+	if target == "" {
+		return
+	}
+	address, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
+		return
+	}
+	// A datagram that is not sent is as good as a lost one.
+	_, _ = socket.WriteToUDP(data, address)
+}
+
+func (n *Node) compose(now time.Time) (target string, data []byte, err error) {
+	works := n.Observer.Works(now)
+	loads := n.Observer.Loads()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for service, w := range works {
+		n.state.SetWork(now, service, w)
+	}
+	for id, r := range loads {
+		n.state.SetLoad(id, r)
+	}
+	for service := range works {
+		total, daemons := n.state.Total(now, service)
+		n.Observer.SetTotal(service, total, daemons)
+	}
+	target = n.state.Target(n.Rand)
+	if target == "" {
+		return "", nil, nil
+	}
+	data, err = encode(n.state.Compose(now, n.Rand))
+	return target, data, err
+}
+
+// keepDirectory announces the daemon and reads who else is there.
+func (n *Node) keepDirectory(ctx context.Context) {
+	announced := false
+	for ctx.Err() == nil {
+		wait := directoryInterval
+		if err := n.visitDirectory(ctx, &announced); err != nil {
+			n.Log.Event(telemetry.PeerDirectoryFailed).Err(err).Send()
+			wait = directoryRetry
+		}
+		timer := time.NewTimer(wait/2 + time.Duration(rand.Int64N(int64(wait))))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (n *Node) visitDirectory(ctx context.Context, announced *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	if !*announced {
+		value, err := cbor.Marshal(member{n.Address})
+		if err != nil {
+			return err
+		}
+		if err := n.Directory.Put(ctx, n.Daemon, value); err != nil {
+			return err
+		}
+		*announced = true
+	}
+	rows, _, err := n.Directory.Read(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, row := range rows {
+		var m member
+		if err := cbor.Unmarshal(row.Value, &m); err != nil {
+			n.Log.Event(telemetry.PeerMessageRejected).Err(err).Str("row", row.Key).Send()
+			continue
+		}
+		n.state.AddPeer(m.Address, now)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peers/state.go
@@ -0,0 +1,238 @@
+package peers
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// demandLife is how long a demand counts without a newer one. It covers a
+	// few intervals in which its datagrams were lost.
+	demandLife = 5 * time.Second
+	// loadLife is how long a load is passed on.
+	loadLife = 3 * time.Second
+	// peerLife is how long a silent peer is passed on to others.
+	peerLife = 10 * time.Second
+	// forgetPeer is how long a silent peer is sent to.
+	forgetPeer = time.Minute
+
+	// A message holds at most these many entries, about 1,200 bytes.
+	maxDemands = 36
+	maxLoads   = 40
+	maxPeers   = 3
+)
+
+// Hash shortens a name for messages.
+func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// Work is engine time per second, in milliseconds.
+type Work struct {
+	Interactive float64
+	Other       float64
+}
+
+// Report is the load of an upstream and when it was stated.
+type Report struct {
+	Running int
+	Waiting int
+	At      time.Time
+}
+
+type demandKey struct{ origin, service uint32 }
+
+type demand struct {
+	Demand
+	heard time.Time
+}
+
+// State is what one daemon knows of the others. It is not safe for concurrent
+// use.
+type State struct {
+	self   string // address
+	origin uint32
+	boot   uint64
+	seq    uint32
+
+	demands map[demandKey]*demand
+	loads   map[uint32]Report
+	// peers maps addresses to when they were heard last.
+	peers map[string]time.Time
+}
+
+// NewState returns the state of a daemon that knows nobody. address is where
+// it receives; boot is higher for a later start.
+func NewState(daemon, address string, boot uint64) *State {
+	return &State{
+		self: address, origin: Hash(daemon), boot: boot,
+		demands: make(map[demandKey]*demand),
+		loads:   make(map[uint32]Report),
+		peers:   make(map[string]time.Time),
+	}
+}
+
+// AddPeer names a peer that has not been heard yet.
+func (s *State) AddPeer(address string, now time.Time) {
+	if address == s.self || address == "" {
+		return
+	}
+	if _, known := s.peers[address]; !known {
+		s.peers[address] = now.Add(-peerLife)
+	}
+}
+
+// SetWork sets the daemon's own demand for a service.
+func (s *State) SetWork(now time.Time, service uint32, w Work) {
+	s.seq++
+	s.demands[demandKey{s.origin, service}] = &demand{
+		Demand: Demand{
+			Origin: s.origin, Service: service, Boot: s.boot, Seq: s.seq,
+			Interactive: uint32(max(w.Interactive, 0)), Other: uint32(max(w.Other, 0)),
+		},
+		heard: now,
+	}
+}
+
+// SetLoad takes the load that an upstream stated to this daemon.
+func (s *State) SetLoad(upstream uint32, r Report) {
+	if old, known := s.loads[upstream]; !known || r.At.After(old.At) {
+		s.loads[upstream] = r
+	}
+}
+
+// Receive takes a message. It returns the loads that are newer than the known
+// ones.
+func (s *State) Receive(now time.Time, m *Message) map[uint32]Report {
+	if m.Sender != "" && m.Sender != s.self {
+		s.peers[m.Sender] = now
+	}
+	for _, address := range m.Peers {
+		s.AddPeer(address, now)
+	}
+	for _, d := range m.Demands {
+		s.receiveDemand(now, d)
+	}
+	fresh := make(map[uint32]Report)
+	for _, l := range m.Loads {
+		r := Report{Running: int(l.Running), Waiting: int(l.Waiting), At: now.Add(-time.Duration(l.Age) * ageUnit)}
+		if old, known := s.loads[l.Upstream]; !known || r.At.Sub(old.At) > ageUnit {
+			s.loads[l.Upstream] = r
+			fresh[l.Upstream] = r
+		}
+	}
+	return fresh
+}
+
+func (s *State) receiveDemand(now time.Time, d Demand) {
+	if d.Origin == s.origin {
+		return
+	}
+	key := demandKey{d.Origin, d.Service}
+	old := s.demands[key]
+	if old != nil && now.Sub(old.heard) < demandLife {
+		if d.Boot < old.Boot || d.Boot == old.Boot && d.Seq <= old.Seq {
+			return
+		}
+	}
+	s.demands[key] = &demand{Demand: d, heard: now}
+}
+
+// Total returns the work that all daemons bring to a service, and the number
+// of daemons that it counts.
+func (s *State) Total(now time.Time, service uint32) (Work, int) {
+	var w Work
+	n := 0
+	for key, d := range s.demands {
+		if key.service != service || now.Sub(d.heard) >= demandLife {
+			continue
+		}
+		w.Interactive += float64(d.Interactive)
+		w.Other += float64(d.Other)
+		n++
+	}
+	return w, n
+}
+
+// Compose returns the next message: the newest of what is known.
+func (s *State) Compose(now time.Time, rng *rand.Rand) *Message {
+	s.expire(now)
+	m := &Message{Sender: s.self, Peers: s.somePeers(now, rng)}
+	for _, d := range s.newestDemands() {
+		m.Demands = append(m.Demands, d.Demand)
+	}
+	for id, r := range s.loads {
+		m.Loads = append(m.Loads, Load{
+			Upstream: id, Running: uint32(max(r.Running, 0)), Waiting: uint32(max(r.Waiting, 0)),
+			Age: uint32(max(now.Sub(r.At), 0) / ageUnit),
+		})
+	}
+	slices.SortFunc(m.Loads, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	m.Loads = m.Loads[:min(len(m.Loads), maxLoads)]
+	return m
+}
+
+// newestDemands returns the demands heard last; the daemon's own come first.
+func (s *State) newestDemands() []*demand {
+	out := make([]*demand, 0, len(s.demands))
+	for _, d := range s.demands {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b *demand) int {
+		return cmp.Or(b.heard.Compare(a.heard), cmp.Compare(a.Origin, b.Origin), cmp.Compare(a.Service, b.Service))
+	})
+	return out[:min(len(out), maxDemands)]
+}
+
+func (s *State) expire(now time.Time) {
+	for key, d := range s.demands {
+		if now.Sub(d.heard) >= demandLife {
+			delete(s.demands, key)
+		}
+	}
+	for id, r := range s.loads {
+		if now.Sub(r.At) >= loadLife {
+			delete(s.loads, id)
+		}
+	}
+	for address, heard := range s.peers {
+		if now.Sub(heard) >= forgetPeer {
+			delete(s.peers, address)
+		}
+	}
+}
+
+// Target returns the address of a random peer, or nothing.
+func (s *State) Target(rng *rand.Rand) string {
+	all := s.addresses(func(time.Time) bool { return true })
+	if len(all) == 0 {
+		return ""
+	}
+	return all[rng.IntN(len(all))]
+}
+
+// Known returns the number of peers.
+func (s *State) Known() int { return len(s.peers) }
+
+// somePeers returns a few peers that were heard lately.
+func (s *State) somePeers(now time.Time, rng *rand.Rand) []string {
+	all := s.addresses(func(heard time.Time) bool { return now.Sub(heard) < peerLife })
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), maxPeers)]
+}
+
+// addresses returns the peers that keep accepts, in a fixed order.
+func (s *State) addresses(keep func(heard time.Time) bool) []string {
+	var out []string
+	for address, heard := range s.peers {
+		if keep(heard) {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
