Average the work for the pool's size over 3 s

Cause: bursts last 3 to 9 s; the agreed size followed over 10 s. Change: averaging time 3 s, change of the size beyond 5%, which the sum over all daemons allows.

--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -17,7 +17,7 @@
 	// promptWeight is the weight of one request in the mean prompt of a route.
 	promptWeight = 0.05
 	// workLife is the time constant over which work is averaged.
-	workLife = 10 * time.Second
+	workLife = 3 * time.Second
 	// tokenWork is the engine time of one generated token, in milliseconds:
 	// the length of a step, divided by the requests that share it.
 	tokenWork = 0.8
@@ -27,7 +27,7 @@
 	// sizeHysteresis is the share of the upstreams by which the wanted size must
 	// differ before the pool changes. Each change moves prompts to engines that
 	// have not read them.
-	sizeHysteresis = 0.12
+	sizeHysteresis = 0.05
 	// minPoolSize is the smallest number of upstreams that is split.
 	minPoolSize = 4
 )
