Add a queue that paces long prompts to the engines' time

Change: pacing holds requests that are not interactive, in the order of rank and of goals that can be met, while all daemons together need more than 0.8 of the engines' time.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -145,7 +145,7 @@
 		return Choice{}, false
 	}
 	prompt := newPrompt(q.Parts)
-	best, picked := s.pick(now, q, prompt, candidates, s.observe(now, q, prompt))
+	best, picked := s.pick(now, q, prompt, candidates, s.pools.classify(q.Route))
 	best.Upstream = picked.Entry
 	best.Candidates = len(candidates)
 	best.InFlight = picked.inFlight
@@ -154,13 +154,29 @@
 	return best, true
 }
 
-// observe counts a request and reports whether it is interactive.
-func (s *service) observe(now time.Time, q Query, prompt prompt) bool {
-	if len(prompt.hashes) == 0 {
-		return false
+// Arrival is what a new request brings to a service of engines.
+type Arrival struct {
+	// Interactive requests belong to the pool for streams with short pauses.
+	Interactive bool
+	// Work is the engine time that the request needs, in milliseconds. Zero
+	// means that the service has no engines.
+	Work float64
+}
+
+// Arrive counts a new request. It is called once for a request.
+func (b *Balancer) Arrive(now time.Time, q Query) Arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[q.Service]
+	if s == nil || len(q.Parts) == 0 {
+		return Arrival{}
 	}
+	prompt := newPrompt(q.Parts)
 	work := float64(prompt.own)/s.speed.tokensPerMS() + float64(q.OutputTokens)*tokenWork
-	return s.pools.observe(now, q.Route, q.MaxGap, prompt.total, work)
+	return Arrival{
+		Interactive: s.pools.observe(now, q.Route, q.MaxGap, prompt.total, work),
+		Work:        work,
+	}
 }
 
 // pick returns the candidate with the least cost.
--- a/internal/balancer/share.go
+++ b/internal/balancer/share.go
@@ -22,31 +22,41 @@
 	At time.Time
 }
 
-// ShortHash identifies a service or an upstream towards peers.
+// ShortHash identifies an upstream towards peers.
 func ShortHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// Works returns the work that this daemon brings to each service of engines,
-// by ShortHash.
-func (b *Balancer) Works(now time.Time) map[uint32]Work {
+// Works returns the work that this daemon brings to each service of engines.
+func (b *Balancer) Works(now time.Time) map[string]Work {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[uint32]Work)
+	out := make(map[string]Work)
 	for name, s := range b.services {
 		if s.pools.routes != nil {
-			out[ShortHash(name)] = s.pools.rate(now)
+			out[name] = s.pools.rate(now)
 		}
 	}
 	return out
 }
 
+// Engines returns the number of engines of a service that serve requests which
+// are not interactive.
+func (b *Balancer) Engines(now time.Time, service string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[service]
+	if s == nil {
+		return 0
+	}
+	n := len(eligible(s.upstreams, now, nil))
+	return n - s.pools.size(now, n)
+}
+
 // SetTotal takes the work that all daemons bring to a service.
-func (b *Balancer) SetTotal(now time.Time, service uint32, total Work) {
+func (b *Balancer) SetTotal(now time.Time, service string, total Work) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, s := range b.services {
-		if ShortHash(name) == service {
-			s.pools.total, s.pools.totalAt = total, now
-		}
+	if s := b.services[service]; s != nil {
+		s.pools.total, s.pools.totalAt = total, now
 	}
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,22 +4,31 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/pacing"
 	"github.com/auburndyke/auburndyke/internal/peers"
 )
 
-// peerObserver passes knowledge between the balancer and the peers.
-type peerObserver struct{ b *balancer.Balancer }
+// peerObserver passes knowledge between the balancer, the pacer and the peers.
+type peerObserver struct {
+	b     *balancer.Balancer
+	pacer *pacing.Pacer
+}
 
-func (o peerObserver) Works(now time.Time) map[uint32]peers.Work {
-	out := make(map[uint32]peers.Work)
+// Works returns the daemon's demand, with what waits here.
+func (o peerObserver) Works(now time.Time) map[string]peers.Work {
+	out := make(map[string]peers.Work)
 	for service, w := range o.b.Works(now) {
+		w.Other = pacing.Demand(w.Other, o.pacer.Backlog(service))
 		out[service] = peers.Work(w)
 	}
 	return out
 }
 
-func (o peerObserver) SetTotal(service uint32, total peers.Work, _ int) {
-	o.b.SetTotal(time.Now(), service, balancer.Work(total))
+func (o peerObserver) SetTotal(service string, total peers.Work, _ int) {
+	now := time.Now()
+	o.b.SetTotal(now, service, balancer.Work(total))
+	own := pacing.Demand(o.b.Works(now)[service].Other, o.pacer.Backlog(service))
+	o.pacer.SetRate(service, pacing.Rate(own, total.Other, o.b.Engines(now, service)))
 }
 
 func (o peerObserver) Loads() map[uint32]peers.Report {
--- /dev/null
+++ b/internal/pacing/rate.go
@@ -0,0 +1,33 @@
+package pacing
+
+import "time"
+
+const (
+	// utilization is the share of the engines' time that requests may take.
+	// The rest lets running streams generate between the reading of prompts.
+	utilization = 0.8
+	// drainTime is the time over which a backlog is spread when it is counted
+	// as demand.
+	drainTime = 3 * time.Second
+)
+
+// Unlimited is the rate at which nothing waits.
+const Unlimited = -1.0
+
+// Demand is the engine time per second that a daemon asks for: that of its
+// arriving requests, and its backlog spread over drainTime.
+func Demand(arriving, backlog float64) float64 {
+	return arriving + backlog/drainTime.Seconds()
+}
+
+// Rate returns the engine time per second that a daemon may start. own and
+// total are the demands of the daemon and of all daemons, and engines is the
+// number of engines that serve them; all times are in milliseconds. Each daemon
+// gets the share of its demand.
+func Rate(own, total float64, engines int) float64 {
+	capacity := float64(engines) * utilization * float64(time.Second/time.Millisecond)
+	if total <= capacity || total <= 0 {
+		return Unlimited
+	}
+	return capacity * own / total
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -36,10 +36,10 @@
 
 // Observer takes what the peers tell and gives what they are told.
 type Observer interface {
-	// Works returns the daemon's own work by service hash.
-	Works(now time.Time) map[uint32]Work
+	// Works returns the daemon's own work by service.
+	Works(now time.Time) map[string]Work
 	// SetTotal takes the work of all daemons for a service.
-	SetTotal(service uint32, total Work, daemons int)
+	SetTotal(service string, total Work, daemons int)
 	// Loads returns the loads that this daemon learned since the last call.
 	Loads() map[uint32]Report
 	// SetLoads takes the loads that peers learned.
@@ -153,13 +153,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for service, w := range works {
-		n.state.SetWork(now, service, w)
+		n.state.SetWork(now, Hash(service), w)
 	}
 	for id, r := range loads {
 		n.state.SetLoad(id, r)
 	}
 	for service := range works {
-		total, daemons := n.state.Total(now, service)
+		total, daemons := n.state.Total(now, Hash(service))
 		n.Observer.SetTotal(service, total, daemons)
 	}
 	target = n.state.Target(n.Rand)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -58,6 +58,9 @@
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	if !q.awaitTurn() {
+		return
+	}
 	var kept *keptAnswer
 	for {
 		choice, ok := q.pick()
@@ -86,8 +89,8 @@
 	}
 }
 
-func (q *request) pick() (balancer.Choice, bool) {
-	query := balancer.Query{
+func (q *request) query() balancer.Query {
+	return balancer.Query{
 		Service:      q.service,
 		Parts:        q.caller.Prompt,
 		Route:        q.route.Name,
@@ -96,6 +99,10 @@
 		Zone:         q.h.Zone,
 		Tried:        q.tried,
 	}
+}
+
+func (q *request) pick() (balancer.Choice, bool) {
+	query := q.query()
 	q.h.askLoads(q.ctx, q.h.Balancer.Ask(time.Now(), query))
 	choice, ok := q.h.Balancer.Pick(time.Now(), query)
 	if ok {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
+	"github.com/auburndyke/auburndyke/internal/pacing"
 )
 
 const (
@@ -34,6 +35,7 @@
 	Protocol Protocol
 	Balancer *balancer.Balancer
 	Pool     *upstreamhttp.Pool
+	Pacer    *pacing.Pacer
 	Retries  *Retries
 	Zone     domain.AvailabilityZone
 	Log      *telemetry.Log
