--- a/internal/pacing/rate.go
+++ b/internal/pacing/rate.go
@@ -5,7 +5,7 @@
 const (
 	// utilization is the share of the engines' time that requests may take.
 	// The rest lets running streams generate between the reading of prompts.
-	utilization = 0.8
+	utilization = 1.2
 	// drainTime is the time over which a backlog is spread when it is counted
 	// as demand.
 	drainTime = 3 * time.Second
