--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -224,7 +224,7 @@
 	}
 	node := peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.Peers, Directory: e.deps.Daemons,
-		Observer: peerObserver{e.state.balancer, e.handler.Pacer}, Rand: newRand(), Log: e.deps.Log,
+		Observer: peerObserver{e.state.balancer, e.handler.Pacer, e.deps.Log, make(map[string]bool)}, Rand: newRand(), Log: e.deps.Log,
 	})
 	addLoop(g, node.Run)
 }
--- a/internal/pacing/pacer.go
+++ b/internal/pacing/pacer.go
@@ -27,6 +27,8 @@
 
 type paced struct {
 	queue   Queue
+	pace    Pace
+	control Controller
 	waiters map[*Request]chan Outcome
 	timer   *time.Timer
 }
@@ -58,6 +60,38 @@
 	p.start(s)
 }
 
+// Event takes the time between two events of a running stream.
+func (p *Pacer) Event(service, route string, gap, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(service).pace.Event(time.Now(), route, gap, wait)
+}
+
+// Ended takes the length of a complete answer, in events.
+func (p *Pacer) Ended(service, route string, events int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(service).pace.Ended(route, events)
+}
+
+// Slowness returns how slow this daemon's streams of a service are, and the
+// number of events behind it.
+func (p *Pacer) Slowness(service string) (mean, events float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(service).pace.Slowness(time.Now())
+}
+
+// Control takes the slowness of all daemons' streams and returns the factor
+// for Rate.
+func (p *Pacer) Control(service string, slowness float64) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(service)
+	s.control.Update(time.Now(), slowness)
+	return s.control.Factor()
+}
+
 // Backlog returns the engine time that waits at a service, in milliseconds.
 func (p *Pacer) Backlog(service string) float64 {
 	p.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,14 +73,16 @@
 
 // request is one request in progress.
 type request struct {
-	h        *Handler
-	w        http.ResponseWriter
-	r        *http.Request
-	caller   Caller
-	table    *httproute.Table
-	route    *httproute.Route
-	service  string
-	engine   bool
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	caller  Caller
+	table   *httproute.Table
+	route   *httproute.Route
+	service string
+	engine  bool
+	// paced requests wait their turn, and their streams show the engines' pace.
+	paced    bool
 	customer domain.CustomerID
 	rank     httproute.Rank
 	body     []byte
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -126,7 +126,11 @@
 	}
 	now := time.Now()
 	if s.events > 0 {
-		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
+		gap := now.Sub(s.lastAt)
+		s.maxGap = max(s.maxGap, gap)
+		if q.paced {
+			q.h.Pacer.Event(q.service, q.route.Name, gap, q.deadline.Sub(q.arrived))
+		}
 	}
 	s.lastAt = now
 	s.events++
@@ -150,6 +154,9 @@
 func (a *attempt) streamEnded() result {
 	q := a.q
 	a.result = balancer.OK
+	if q.paced {
+		q.h.Pacer.Ended(q.service, q.route.Name, q.outcome.stream.events)
+	}
 	if !q.outcome.stream.started {
 		q.startStream(a)
 	}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -22,6 +22,7 @@
 	if arrival.Interactive || arrival.Work == 0 {
 		return true
 	}
+	q.paced = true
 	entered := time.Now()
 	r := &pacing.Request{
 		Rank:    int(q.rank),
