Remove the pacing of long prompts

Change: pacing and what fed it are gone; requests are placed at once. Conclusion: the way to more answers in time is less reading, not later reading.

--- a/internal/adapters/telemetry/events.go
+++ b/internal/adapters/telemetry/events.go
@@ -38,7 +38,6 @@
 	RequestPreempted  = Event{"AD2007", "request_preempted", zerolog.InfoLevel, "A running request gave way to a higher tier."}
 	RequestFinished   = Event{"AD2008", "request_finished", zerolog.InfoLevel, "A request ended; outcome, latencies and waste are listed."}
 	RequestShed       = Event{"AD2009", "request_shed", zerolog.WarnLevel, "A request was refused by admission control or removed from its queue."}
-	PacingChanged     = Event{"AD2011", "pacing_changed", zerolog.InfoLevel, "The rate at which requests may start at a service was set, while it is limited."}
 	ClaimSettled      = Event{"AD2010", "claim_settled", zerolog.InfoLevel, "A call that must not be repeated was claimed, replayed or refused."}
 
 	ConfigurationInForce  = Event{"AD3001", "configuration_in_force", zerolog.InfoLevel, "A revision was compiled and is in force on this daemon."}
@@ -82,7 +81,7 @@
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
 	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected,
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
-	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled, PacingChanged,
+	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
 	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed,
 	DrainStep, DrainWarning,
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -154,29 +154,18 @@
 	return best, true
 }
 
-// Arrival is what a new request brings to a service of engines.
-type Arrival struct {
-	// Interactive requests belong to the pool for streams with short pauses.
-	Interactive bool
-	// Work is the engine time that the request needs, in milliseconds. Zero
-	// means that the service has no engines.
-	Work float64
-}
-
-// Arrive counts a new request. It is called once for a request.
-func (b *Balancer) Arrive(now time.Time, q Query) Arrival {
+// Arrive counts a new request in the demand. It is called once for a request,
+// before the first Pick.
+func (b *Balancer) Arrive(now time.Time, q Query) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[q.Service]
 	if s == nil || len(q.Parts) == 0 {
-		return Arrival{}
+		return
 	}
 	prompt := newPrompt(q.Parts)
 	work := float64(prompt.own)/s.speed.tokensPerMS() + float64(q.OutputTokens)*tokenWork
-	return Arrival{
-		Interactive: s.pools.observe(now, q.Route, q.MaxGap, prompt.total, work),
-		Work:        work,
-	}
+	s.pools.observe(now, q.Route, q.MaxGap, prompt.total, work)
 }
 
 // pick returns the candidate with the least cost.
--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -12,7 +12,9 @@
 // it arrives and fades out within reportLife, and requests that this daemon
 // sent meanwhile are added.
 //
-// The package answers for load that varies between upstreams and for prompts
-// that share parts. It does not limit the total load; package overload of the
-// relay refuses what no upstream can take.
+// The load that this answers is one that differs between upstreams, prompts
+// that share parts, and streams with short pauses beside long prompts. It does
+// not limit the total load: holding requests back while engines are busy was
+// tried and measured worse, because reading prompts is what engines lack time
+// for (see docs/decisions/0014-placement-on-the-platform.md).
 package balancer
--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -62,9 +62,8 @@
 	gap    time.Duration
 }
 
-// observe counts a request's work and reports whether its route is
-// interactive.
-func (p *pools) observe(now time.Time, route string, gap time.Duration, tokens int, work float64) bool {
+// observe counts a request's work.
+func (p *pools) observe(now time.Time, route string, gap time.Duration, tokens int, work float64) {
 	if p.routes == nil {
 		p.routes = make(map[string]*routeStats)
 	}
@@ -77,13 +76,11 @@
 	r.prompt += (float64(tokens) - r.prompt) * promptWeight
 	p.prompt += (float64(tokens) - p.prompt) * promptWeight
 	p.decay(now)
-	interactive := p.isInteractive(r)
-	if interactive {
+	if p.isInteractive(r) {
 		p.interactive += work
 	} else {
 		p.other += work
 	}
-	return interactive
 }
 
 func (p *pools) decay(now time.Time) {
--- a/internal/balancer/share.go
+++ b/internal/balancer/share.go
@@ -38,19 +38,6 @@
 	return out
 }
 
-// Engines returns the number of engines of a service that serve requests which
-// are not interactive.
-func (b *Balancer) Engines(now time.Time, service string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.services[service]
-	if s == nil {
-		return 0
-	}
-	n := len(eligible(s.upstreams, now, nil))
-	return n - s.pools.size(now, n)
-}
-
 // SetTotal takes the work that all daemons bring to a service.
 func (b *Balancer) SetTotal(now time.Time, service string, total Work) {
 	b.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,7 +22,6 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/inventory"
-	"github.com/auburndyke/auburndyke/internal/pacing"
 	"github.com/auburndyke/auburndyke/internal/peers"
 	"github.com/auburndyke/auburndyke/internal/relay"
 )
@@ -83,7 +82,6 @@
 		Protocol: d.Protocol,
 		Balancer: b,
 		Pool:     pool,
-		Pacer:    pacing.NewPacer(),
 		Retries:  relay.NewRetries(s.RetryRatio, retryFloor),
 		Zone:     s.Zone,
 		Log:      d.Log,
@@ -224,7 +222,7 @@
 	}
 	node := peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.Peers, Directory: e.deps.Daemons,
-		Observer: peerObserver{e.state.balancer, e.handler.Pacer, e.deps.Log, make(map[string]bool)}, Rand: newRand(), Log: e.deps.Log,
+		Observer: peerObserver{e.state.balancer}, Rand: newRand(), Log: e.deps.Log,
 	})
 	addLoop(g, node.Run)
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -24,10 +24,6 @@
 	// Interactive and Other are engine time per second, in milliseconds.
 	Interactive uint32
 	Other       uint32
-	// Slowness is that of the daemon's running streams, in hundredths, and
-	// Events the number of events that it was measured on.
-	Slowness uint32
-	Events   uint32
 }
 
 // Load is the load that an upstream stated.
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -20,12 +20,9 @@
 	// forgetPeer is how long a silent peer is sent to.
 	forgetPeer = time.Minute
 
-	// slownessUnits is the number of units of a message in a slowness of 1.
-	slownessUnits = 100
-
 	// A message holds at most these many entries, about 1,200 bytes.
-	maxDemands = 32
-	maxLoads   = 36
+	maxDemands = 36
+	maxLoads   = 40
 	maxPeers   = 3
 )
 
@@ -36,9 +33,6 @@
 type Work struct {
 	Interactive float64
 	Other       float64
-	// Slowness is the mean slowness of running streams over Events events.
-	Slowness float64
-	Events   float64
 }
 
 // Report is the load of an upstream and when it was stated.
@@ -97,7 +91,6 @@
 		Demand: Demand{
 			Origin: s.origin, Service: service, Boot: s.boot, Seq: s.seq,
 			Interactive: uint32(max(w.Interactive, 0)), Other: uint32(max(w.Other, 0)),
-			Slowness: uint32(max(w.Slowness, 0) * slownessUnits), Events: uint32(max(w.Events, 0)),
 		},
 		heard: now,
 	}
@@ -158,13 +151,8 @@
 		}
 		w.Interactive += float64(d.Interactive)
 		w.Other += float64(d.Other)
-		w.Slowness += float64(d.Slowness) / slownessUnits * float64(d.Events)
-		w.Events += float64(d.Events)
 		n++
 	}
-	if w.Events > 0 {
-		w.Slowness /= w.Events
-	}
 	return w, n
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -58,9 +58,7 @@
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
-	if !q.awaitTurn() {
-		return
-	}
+	q.h.Balancer.Arrive(q.arrived, q.query())
 	var kept *keptAnswer
 	for {
 		choice, ok := q.pick()
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -21,7 +21,6 @@
 	reasonTimeout         = "timeout"
 	reasonBudget          = "retry_budget"
 	reasonBrokenAnswer    = "broken_answer"
-	reasonOverload        = "overload"
 )
 
 // Outcomes of a request besides the status of its answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,7 +15,6 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
-	"github.com/auburndyke/auburndyke/internal/pacing"
 )
 
 const (
@@ -35,7 +34,6 @@
 	Protocol Protocol
 	Balancer *balancer.Balancer
 	Pool     *upstreamhttp.Pool
-	Pacer    *pacing.Pacer
 	Retries  *Retries
 	Zone     domain.AvailabilityZone
 	Log      *telemetry.Log
@@ -73,16 +71,14 @@
 
 // request is one request in progress.
 type request struct {
-	h       *Handler
-	w       http.ResponseWriter
-	r       *http.Request
-	caller  Caller
-	table   *httproute.Table
-	route   *httproute.Route
-	service string
-	engine  bool
-	// paced requests wait their turn, and their streams show the engines' pace.
-	paced    bool
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	caller   Caller
+	table    *httproute.Table
+	route    *httproute.Route
+	service  string
+	engine   bool
 	customer domain.CustomerID
 	rank     httproute.Rank
 	body     []byte
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -126,11 +126,7 @@
 	}
 	now := time.Now()
 	if s.events > 0 {
-		gap := now.Sub(s.lastAt)
-		s.maxGap = max(s.maxGap, gap)
-		if q.paced {
-			q.h.Pacer.Event(q.service, q.route.Name, gap, q.deadline.Sub(q.arrived))
-		}
+		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
 	}
 	s.lastAt = now
 	s.events++
@@ -154,9 +150,6 @@
 func (a *attempt) streamEnded() result {
 	q := a.q
 	a.result = balancer.OK
-	if q.paced {
-		q.h.Pacer.Ended(q.service, q.route.Name, q.outcome.stream.events)
-	}
 	if !q.outcome.stream.started {
 		q.startStream(a)
 	}
