Form the pools alike on all daemons

Change: pools are formed of all serving engines, the size follows the agreed work without hysteresis, and a message holds 48 demands in 14 bytes each.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,8 @@
 type service struct {
 	// upstreams are in the order that all daemons agree on.
 	upstreams []*upstream
+	// serving are the upstreams of which the pools are formed.
+	serving []*upstream
 	speed     prefillSpeed
 	pools     pools
 	load      typicalLoad
@@ -100,6 +103,9 @@
 			delete(b.services, name)
 		}
 		s.upstreams = order(s.upstreams)
+		s.serving = slices.DeleteFunc(slices.Clone(s.upstreams), func(u *upstream) bool {
+			return u.Standing != inventory.Serving
+		})
 	}
 	b.upstreams = next
 }
@@ -172,11 +178,11 @@
 func (s *service) pick(now time.Time, q Query, prompt prompt, candidates []*upstream, interactive bool) (Choice, *upstream) {
 	best := Choice{Interactive: interactive}
 	if len(prompt.hashes) > 0 {
-		best.PoolSize = s.pools.size(now, len(candidates))
+		best.PoolSize = s.pools.size(now, len(s.serving))
 	}
 	// The candidates of the request's own pool are ranked first, so that a
 	// prompt's home is in its pool.
-	pool, rest := candidates[:best.PoolSize], candidates[best.PoolSize:]
+	pool, rest := split(candidates, s.serving, best.PoolSize)
 	if !best.Interactive {
 		pool, rest = rest, pool
 	}
@@ -185,6 +191,21 @@
 	return best, picked
 }
 
+// split divides candidates into those among the first size of all and the
+// rest. The pool counts upstreams that can't take the request too, so that all
+// daemons split alike whatever they have tried or avoid.
+func split(candidates, all []*upstream, size int) (first, rest []*upstream) {
+	pool := all[:size]
+	for _, u := range candidates {
+		if slices.Contains(pool, u) {
+			first = append(first, u)
+		} else {
+			rest = append(rest, u)
+		}
+	}
+	return first, rest
+}
+
 // pickFrom updates the best choice with the upstreams of one pool.
 func (s *service) pickFrom(now time.Time, q Query, prompt prompt, pool []*upstream, penalty time.Duration, best *Choice, picked *upstream) *upstream {
 	home, ranked := rendezvous(pool, prompt.affinity)
--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -24,10 +24,6 @@
 	// poolPenalty is the cost of leaving the pool. It equals the wait that
 	// makes an upstream of the other pool the better choice.
 	poolPenalty = 400 * time.Millisecond
-	// sizeHysteresis is the share of the upstreams by which the wanted size must
-	// differ before the pool changes. Each change moves prompts to engines that
-	// have not read them.
-	sizeHysteresis = 0.05
 	// minPoolSize is the smallest number of upstreams that is split.
 	minPoolSize = 4
 )
@@ -52,8 +48,6 @@
 	// total is the work of all daemons, told at totalAt.
 	total   Work
 	totalAt time.Time
-	// share is the part of the upstreams in the pool for interactive streams.
-	share float64
 }
 
 // routeStats describes the requests of one route.
@@ -128,11 +122,8 @@
 	if n < minPoolSize || w.Interactive == 0 || w.Other == 0 {
 		return 0
 	}
-	wanted := w.Interactive / (w.Interactive + w.Other)
-	if p.share == 0 || math.Abs(wanted-p.share) > sizeHysteresis {
-		p.share = wanted
-	}
-	return min(max(int(math.Round(p.share*float64(n))), 1), n-1)
+	share := w.Interactive / (w.Interactive + w.Other)
+	return min(max(int(math.Round(share*float64(n))), 1), n-1)
 }
 
 // order sorts upstreams into the order from which the pool is taken. All
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -10,22 +10,26 @@
 // ageUnit is the unit of ages in a message.
 const ageUnit = 50 * time.Millisecond
 
-// Demand is the work that one daemon brings to a service, as of its sequence
-// number.
+// Demand is the work that one start of a daemon brings to a service.
 type Demand struct {
 	_ struct{} `cbor:",toarray"`
-	// Origin and Service are hashes of the names.
-	Origin  uint32
-	Service uint32
-	// Boot and Seq order the demands of one origin. A later start has a higher
-	// Boot.
-	Boot uint64
-	Seq  uint32
+	// Origin is a hash of the daemon and its start. A daemon that starts again
+	// counts twice until its earlier demand expires.
+	Origin uint32
+	// Seq orders the demands of one origin.
+	Seq uint32
 	// Interactive and Other are engine time per second, in milliseconds.
 	Interactive uint32
 	Other       uint32
 }
 
+// Service is the demand for one service.
+type Service struct {
+	_       struct{} `cbor:",toarray"`
+	Name    uint32   // hash
+	Demands []Demand
+}
+
 // Load is the load that an upstream stated.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
@@ -42,9 +46,9 @@
 	// Sender is the address at which the sender receives.
 	Sender string
 	// Peers are addresses of other daemons that were heard lately.
-	Peers   []string
-	Demands []Demand
-	Loads   []Load
+	Peers    []string
+	Services []Service
+	Loads    []Load
 }
 
 // maxMessageBytes keeps a message within one Ethernet frame.
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
@@ -65,7 +66,7 @@
 
 // New returns a Node that knows no peer.
 func New(c Config) *Node {
-	return &Node{Config: c, state: NewState(c.Daemon, c.Address, uint64(time.Now().UnixMilli()))}
+	return &Node{Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString())}
 }
 
 // member is a row of the directory.
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -21,8 +21,8 @@
 	forgetPeer = time.Minute
 
 	// A message holds at most these many entries, about 1,200 bytes.
-	maxDemands = 36
-	maxLoads   = 40
+	maxDemands = 48
+	maxLoads   = 32
 	maxPeers   = 3
 )
 
@@ -54,7 +54,6 @@
 type State struct {
 	self   string // address
 	origin uint32
-	boot   uint64
 	seq    uint32
 
 	demands map[demandKey]*demand
@@ -64,10 +63,10 @@
 }
 
 // NewState returns the state of a daemon that knows nobody. address is where
-// it receives; boot is higher for a later start.
-func NewState(daemon, address string, boot uint64) *State {
+// it receives; start differs from that of the daemon's other starts.
+func NewState(daemon, address, start string) *State {
 	return &State{
-		self: address, origin: Hash(daemon), boot: boot,
+		self: address, origin: Hash(daemon + " " + start),
 		demands: make(map[demandKey]*demand),
 		loads:   make(map[uint32]Report),
 		peers:   make(map[string]time.Time),
@@ -89,7 +88,7 @@
 	s.seq++
 	s.demands[demandKey{s.origin, service}] = &demand{
 		Demand: Demand{
-			Origin: s.origin, Service: service, Boot: s.boot, Seq: s.seq,
+			Origin: s.origin, Seq: s.seq,
 			Interactive: uint32(max(w.Interactive, 0)), Other: uint32(max(w.Other, 0)),
 		},
 		heard: now,
@@ -112,8 +111,10 @@
 	for _, address := range m.Peers {
 		s.AddPeer(address, now)
 	}
-	for _, d := range m.Demands {
-		s.receiveDemand(now, d)
+	for _, service := range m.Services {
+		for _, d := range service.Demands {
+			s.receiveDemand(now, service.Name, d)
+		}
 	}
 	fresh := make(map[uint32]Report)
 	for _, l := range m.Loads {
@@ -126,16 +127,13 @@
 	return fresh
 }
 
-func (s *State) receiveDemand(now time.Time, d Demand) {
+func (s *State) receiveDemand(now time.Time, service uint32, d Demand) {
 	if d.Origin == s.origin {
 		return
 	}
-	key := demandKey{d.Origin, d.Service}
-	old := s.demands[key]
-	if old != nil && now.Sub(old.heard) < demandLife {
-		if d.Boot < old.Boot || d.Boot == old.Boot && d.Seq <= old.Seq {
-			return
-		}
+	key := demandKey{d.Origin, service}
+	if old := s.demands[key]; old != nil && d.Seq <= old.Seq {
+		return
 	}
 	s.demands[key] = &demand{Demand: d, heard: now}
 }
@@ -156,13 +154,12 @@
 	return w, n
 }
 
-// Compose returns the next message: the newest of what is known.
+// Compose returns the next message: the daemon's own demand, some of the other
+// demands, and the newest loads.
 func (s *State) Compose(now time.Time, rng *rand.Rand) *Message {
 	s.expire(now)
 	m := &Message{Sender: s.self, Peers: s.somePeers(now, rng)}
-	for _, d := range s.newestDemands() {
-		m.Demands = append(m.Demands, d.Demand)
-	}
+	m.Services = s.someDemands(rng)
 	for id, r := range s.loads {
 		m.Loads = append(m.Loads, Load{
 			Upstream: id, Running: uint32(max(r.Running, 0)), Waiting: uint32(max(r.Waiting, 0)),
@@ -176,16 +173,37 @@
 	return m
 }
 
-// newestDemands returns the demands heard last; the daemon's own come first.
-func (s *State) newestDemands() []*demand {
-	out := make([]*demand, 0, len(s.demands))
-	for _, d := range s.demands {
-		out = append(out, d)
+// someDemands returns the daemon's own demands and a random choice of others.
+func (s *State) someDemands(rng *rand.Rand) []Service {
+	keys := make([]demandKey, 0, len(s.demands))
+	for key := range s.demands {
+		keys = append(keys, key)
 	}
-	slices.SortFunc(out, func(a, b *demand) int {
-		return cmp.Or(b.heard.Compare(a.heard), cmp.Compare(a.Origin, b.Origin), cmp.Compare(a.Service, b.Service))
+	slices.SortFunc(keys, func(a, b demandKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.origin, b.origin))
+	})
+	rng.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+	slices.SortStableFunc(keys, func(a, b demandKey) int {
+		return cmp.Compare(s.foreign(a), s.foreign(b))
 	})
-	return out[:min(len(out), maxDemands)]
+	var out []Service
+	for _, key := range keys[:min(len(keys), maxDemands)] {
+		i := slices.IndexFunc(out, func(one Service) bool { return one.Name == key.service })
+		if i < 0 {
+			i = len(out)
+			out = append(out, Service{Name: key.service})
+		}
+		out[i].Demands = append(out[i].Demands, s.demands[key].Demand)
+	}
+	return out
+}
+
+// foreign is 0 for the daemon's own demands and 1 for others.
+func (s *State) foreign(key demandKey) int {
+	if key.origin == s.origin {
+		return 0
+	}
+	return 1
 }
 
 func (s *State) expire(now time.Time) {
