Count the distance to zones and regions; let the feed wait 5 s

Cause: upstreams of other regions were taken for as near as those of the own zone, 25 ms away in truth; a fifth of the calls to the store were feeds that ended without a change. Change: the way there and back is a cost of its own; a call of the feed waits 5 s, which still finds a lost answer within the time that a daemon has after the store's return.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -30,8 +30,6 @@
 	MaxGap time.Duration
 	// OutputTokens is the expected length of the answer. Zero means unknown.
 	OutputTokens int
-	// Zone is the zone of the daemon, which is preferred among equals.
-	Zone domain.AvailabilityZone
 	// Tried lists upstreams that must not be picked again.
 	Tried []domain.UpstreamID
 }
@@ -46,6 +44,7 @@
 // Balancer knows the upstreams and what this daemon sent to them. It is safe
 // for concurrent use.
 type Balancer struct {
+	site      Site
 	mu        sync.Mutex
 	upstreams map[domain.UpstreamID]*upstream
 	services  map[string]*service
@@ -59,14 +58,35 @@
 	upstreams []*upstream
 	// serving are the upstreams of which the pools are formed.
 	serving []*upstream
-	speed     prefillSpeed
-	pools     pools
-	load      typicalLoad
+	speed   prefillSpeed
+	pools   pools
+	load    typicalLoad
+}
+
+// Site is where a daemon runs.
+type Site struct {
+	Zone   domain.AvailabilityZone
+	Region domain.Region
+	// Regions maps each zone to its region.
+	Regions map[domain.AvailabilityZone]domain.Region
+}
+
+// distance is the time that the way to a zone and back adds.
+func (s Site) distance(zone domain.AvailabilityZone) time.Duration {
+	switch {
+	case zone == s.Zone:
+		return 0
+	case s.Regions[zone] == s.Region:
+		return crossZoneCost
+	default:
+		return crossRegionCost
+	}
 }
 
 // New returns a Balancer that knows no upstream.
-func New() *Balancer {
+func New(site Site) *Balancer {
 	return &Balancer{
+		site:      site,
 		upstreams: make(map[domain.UpstreamID]*upstream),
 		services:  make(map[string]*service),
 		learned:   make(map[uint32]Report),
@@ -89,6 +109,7 @@
 			u = &upstream{hash: xxhash.Sum64String(string(e.ID))}
 		}
 		u.Entry = e
+		u.distance = b.site.distance(e.Zone)
 		u.cache.capacity = memory(e.Service)
 		next[e.ID] = u
 		s := b.services[e.Service]
@@ -215,9 +236,7 @@
 			uncached = min(uncached, prompt.own)
 		}
 		cost := u.cost(now, s, prompt, uncached) + penalty
-		if u.Zone != q.Zone {
-			cost += crossZoneCost
-		}
+		cost += u.distance
 		if picked == nil || cost < best.Cost {
 			best.Cost, best.Uncached, best.Rank = cost, uncached, ranked[i]
 			picked = u
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -10,9 +10,10 @@
 	// reportLife is how long a load report counts. Streams of the slowest
 	// class last a few seconds, so an older report says nothing of now.
 	reportLife = 3 * time.Second
-	// crossZoneCost is added for an upstream in another zone. It covers the
-	// way there and back and decides between equals only.
-	crossZoneCost = 4 * time.Millisecond
+	// crossZoneCost and crossRegionCost are the typical times of the way to an
+	// upstream in another zone or region and back.
+	crossZoneCost   = 2 * time.Millisecond
+	crossRegionCost = 25 * time.Millisecond
 	// decodeStep is the delay that one more running request adds to the first
 	// event of a new one, through longer engine steps.
 	decodeStep = 3 * time.Millisecond
@@ -26,9 +27,10 @@
 // upstream is one entry with what this daemon knows of it.
 type upstream struct {
 	inventory.Entry
-	hash   uint64
-	cache  promptCache
-	health health
+	distance time.Duration
+	hash     uint64
+	cache    promptCache
+	health   health
 	// inFlight is the number of requests that this daemon has there.
 	inFlight int
 	// reading is the number of prompt tokens that this daemon sent and whose
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,13 +77,12 @@
 // New assembles a daemon.
 func New(s *Settings, d Deps) *Edge {
 	pool := upstreamhttp.NewPool(upstreamhttp.Options{})
-	b := balancer.New()
+	b := balancer.New(balancer.Site{Zone: s.Zone, Region: s.Region, Regions: s.Regions})
 	handler := relay.New(relay.Options{
 		Protocol: d.Protocol,
 		Balancer: b,
 		Pool:     pool,
 		Retries:  relay.NewRetries(s.RetryRatio, retryFloor),
-		Zone:     s.Zone,
 		Log:      d.Log,
 		Metrics:  relay.NewMetrics(d.Metrics),
 	})
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -11,6 +11,8 @@
 	Daemon domain.DaemonID
 	Zone   domain.AvailabilityZone
 	Region domain.Region
+	// Regions maps each zone to its region.
+	Regions map[domain.AvailabilityZone]domain.Region
 	// Callers, Readiness and Metrics are the addresses to listen on. An empty
 	// Metrics serves none.
 	Callers   string
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -23,9 +23,9 @@
 const (
 	// defaultWait is how long one call waits for a change. A lost answer goes
 	// unnoticed for that long.
-	defaultWait = 3 * time.Second
+	defaultWait = 5 * time.Second
 	// answerTime is how long an answer may take beyond the wait.
-	answerTime = 1500 * time.Millisecond
+	answerTime = time.Second
 	// rereadAfter is the number of failures in a row after which the whole
 	// table is read again: rows may have lapsed and come back meanwhile.
 	rereadAfter = 1
@@ -74,7 +74,7 @@
 // Options sets up a Follower. Zero values take the defaults given with each
 // field.
 type Options struct {
-	// Wait is how long one call waits for a change. Default 3 s.
+	// Wait is how long one call waits for a change. Default 5 s.
 	Wait time.Duration
 	// Settle is the pause after a change, so that changes that come together
 	// are read together. Default none.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -94,7 +94,6 @@
 		Route:        q.route.Name,
 		MaxGap:       q.route.MaxGap,
 		OutputTokens: q.caller.OutputTokens,
-		Zone:         q.h.Zone,
 		Tried:        q.tried,
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,7 +35,6 @@
 	Balancer *balancer.Balancer
 	Pool     *upstreamhttp.Pool
 	Retries  *Retries
-	Zone     domain.AvailabilityZone
 	Log      *telemetry.Log
 	Metrics  *Metrics
 }
