Let the list settle for a third of the leave bound; ask an absent store less

Cause: during an outage of the store each daemon asked about every 0.5 s for each table, and the list settled 0.8 s whatever the leave bound. Change: the pause after failures grows to 2 s, which is half of the time that a daemon has after the store's return; the list settles a third of the bound.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,9 +34,10 @@
 	leaveMargin = 300 * time.Millisecond
 	// defaultLeaveBound replaces a LeaveBound of zero.
 	defaultLeaveBound = 2500 * time.Millisecond
-	// listSettle is the pause after a change of the list of upstreams. Restarts
-	// and releases change it many times a second.
-	listSettle = 800 * time.Millisecond
+	// settleShare is the share of LeaveBound for which the list of upstreams
+	// settles after a change. Restarts and releases change it many times a
+	// second.
+	settleShare = 0.33
 	// sweepInterval is how often expired connections are closed.
 	sweepInterval = 2 * time.Second
 	// headerTimeout bounds the reading of a request's header while the
@@ -101,7 +102,12 @@
 
 // removalHold is how long an upstream without a registration may get work.
 func removalHold(s *Settings) time.Duration {
-	return max(cmp.Or(s.LeaveBound, defaultLeaveBound)-listSettle-leaveMargin, 0)
+	return max(cmp.Or(s.LeaveBound, defaultLeaveBound)-listSettle(s)-leaveMargin, 0)
+}
+
+// listSettle is the pause after a change of the list of upstreams.
+func listSettle(s *Settings) time.Duration {
+	return time.Duration(settleShare * float64(cmp.Or(s.LeaveBound, defaultLeaveBound)))
 }
 
 // Run serves until SIGTERM or ctx ends, and then stops in order.
@@ -129,7 +135,7 @@
 	}
 	for _, f := range []*follow.Follower{
 		follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{Rand: newRand()}),
-		follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{Settle: listSettle, Rand: newRand()}),
+		follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{Settle: listSettle(s), Rand: newRand()}),
 	} {
 		addLoop(&g, f.Run)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -31,7 +31,7 @@
 	rereadAfter = 1
 	// failureFloor and failureCap bound the pause after a failure.
 	failureFloor = 100 * time.Millisecond
-	failureCap   = time.Second
+	failureCap   = 2 * time.Second
 )
 
 // Source is a table of the platform.
