Test the relay, balancer, peers, routes and inventory without a bench

Cause: the new path had no tests of its own. The tests found, and this mends: one decision took 26 ms at 2,500 engines (ranks compared pairwise; now 0.2 ms, at 90 engines 11 us), demands of ended daemons could circulate for ever (they carry their age now), a message could exceed a datagram, and one overloaded engine made its whole service look overloaded (reading now weighs by the share of engines with waiting requests).

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -127,6 +127,12 @@
 		s.serving = slices.DeleteFunc(slices.Clone(s.upstreams), func(u *upstream) bool {
 			return u.Standing != inventory.Serving
 		})
+		for _, u := range s.upstreams {
+			u.position = -1
+		}
+		for i, u := range s.serving {
+			u.position = i
+		}
 	}
 	b.upstreams = next
 }
@@ -145,8 +151,9 @@
 	// short pauses, which has PoolSize upstreams.
 	Interactive bool
 	PoolSize    int
-	// Rank is the pick's place in the prompt's rendezvous order, from 0.
-	Rank int
+	// Home tells that the upstream is the one that all daemons prefer for the
+	// prompt.
+	Home bool
 	// InFlight is the number of requests that this daemon has there.
 	InFlight int
 	// ReportAge is the age of the upstream's load report; negative without one.
@@ -156,7 +163,7 @@
 }
 
 // Lease returns the handle of the picked place. Done must be called once.
-func (c *Choice) Lease() *Lease { return c.lease }
+func (c Choice) Lease() *Lease { return c.lease }
 
 // Pick returns the upstream with the least cost, or false if none can take the
 // request.
@@ -201,48 +208,25 @@
 	if len(prompt.hashes) > 0 {
 		best.PoolSize = s.pools.size(now, len(s.serving))
 	}
-	// The candidates of the request's own pool are ranked first, so that a
-	// prompt's home is in its pool.
-	pool, rest := split(candidates, s.serving, best.PoolSize)
-	if !best.Interactive {
-		pool, rest = rest, pool
-	}
-	picked := s.pickFrom(now, q, prompt, pool, 0, &best, nil)
-	picked = s.pickFrom(now, q, prompt, rest, poolPenalty, &best, picked)
-	return best, picked
-}
-
-// split divides candidates into those among the first size of all and the
-// rest. The pool counts upstreams that can't take the request too, so that all
-// daemons split alike whatever they have tried or avoid.
-func split(candidates, all []*upstream, size int) (first, rest []*upstream) {
-	pool := all[:size]
+	// A prompt's home is in the pool of its request.
+	own := func(u *upstream) bool { return u.inPool(best.PoolSize) == interactive }
+	home := rendezvous(candidates, prompt.affinity, own)
+	var picked *upstream
 	for _, u := range candidates {
-		if slices.Contains(pool, u) {
-			first = append(first, u)
-		} else {
-			rest = append(rest, u)
-		}
-	}
-	return first, rest
-}
-
-// pickFrom updates the best choice with the upstreams of one pool.
-func (s *service) pickFrom(now time.Time, q Query, prompt prompt, pool []*upstream, penalty time.Duration, best *Choice, picked *upstream) *upstream {
-	home, ranked := rendezvous(pool, prompt.affinity)
-	for i, u := range pool {
 		uncached := u.cache.missing(prompt)
-		if prompt.affinity != 0 && u == home && penalty == 0 {
+		if u == home {
 			uncached = min(uncached, prompt.own)
 		}
-		cost := u.cost(now, s, prompt, uncached) + penalty
-		cost += u.distance
+		cost := u.cost(now, s, prompt, uncached) + u.distance
+		if !own(u) {
+			cost += poolPenalty
+		}
 		if picked == nil || cost < best.Cost {
-			best.Cost, best.Uncached, best.Rank = cost, uncached, ranked[i]
-			picked = u
+			best.Cost, best.Uncached, picked = cost, uncached, u
 		}
 	}
-	return picked
+	best.Home = picked == home
+	return best, picked
 }
 
 // eligible returns the upstreams that may take a request. Unlisted and failing
@@ -278,29 +262,23 @@
 	return false
 }
 
-// rendezvous returns the first upstream in the order that all daemons agree on
-// for an affinity key, and the place of each candidate in that order.
-func rendezvous(candidates []*upstream, key uint64) (*upstream, []int) {
-	ranks := make([]int, len(candidates))
+// rendezvous returns the upstream that all daemons put first for an affinity
+// key, among those that keep accepts. It returns nil without a key.
+func rendezvous(candidates []*upstream, key uint64, keep func(*upstream) bool) *upstream {
 	if key == 0 {
-		return nil, ranks
-	}
-	weights := make([]uint64, len(candidates))
-	for i, u := range candidates {
-		weights[i] = mix(u.hash ^ key)
+		return nil
 	}
 	var home *upstream
-	for i := range candidates {
-		for j := range candidates {
-			if weights[j] > weights[i] {
-				ranks[i]++
-			}
+	var highest uint64
+	for _, u := range candidates {
+		if !keep(u) {
+			continue
 		}
-		if ranks[i] == 0 {
-			home = candidates[i]
+		if weight := mix(u.hash ^ key); home == nil || weight > highest {
+			home, highest = u, weight
 		}
 	}
-	return home, ranks
+	return home
 }
 
 // mix is the finalizer of SplitMix64. It spreads the sum of two hashes.
--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,294 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/inventory"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func engines(n int) []inventory.Entry {
+	out := make([]inventory.Entry, n)
+	for i := range out {
+		out[i].Registration = inventory.Registration{
+			ID: domain.UpstreamID(fmt.Sprintf("engine-%d", i)), Service: "model", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: 64,
+		}
+	}
+	return out
+}
+
+func newBalancer(entries []inventory.Entry) *Balancer {
+	b := New(Site{})
+	b.Update(entries, func(string) int { return 400_000 })
+	return b
+}
+
+// review is a request with a long shared prompt, note one with a short prompt
+// and short allowed pauses.
+func review(thing, own uint64) Query {
+	return Query{
+		Service: "model", Route: "review", MaxGap: time.Second, OutputTokens: 100,
+		Parts: []Part{{ID: thing, Tokens: 13_000}, {ID: own, Tokens: 3_000}},
+	}
+}
+
+func note(own uint64) Query {
+	return Query{
+		Service: "model", Route: "note", MaxGap: 200 * time.Millisecond, OutputTokens: 170,
+		Parts: []Part{{ID: 1, Tokens: 200}, {ID: own, Tokens: 1_100}},
+	}
+}
+
+// place picks an upstream for a query and leaves it there.
+func place(t *testing.T, b *Balancer, now time.Time, q Query) Choice {
+	t.Helper()
+	b.Arrive(now, q)
+	c, ok := b.Pick(now, q)
+	assert.Assert(t, ok)
+	return c
+}
+
+// Guards against prompts that every daemon sends to another engine, where they
+// are read again.
+func TestDaemonsAgreeOnHomes(t *testing.T) {
+	one, other := newBalancer(engines(12)), newBalancer(engines(12))
+	for thing := range uint64(50) {
+		a := place(t, one, start, review(thing, 1000+thing))
+		a.Lease().Done(start, OK)
+		c := place(t, other, start, review(thing, 2000+thing))
+		c.Lease().Done(start, OK)
+		assert.Equal(t, a.Upstream.ID, c.Upstream.ID)
+	}
+}
+
+// Guards against a popular prompt that holds up its engine while others idle.
+func TestPromptLeavesItsHome(t *testing.T) {
+	b := newBalancer(engines(4))
+	used := make(map[domain.UpstreamID]int)
+	for i := range 60 {
+		used[place(t, b, start, review(1, uint64(i+10))).Upstream.ID]++
+	}
+	assert.Assert(t, len(used) > 1, "all requests wait at one engine")
+}
+
+// Guards against upstreams that leave or have failed and still get work, and
+// against none being used when only such are left.
+func TestEligible(t *testing.T) {
+	entries := engines(3)
+	entries[0].Standing = inventory.Leaving
+	entries[1].Standing = inventory.Unlisted
+	b := newBalancer(entries)
+	for i := range 20 {
+		c := place(t, b, start, review(uint64(i), uint64(i+100)))
+		assert.Equal(t, c.Upstream.ID, entries[2].ID)
+		c.Lease().Done(start, OK)
+	}
+	for range failuresToAvoid {
+		place(t, b, start, review(1, 2)).Lease().Done(start, Failed)
+	}
+	assert.Equal(t, place(t, b, start, review(1, 2)).Upstream.ID, entries[2].ID)
+	entries[2].Standing = inventory.Leaving
+	b.Update(entries, func(string) int { return 0 })
+	assert.Equal(t, place(t, b, start, review(1, 2)).Upstream.ID, entries[1].ID)
+	entries[1].Standing = inventory.Leaving
+	b.Update(entries, func(string) int { return 0 })
+	_, ok := b.Pick(start, review(1, 2))
+	assert.Assert(t, !ok)
+}
+
+// Guards against a failed upstream that is used while a sound one is there,
+// and against one that is avoided for good.
+func TestFailuresAreAvoidedForAWhile(t *testing.T) {
+	b := newBalancer(engines(2))
+	first := place(t, b, start, review(1, 1))
+	first.Lease().Done(start, OK)
+	home := first.Upstream.ID
+	for range failuresToAvoid {
+		q := review(1, 2)
+		c := place(t, b, start, q)
+		assert.Equal(t, c.Upstream.ID, home)
+		c.Lease().Done(start, Failed)
+	}
+	other := place(t, b, start, review(1, 3))
+	assert.Assert(t, other.Upstream.ID != home)
+	other.Lease().Done(start, Abandoned)
+	later := start.Add(firstAvoidance)
+	candidates := eligible(b.services["model"].upstreams, later, nil)
+	assert.Equal(t, len(candidates), 2)
+}
+
+// Guards against a restarted engine that is taken for one that still holds
+// its prompts.
+func TestRestartForgetsCache(t *testing.T) {
+	entries := engines(1)
+	b := newBalancer(entries)
+	place(t, b, start, review(1, 1))
+	u := b.upstreams[entries[0].ID]
+	assert.Equal(t, u.cache.missing(newPrompt(review(1, 2).Parts)), 3_000)
+	entries[0].Incarnation = 2
+	b.Update(entries, func(string) int { return 400_000 })
+	u = b.upstreams[entries[0].ID]
+	assert.Equal(t, u.cache.missing(newPrompt(review(1, 2).Parts)), 16_000)
+	assert.Equal(t, u.inFlight, 0)
+}
+
+// Guards against a cache model that holds more than the engine does.
+func TestCacheIsBounded(t *testing.T) {
+	c := promptCache{capacity: 30_000}
+	for thing := range uint64(20) {
+		c.add(newPrompt(review(thing, thing+100).Parts))
+		assert.Assert(t, c.used <= c.capacity)
+	}
+	assert.Equal(t, c.missing(newPrompt(review(0, 100).Parts)), 16_000)
+	assert.Equal(t, c.missing(newPrompt(review(19, 119).Parts)), 0)
+}
+
+// Guards against interactive streams beside long prompts. The load is a
+// morning at 12 engines: 15 long reviews and 19 notes a second.
+func TestInteractiveStreamsKeepApart(t *testing.T) {
+	b := newBalancer(engines(12))
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := start
+	type running struct {
+		c          Choice
+		begin, end time.Time
+	}
+	var active []running
+	tokensAt := make(map[domain.UpstreamID]int)
+	notesAt := make(map[domain.UpstreamID]int)
+	for i := range 34 * 20 {
+		now = now.Add(time.Second / 34)
+		// What the peers agree on: 19 notes and 15 reviews a second.
+		b.SetTotal(now, "model", Work{Interactive: 3100, Other: 2300})
+		kept := active[:0]
+		for _, r := range active {
+			if now.After(r.begin) {
+				r.c.Lease().FirstEvent(r.begin)
+			}
+			if now.After(r.end) {
+				r.c.Lease().Done(now, OK)
+			} else {
+				kept = append(kept, r)
+			}
+		}
+		active = kept
+		warm := now.Sub(start) > 5*time.Second
+		if rng.Float64() < 15.0/34 {
+			c := place(t, b, now, review(rng.Uint64N(150), uint64(i+1000)))
+			active = append(active, running{c, now.Add(400 * time.Millisecond), now.Add(900 * time.Millisecond)})
+			if warm {
+				tokensAt[c.Upstream.ID] += c.Uncached
+			}
+			continue
+		}
+		c := place(t, b, now, note(uint64(i+1000)))
+		active = append(active, running{c, now.Add(100 * time.Millisecond), now.Add(2 * time.Second)})
+		if warm {
+			notesAt[c.Upstream.ID]++
+		}
+	}
+	beside, notes := 0, 0
+	for id, n := range notesAt {
+		notes += n
+		if tokensAt[id] > 20_000 {
+			beside += n
+		}
+	}
+	assert.Assert(t, notes > 100)
+	assert.Assert(t, float64(beside) < 0.05*float64(notes), "%d of %d notes run where long prompts are read", beside, notes)
+}
+
+// Guards against daemons that form different pools of one fleet.
+func TestPoolFollowsTheWorkOfAll(t *testing.T) {
+	b := newBalancer(engines(20))
+	for i := range 10 {
+		place(t, b, start, review(uint64(i), uint64(i+100)))
+		place(t, b, start, note(uint64(i+200)))
+	}
+	b.SetTotal(start, "model", Work{Interactive: 250, Other: 750})
+	assert.Equal(t, place(t, b, start, note(999)).PoolSize, 5)
+	b.SetTotal(start, "model", Work{Interactive: 1, Other: 1e6})
+	assert.Equal(t, place(t, b, start, note(999)).PoolSize, 1)
+	b.SetTotal(start, "model", Work{Interactive: 1e6, Other: 1})
+	assert.Equal(t, place(t, b, start, note(999)).PoolSize, 19)
+}
+
+// Guards against questions to engines while no request waits, and against
+// requests that go to an engine which peers know to be full.
+func TestReports(t *testing.T) {
+	b := newBalancer(engines(3))
+	assert.Equal(t, len(b.Ask(start, review(1, 1))), 0)
+	home := place(t, b, start, review(1, 1))
+	for range 10 {
+		b.Observe(start, home.Upstream.ID, Load{Running: 64, Waiting: 50})
+	}
+	later := start.Add(time.Second)
+	asked := b.Ask(later, review(1, 2))
+	assert.Assert(t, len(asked) > 0 && len(asked) <= askedUpstreams)
+	assert.Equal(t, b.Learned()[ShortHash(string(home.Upstream.ID))].Waiting, 50)
+	assert.Equal(t, len(b.Learned()), 0)
+
+	reports := make(map[uint32]Report)
+	for i := range 3 {
+		id := fmt.Sprintf("engine-%d", i)
+		waiting := 0
+		if id == string(home.Upstream.ID) {
+			waiting = 500
+		}
+		reports[ShortHash(id)] = Report{Load{Waiting: waiting}, later}
+	}
+	// The home has room again by a report of this daemon that is newer.
+	b.SetReports(reports)
+	assert.Assert(t, place(t, b, later, review(1, 3)).Upstream.ID != home.Upstream.ID)
+	b.Observe(later.Add(time.Millisecond), home.Upstream.ID, Load{})
+	b.SetReports(reports)
+	assert.Equal(t, place(t, b, later.Add(time.Millisecond), review(1, 4)).Upstream.ID, home.Upstream.ID)
+}
+
+// Guards against plain services whose upstreams fill up one after another, and
+// against calls to another region while the near upstream has room.
+func TestPlainService(t *testing.T) {
+	entries := engines(3)
+	zones := []domain.AvailabilityZone{"near", "far", "farther"}
+	for i := range entries {
+		entries[i].Slots, entries[i].Zone = 6, zones[i]
+	}
+	b := New(Site{Zone: "near", Region: "r1", Regions: map[domain.AvailabilityZone]domain.Region{"near": "r1", "far": "r2", "farther": "r3"}})
+	b.Update(entries, func(string) int { return 0 })
+	used := make(map[domain.UpstreamID]int)
+	for i := range 15 {
+		c, ok := b.Pick(start, Query{Service: "model"})
+		assert.Assert(t, ok)
+		used[c.Upstream.ID]++
+		if i == 0 {
+			assert.Equal(t, c.Upstream.Zone, domain.AvailabilityZone("near"))
+		}
+	}
+	for id, n := range used {
+		assert.Assert(t, n <= 8, "%s has %d of 15", id, n)
+	}
+	assert.Equal(t, len(used), 3)
+}
+
+// BenchmarkPick measures one decision at today's and the planned size.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 90, 2500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			balancer := newBalancer(engines(n))
+			for i := range uint64(b.N) {
+				q := review(i%500, i+1000)
+				balancer.Arrive(start, q)
+				if c, ok := balancer.Pick(start, q); ok {
+					c.Lease().Done(start, OK)
+				}
+			}
+		})
+	}
+}
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -22,12 +22,17 @@
 	// rereadWeight counts the reading of uncached tokens more than once,
 	// because it delays every request that runs on the same engine.
 	rereadWeight = 4.0
+	// pressureWeight raises rereadWeight when requests wait at all engines.
+	pressureWeight = 8.0
 )
 
 // upstream is one entry with what this daemon knows of it.
 type upstream struct {
 	inventory.Entry
 	distance time.Duration
+	// position is the place in the order from which the pools are formed, or -1
+	// for an upstream that belongs to none.
+	position int
 	hash     uint64
 	cache    promptCache
 	health   health
@@ -45,6 +50,9 @@
 	readingAtReport int
 }
 
+// inPool reports whether the upstream is among the first size.
+func (u *upstream) inPool(size int) bool { return u.position >= 0 && u.position < size }
+
 // cost estimates the delay until a request's first event, with the reading of
 // uncached tokens weighed by the harm to other requests.
 func (u *upstream) cost(now time.Time, s *service, p prompt, uncached int) time.Duration {
@@ -57,8 +65,10 @@
 	// A report counts what this daemon had sent before it.
 	known := int(weight * float64(u.readingAtReport))
 	cost := s.speed.duration(max(u.reading-known, 0))
-	// Reading takes more from others the more of them wait.
-	cost += time.Duration(float64(s.speed.duration(uncached)) * rereadWeight * (1 + s.load.waiting))
+	// Reading takes more from others the more of the engines have requests
+	// waiting: there is no idle engine to move to.
+	reread := rereadWeight * (1 + pressureWeight*s.load.pressure)
+	cost += time.Duration(float64(s.speed.duration(uncached)) * reread)
 	cost += time.Duration(waiting * float64(s.speed.duration(s.speed.typical())))
 	cost += time.Duration((others + float64(u.inFlight)) * float64(decodeStep))
 	return cost
--- /dev/null
+++ b/internal/inventory/inventory_test.go
@@ -0,0 +1,87 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+)
+
+const hold = 2 * time.Second
+
+var start = time.Unix(1_800_000_000, 0)
+
+func registration(id string, incarnation int) Registration {
+	return Registration{ID: domain.UpstreamID(id), Service: "app", Address: "10.0.0.1:1", Incarnation: domain.Incarnation(incarnation)}
+}
+
+func standing(v *Inventory, id string) (Standing, bool) {
+	for _, e := range v.Entries() {
+		if string(e.ID) == id {
+			return e.Standing, true
+		}
+	}
+	return 0, false
+}
+
+// Guards against upstreams that get work after they have left, and against
+// losing all of them when registrations lapse for a moment.
+func TestRemoval(t *testing.T) {
+	v := New(hold)
+	v.Register(registration("a", 1))
+	v.Remove(start, "a")
+	got, known := standing(v, "a")
+	assert.Assert(t, known)
+	assert.Equal(t, got, Unlisted)
+
+	v.Remove(start.Add(hold-1), "a") // a second notice does not extend the hold
+	at, pending := v.NextExpiry()
+	assert.Assert(t, pending)
+	assert.Equal(t, at, start.Add(hold))
+	assert.Assert(t, !v.Expire(start.Add(hold-1)))
+	assert.Assert(t, v.Expire(start.Add(hold)))
+	_, known = standing(v, "a")
+	assert.Assert(t, !known)
+
+	v.Register(registration("b", 1))
+	v.Remove(start, "b")
+	v.Register(registration("b", 1))
+	got, _ = standing(v, "b")
+	assert.Equal(t, got, Serving)
+	assert.Assert(t, !v.Expire(start.Add(time.Hour)))
+}
+
+// Guards against an earlier start of an upstream that replaces a later one,
+// and against a drain that is forgotten when the registration goes.
+func TestStandings(t *testing.T) {
+	v := New(hold)
+	v.Register(registration("a", 2))
+	old := registration("a", 1)
+	old.Draining = true
+	v.Register(old)
+	got, _ := standing(v, "a")
+	assert.Equal(t, got, Serving)
+
+	leaving := registration("a", 2)
+	leaving.Draining = true
+	v.Register(leaving)
+	v.Remove(start, "a")
+	got, _ = standing(v, "a")
+	assert.Equal(t, got, Leaving)
+	v.Register(registration("a", 3))
+	got, _ = standing(v, "a")
+	assert.Equal(t, got, Serving)
+}
+
+// Guards against a complete list that leaves removed upstreams in use.
+func TestReplace(t *testing.T) {
+	v := New(hold)
+	v.Replace(start, []Registration{registration("a", 1), registration("b", 1)})
+	v.Replace(start, []Registration{registration("b", 1), registration("c", 1)})
+	got, _ := standing(v, "a")
+	assert.Equal(t, got, Unlisted)
+	v.Expire(start.Add(hold))
+	assert.Equal(t, len(v.Entries()), 2)
+}
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,22 +13,59 @@
 
 // Demand is the work that one start of a daemon brings to a service.
 type Demand struct {
-	_ struct{} `cbor:",toarray"`
 	// Origin is a hash of the daemon and its start. A daemon that starts again
 	// counts twice until its earlier demand expires.
 	Origin uint32
-	// Seq orders the demands of one origin.
-	Seq uint32
+	// Seq orders the demands of one origin; it wraps around.
+	Seq uint16
 	// Interactive and Other are engine time per second, in milliseconds.
-	Interactive uint32
-	Other       uint32
+	Interactive uint16
+	Other       uint16
+	// Age is how old the demand is, in units of ageUnit.
+	Age uint8
+}
+
+// newer reports whether a sequence number is behind another one.
+func newer(a, b uint16) bool { return int16(a-b) > 0 }
+
+// demandBytes is the size of a demand in a message.
+const demandBytes = 11
+
+// packDemands writes demands with a fixed size, of which a datagram holds
+// nearly twice as many as in CBOR.
+func packDemands(demands []Demand) []byte {
+	out := make([]byte, 0, len(demands)*demandBytes)
+	for _, d := range demands {
+		out = binary.BigEndian.AppendUint32(out, d.Origin)
+		out = binary.BigEndian.AppendUint16(out, d.Seq)
+		out = binary.BigEndian.AppendUint16(out, d.Interactive)
+		out = binary.BigEndian.AppendUint16(out, d.Other)
+		out = append(out, d.Age)
+	}
+	return out
+}
+
+// unpackDemands reads what packDemands wrote; an incomplete last demand is
+// left out.
+func unpackDemands(data []byte) []Demand {
+	var out []Demand
+	for ; len(data) >= demandBytes; data = data[demandBytes:] {
+		out = append(out, Demand{
+			Origin:      binary.BigEndian.Uint32(data),
+			Seq:         binary.BigEndian.Uint16(data[4:]),
+			Interactive: binary.BigEndian.Uint16(data[6:]),
+			Other:       binary.BigEndian.Uint16(data[8:]),
+			Age:         data[10],
+		})
+	}
+	return out
 }
 
 // Service is the demand for one service.
 type Service struct {
 	_       struct{} `cbor:",toarray"`
 	Name    uint32   // hash
-	Demands []Demand
+	Demands []byte   // as packDemands writes them
 }
 
 // Load is the load that an upstream stated.
@@ -54,15 +92,22 @@
 // maxMessageBytes keeps a message within one Ethernet frame.
 const maxMessageBytes = 1400
 
+// encode returns a message that fits into a datagram. It leaves out the older
+// half of the loads as often as it takes.
 func encode(m *Message) ([]byte, error) {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		return nil, eris.Wrap(err, "encoding a message to a peer")
-	}
-	if len(data) > maxMessageBytes {
-		return nil, eris.Errorf("message to a peer has %d bytes, over %d", len(data), maxMessageBytes)
+	for {
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			return nil, eris.Wrap(err, "encoding a message to a peer")
+		}
+		if len(data) <= maxMessageBytes {
+			return data, nil
+		}
+		if len(m.Loads) == 0 {
+			return nil, eris.Errorf("message to a peer has %d bytes, over %d", len(data), maxMessageBytes)
+		}
+		m.Loads = m.Loads[:len(m.Loads)/2]
 	}
-	return data, nil
 }
 
 func decode(data []byte) (*Message, error) {
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -22,6 +22,9 @@
 	// directoryInterval is how often the directory is read again. A daemon that
 	// lost all its peers finds them by it.
 	directoryInterval = 30 * time.Second
+	// directoryStart is the pause before the second reading, which finds the
+	// daemons that started at the same moment.
+	directoryStart = 3 * time.Second
 	// directoryRetry is the pause after the directory could not be reached.
 	directoryRetry = 2 * time.Second
 	// directoryTimeout bounds one call to the directory.
@@ -174,11 +177,14 @@
 // keepDirectory announces the daemon and reads who else is there.
 func (n *Node) keepDirectory(ctx context.Context) {
 	announced := false
+	next := directoryStart
 	for ctx.Err() == nil {
-		wait := directoryInterval
+		wait := next
 		if err := n.visitDirectory(ctx, &announced); err != nil {
 			n.Log.Event(telemetry.PeerDirectoryFailed).Err(err).Send()
 			wait = directoryRetry
+		} else {
+			next = directoryInterval
 		}
 		timer := time.NewTimer(wait/2 + time.Duration(rand.Int64N(int64(wait))))
 		select {
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,9 +11,9 @@
 )
 
 const (
-	// demandLife is how long a demand counts without a newer one. It covers a
-	// few intervals in which its datagrams were lost.
-	demandLife = 5 * time.Second
+	// demandLife is how long a demand counts after it was stated. It covers the
+	// spreading to a few hundred daemons.
+	demandLife = 8 * time.Second
 	// loadLife is how long a load is passed on.
 	loadLife = 3 * time.Second
 	// peerLife is how long a silent peer is passed on to others.
@@ -21,9 +22,9 @@
 	forgetPeer = time.Minute
 
 	// A message holds at most these many entries, about 1,200 bytes.
-	maxDemands = 48
+	maxDemands = 72
 	maxLoads   = 32
-	maxPeers   = 3
+	maxPeers   = 6
 )
 
 // Hash shortens a name for messages.
@@ -44,9 +45,10 @@
 
 type demandKey struct{ origin, service uint32 }
 
+// demand is a Demand and when its origin stated it, by this daemon's clock.
 type demand struct {
 	Demand
-	heard time.Time
+	stated time.Time
 }
 
 // State is what one daemon knows of the others. It is not safe for concurrent
@@ -54,7 +56,7 @@
 type State struct {
 	self   string // address
 	origin uint32
-	seq    uint32
+	seq    uint16
 
 	demands map[demandKey]*demand
 	loads   map[uint32]Report
@@ -89,12 +91,14 @@
 	s.demands[demandKey{s.origin, service}] = &demand{
 		Demand: Demand{
 			Origin: s.origin, Seq: s.seq,
-			Interactive: uint32(max(w.Interactive, 0)), Other: uint32(max(w.Other, 0)),
+			Interactive: clamp(w.Interactive), Other: clamp(w.Other),
 		},
-		heard: now,
+		stated: now,
 	}
 }
 
+func clamp(x float64) uint16 { return uint16(min(max(x, 0), math.MaxUint16)) }
+
 // SetLoad takes the load that an upstream stated to this daemon.
 func (s *State) SetLoad(upstream uint32, r Report) {
 	if old, known := s.loads[upstream]; !known || r.At.After(old.At) {
@@ -112,7 +116,7 @@
 		s.AddPeer(address, now)
 	}
 	for _, service := range m.Services {
-		for _, d := range service.Demands {
+		for _, d := range unpackDemands(service.Demands) {
 			s.receiveDemand(now, service.Name, d)
 		}
 	}
@@ -132,10 +136,10 @@
 		return
 	}
 	key := demandKey{d.Origin, service}
-	if old := s.demands[key]; old != nil && d.Seq <= old.Seq {
+	if old := s.demands[key]; old != nil && !newer(d.Seq, old.Seq) {
 		return
 	}
-	s.demands[key] = &demand{Demand: d, heard: now}
+	s.demands[key] = &demand{Demand: d, stated: now.Add(-time.Duration(d.Age) * ageUnit)}
 }
 
 // Total returns the work that all daemons bring to a service, and the number
@@ -144,7 +148,7 @@
 	var w Work
 	n := 0
 	for key, d := range s.demands {
-		if key.service != service || now.Sub(d.heard) >= demandLife {
+		if key.service != service || now.Sub(d.stated) >= demandLife {
 			continue
 		}
 		w.Interactive += float64(d.Interactive)
@@ -154,12 +158,11 @@
 	return w, n
 }
 
-// Compose returns the next message: the daemon's own demand, some of the other
-// demands, and the newest loads.
+// Compose returns the next message: the newest demands and loads.
 func (s *State) Compose(now time.Time, rng *rand.Rand) *Message {
 	s.expire(now)
 	m := &Message{Sender: s.self, Peers: s.somePeers(now, rng)}
-	m.Services = s.someDemands(rng)
+	m.Services = s.newestDemands(now)
 	for id, r := range s.loads {
 		m.Loads = append(m.Loads, Load{
 			Upstream: id, Running: uint32(max(r.Running, 0)), Waiting: uint32(max(r.Waiting, 0)),
@@ -173,18 +176,18 @@
 	return m
 }
 
-// someDemands returns the daemon's own demands and a random choice of others.
-func (s *State) someDemands(rng *rand.Rand) []Service {
+// newestDemands returns the demands that were stated last. Older ones have
+// reached other daemons already.
+func (s *State) newestDemands(now time.Time) []Service {
 	keys := make([]demandKey, 0, len(s.demands))
 	for key := range s.demands {
 		keys = append(keys, key)
 	}
 	slices.SortFunc(keys, func(a, b demandKey) int {
-		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.origin, b.origin))
-	})
-	rng.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
-	slices.SortStableFunc(keys, func(a, b demandKey) int {
-		return cmp.Compare(s.foreign(a), s.foreign(b))
+		return cmp.Or(
+			s.demands[b].stated.Compare(s.demands[a].stated),
+			cmp.Compare(a.service, b.service), cmp.Compare(a.origin, b.origin),
+		)
 	})
 	var out []Service
 	for _, key := range keys[:min(len(keys), maxDemands)] {
@@ -193,22 +196,16 @@
 			i = len(out)
 			out = append(out, Service{Name: key.service})
 		}
-		out[i].Demands = append(out[i].Demands, s.demands[key].Demand)
+		d := s.demands[key]
+		d.Age = uint8(min(now.Sub(d.stated)/ageUnit, math.MaxUint8))
+		out[i].Demands = append(out[i].Demands, packDemands([]Demand{d.Demand})...)
 	}
 	return out
 }
 
-// foreign is 0 for the daemon's own demands and 1 for others.
-func (s *State) foreign(key demandKey) int {
-	if key.origin == s.origin {
-		return 0
-	}
-	return 1
-}
-
 func (s *State) expire(now time.Time) {
 	for key, d := range s.demands {
-		if now.Sub(d.heard) >= demandLife {
+		if now.Sub(d.stated) >= demandLife {
 			delete(s.demands, key)
 		}
 	}
--- /dev/null
+++ b/internal/peers/state_test.go
@@ -0,0 +1,145 @@
+package peers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// fleet exchanges messages between states in virtual time.
+type fleet struct {
+	states []*State
+	rng    *rand.Rand
+	now    time.Time
+	loss   float64
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(1, 2)), now: start}
+	for i := range n {
+		f.states = append(f.states, NewState(fmt.Sprintf("daemon-%d", i), fmt.Sprintf("10.0.0.%d:1", i), "start"))
+	}
+	// All start at once, and each finds those in the directory that were there
+	// before it.
+	for i, s := range f.states {
+		for j := range i + 1 {
+			s.AddPeer(f.states[j].self, f.now)
+		}
+	}
+	return f
+}
+
+// round lets every daemon send one message.
+func (f *fleet) round(t *testing.T) {
+	f.now = f.now.Add(interval)
+	for i, s := range f.states {
+		s.SetWork(f.now, 7, Work{Interactive: float64(i), Other: 100})
+		target := s.Target(f.rng)
+		data, err := encode(s.Compose(f.now, f.rng))
+		assert.NilError(t, err)
+		if f.rng.Float64() < f.loss {
+			continue
+		}
+		m, err := decode(data)
+		assert.NilError(t, err)
+		for _, other := range f.states {
+			if other.self == target {
+				other.Receive(f.now, m)
+			}
+		}
+	}
+}
+
+// Guards against daemons that judge the whole by their own share: after a few
+// seconds each must know enough demands, also when datagrams are lost.
+func TestDemandSpreads(t *testing.T) {
+	for _, n := range []int{3, 70, 330} {
+		f := newFleet(n)
+		f.loss = 0.1
+		for range 24 {
+			f.round(t)
+		}
+		for _, s := range f.states {
+			total, daemons := s.Total(f.now, 7)
+			// 40 demands give the share of a kind of work within a tenth.
+			assert.Assert(t, daemons >= min(n/2, 40), "%s of %d knows %d", s.self, n, daemons)
+			if n > 10 {
+				mean := total.Interactive / float64(daemons)
+				// Four standard errors of 40 draws from an even distribution.
+				assert.Assert(t, mean > float64(n)*0.32 && mean < float64(n)*0.68, "mean %f of %d", mean, n)
+			}
+		}
+	}
+}
+
+// Guards against the demand of a daemon that has gone.
+func TestDemandExpires(t *testing.T) {
+	f := newFleet(2)
+	for range 4 {
+		f.round(t)
+	}
+	s := f.states[0]
+	_, daemons := s.Total(f.now, 7)
+	assert.Equal(t, daemons, 2)
+	later := f.now.Add(demandLife)
+	s.SetWork(later, 7, Work{})
+	_, daemons = s.Total(later, 7)
+	assert.Equal(t, daemons, 1)
+}
+
+// Guards against an older report that replaces a newer one, whatever way it
+// came, and against ages that shrink on their way.
+func TestLoadsKeepTheirAge(t *testing.T) {
+	a, b := NewState("a", "a:1", "1"), NewState("b", "b:1", "1")
+	a.SetLoad(1, Report{Waiting: 3, At: start})
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := start.Add(time.Second)
+	fresh := b.Receive(now, a.Compose(now, rng))
+	assert.Equal(t, fresh[1].Waiting, 3)
+	assert.Assert(t, !fresh[1].At.After(start.Add(ageUnit)))
+
+	b.SetLoad(1, Report{Waiting: 9, At: now})
+	assert.Equal(t, len(b.Receive(now, a.Compose(now, rng))), 0)
+	assert.Equal(t, b.Compose(now, rng).Loads[0].Waiting, uint32(9))
+	later := now.Add(loadLife)
+	assert.Equal(t, len(b.Compose(later, rng).Loads), 0)
+}
+
+// Guards against messages that do not fit into a datagram.
+func TestMessageFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState("a", "255.255.255.255:65535", "1")
+		for i := range rapid.IntRange(0, 400).Draw(t, "daemons") {
+			s.AddPeer(fmt.Sprintf("255.255.255.%d:65535", i), start.Add(peerLife))
+			s.Receive(start, &Message{Services: []Service{{Name: 1<<32 - 1, Demands: packDemands([]Demand{{
+				Origin: uint32(i), Seq: 1, Interactive: 1 << 15, Other: 1 << 15,
+			}})}}})
+		}
+		for i := range rapid.IntRange(0, 400).Draw(t, "loads") {
+			s.SetLoad(uint32(1<<32-1-i), Report{Running: 300, Waiting: 300, At: start})
+		}
+		_, err := encode(s.Compose(start.Add(time.Second), rand.New(rand.NewPCG(1, 2))))
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against datagrams of others that stop the daemon.
+func FuzzDecode(f *testing.F) {
+	data, err := encode(&Message{Sender: "a:1", Loads: []Load{{Upstream: 1}}})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		m, err := decode(data)
+		if err == nil {
+			NewState("a", "a:1", "1").Receive(start, m)
+		}
+	})
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -25,7 +25,7 @@
 		Int("candidates", c.Candidates).
 		Bool("interactive", c.Interactive).
 		Int("pool", c.PoolSize).
-		Int("affinity_rank", c.Rank).
+		Bool("home", c.Home).
 		Int("in_flight", c.InFlight).
 		Int("uncached_tokens", c.Uncached).
 		Int64("cost_ms", c.Cost.Milliseconds()).
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,408 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
+	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/httproute"
+	"github.com/auburndyke/auburndyke/internal/inventory"
+	"github.com/auburndyke/auburndyke/internal/relay"
+	"github.com/auburndyke/auburndyke/platform"
+	"github.com/auburndyke/auburndyke/platform/standin"
+)
+
+const testKey = "key-1"
+
+// site is one daemon's relay before stand-in replicas.
+type site struct {
+	t        *testing.T
+	replicas []*standin.Replica
+	handler  *relay.Handler
+	balancer *balancer.Balancer
+	server   *httptest.Server
+}
+
+// routes of the test configuration: /once/ may not be repeated, /again/ may,
+// /events/ is a stream and /resume/ one that may be resumed.
+func testConfig() *httproute.Config {
+	target := []httproute.Target{{Service: "app", Weight: 1}}
+	route := func(prefix string, kind httproute.Type, resumable bool, attempts int) httproute.Route {
+		return httproute.Route{
+			Name: prefix, Host: "shop.example", Prefix: prefix, Type: kind, Resumable: resumable,
+			Timeout: 2 * time.Second, Goal: time.Second, MaxGap: 100 * time.Millisecond,
+			Attempts: attempts, Targets: target,
+		}
+	}
+	return &httproute.Config{
+		Version: 1,
+		Routes: []httproute.Route{
+			route("/once/", httproute.NonIdempotent, false, 2),
+			route("/again/", httproute.Idempotent, false, 2),
+			route("/events/", httproute.Stream, false, 2),
+			route("/resume/", httproute.Stream, true, 3),
+		},
+		Services:  []httproute.Service{{Name: "app"}},
+		Customers: []httproute.Customer{{Name: "anna", Keys: []string{testKey}}},
+	}
+}
+
+func startSite(t *testing.T, replicas int) *site {
+	t.Helper()
+	s := &site{t: t, balancer: balancer.New(balancer.Site{})}
+	for i := range replicas {
+		r, err := standin.StartReplica(fmt.Sprintf("replica-%d", i))
+		assert.NilError(t, err)
+		t.Cleanup(r.Close)
+		s.replicas = append(s.replicas, r)
+	}
+	s.handler = relay.New(relay.Options{
+		Protocol: platform.Protocol{},
+		Balancer: s.balancer,
+		Pool:     upstreamhttp.NewPool(upstreamhttp.Options{}),
+		Retries:  relay.NewRetries(0.2, 5),
+		Log:      telemetry.NopLog(),
+		Metrics:  relay.NewMetrics(telemetry.NewMetrics()),
+	})
+	table, err := httproute.Compile(testConfig())
+	assert.NilError(t, err)
+	s.handler.SetTable(table)
+	s.list(s.replicas...)
+	s.server = httptest.NewServer(s.handler)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+// list makes replicas known to the balancer.
+func (s *site) list(replicas ...*standin.Replica) {
+	var entries []inventory.Entry
+	for _, r := range replicas {
+		registration, err := platform.DecodeReplica(r.ID, r.Registration("app", "here", "ready"))
+		assert.NilError(s.t, err)
+		entries = append(entries, inventory.Entry{Registration: registration})
+	}
+	s.balancer.Update(entries, func(string) int { return 0 })
+}
+
+// set gives all replicas one behaviour.
+func (s *site) set(b standin.Behaviour) {
+	for _, r := range s.replicas {
+		r.Set(b)
+	}
+}
+
+// ran returns the number of times that requests ran.
+func (s *site) ran() int {
+	n := 0
+	for _, r := range s.replicas {
+		n += len(r.Runs())
+	}
+	return n
+}
+
+func (s *site) request(method, path, id, body string) *http.Request {
+	req, err := http.NewRequest(method, s.server.URL+path, strings.NewReader(body))
+	assert.NilError(s.t, err)
+	req.Host = "shop.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	return req
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func (s *site) do(req *http.Request) reply {
+	s.t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(s.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// Guards against requests or answers that change on their way, and against
+// keys and system headers of a caller that reach an upstream.
+func TestRelaysUnchanged(t *testing.T) {
+	s := startSite(t, 1)
+	req := s.request(http.MethodPut, "/once/a%2Fb?x=1&y=%20", "r1", "some body")
+	req.Header.Set("X-Tenant", "forged")
+	req.Header.Set("X-Pin-Ms", "1000")
+	req.Header.Set("Kv-From", "10.0.0.1:1/x")
+	req.Header.Set("X-Expect-Replica", "forged")
+	req.Header.Set("X-Own", "kept")
+	req.Header.Set("Connection", "X-Dropped, X-Attempt-Id")
+	req.Header.Set("X-Dropped", "gone")
+	got := s.do(req)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "answer of replica-0 to r1")
+	assert.Equal(t, got.header.Get("X-Replica-Seal"), "replica-0")
+
+	run := s.replicas[0].Runs()[0]
+	assert.Equal(t, run.Method, http.MethodPut)
+	assert.Equal(t, run.Target, "/once/a%2Fb?x=1&y=%20")
+	assert.Equal(t, run.Body, "some body")
+	assert.Equal(t, run.ID, "r1")
+	assert.Equal(t, run.Header.Get("X-Tenant"), "anna")
+	assert.Equal(t, run.Header.Get("X-Expect-Replica"), "replica-0")
+	assert.Equal(t, run.Header.Get("X-Own"), "kept")
+	for _, name := range []string{"X-Pin-Ms", "Kv-From", "Authorization", "X-Dropped"} {
+		assert.Equal(t, run.Header.Get(name), "", name)
+	}
+}
+
+// Guards against answers of the daemon's own that promise or deny too much.
+func TestOwnAnswers(t *testing.T) {
+	s := startSite(t, 1)
+	unknownKey := s.request(http.MethodGet, "/again/", "r1", "")
+	unknownKey.Header.Set("Authorization", "Bearer nobody")
+	assert.Equal(t, s.do(unknownKey).status, http.StatusUnauthorized)
+	assert.Equal(t, s.do(s.request(http.MethodGet, "/nowhere/", "r2", "")).status, http.StatusNotFound)
+
+	s.list()
+	none := s.do(s.request(http.MethodPost, "/once/", "r3", "x"))
+	assert.Equal(t, none.status, http.StatusServiceUnavailable)
+	assert.Assert(t, none.header.Get("Retry-After") != "")
+	assert.Equal(t, s.ran(), 0)
+}
+
+// Guards against a second run of a request that must run at most once, and
+// against a refusal of one that has run.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	for name, b := range map[string]standin.Behaviour{
+		"answer lost":         {Lose: true},
+		"answer truncated":    {Truncate: true},
+		"answer not genuine":  {Unsealed: true},
+		"failure of upstream": {Status: http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 3)
+			s.set(b)
+			got := s.do(s.request(http.MethodPost, "/once/", "r1", "x"))
+			assert.Equal(t, s.ran(), 1)
+			assert.Assert(t, got.status == http.StatusBadGateway || got.status == http.StatusInternalServerError, "status %d", got.status)
+			if got.status == http.StatusInternalServerError {
+				assert.Assert(t, got.header.Get("X-Replica-Seal") != "")
+			}
+		})
+	}
+}
+
+// Guards against a refusal that is passed on although another upstream would
+// run the request.
+func TestRefusedGoesElsewhere(t *testing.T) {
+	s := startSite(t, 2)
+	s.replicas[0].Set(standin.Behaviour{Refuse: true})
+	for i := range 6 {
+		got := s.do(s.request(http.MethodPost, "/once/", fmt.Sprintf("r%d", i), "x"))
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+	assert.Equal(t, s.ran(), 6)
+}
+
+// Guards against a refusal without the time to come back, and against more
+// sends than the route allows.
+func TestRefusedByAll(t *testing.T) {
+	s := startSite(t, 4)
+	s.set(standin.Behaviour{Refuse: true})
+	got := s.do(s.request(http.MethodPost, "/once/", "r1", "x"))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, s.ran(), 0)
+	arrivals := 0
+	for _, r := range s.replicas {
+		arrivals += r.Arrivals()
+	}
+	assert.Equal(t, arrivals, 2)
+}
+
+// Guards against failures that a repeatable request would have survived, and
+// against a failure of the upstream that is replaced by another status.
+func TestIdempotentIsRepeated(t *testing.T) {
+	s := startSite(t, 2)
+	s.replicas[0].Set(standin.Behaviour{Status: http.StatusInternalServerError})
+	for i := range 4 {
+		got := s.do(s.request(http.MethodGet, "/again/", fmt.Sprintf("r%d", i), ""))
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+	s.set(standin.Behaviour{Status: http.StatusInternalServerError})
+	got := s.do(s.request(http.MethodGet, "/again/", "last", ""))
+	assert.Equal(t, got.status, http.StatusInternalServerError)
+	assert.Assert(t, got.header.Get("X-Replica-Seal") != "")
+}
+
+// Guards against answers of another request, before or behind the own one.
+func TestForeignAnswers(t *testing.T) {
+	for name, b := range map[string]standin.Behaviour{
+		"before": {ForeignFirst: true},
+		"behind": {Extra: true},
+		"early":  {Early: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 1)
+			s.set(b)
+			for i := range 5 {
+				id := fmt.Sprintf("r%d", i)
+				got := s.do(s.request(http.MethodPost, "/once/", id, strings.Repeat("x", 100_000)))
+				if b.Early {
+					assert.Equal(t, got.status, http.StatusServiceUnavailable)
+					continue
+				}
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, "answer of replica-0 to "+id)
+			}
+		})
+	}
+}
+
+// Guards against answers without a length that look broken, and against
+// connections that upstreams drop without a word.
+func TestUnframedAndDropped(t *testing.T) {
+	for name, b := range map[string]standin.Behaviour{"unframed": {Unframed: true}, "dropped": {DropIdle: true}} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 1)
+			s.set(b)
+			for i := range 3 {
+				id := fmt.Sprintf("r%d", i)
+				got := s.do(s.request(http.MethodPost, "/once/", id, "x"))
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, "answer of replica-0 to "+id)
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.Equal(t, s.ran(), 3)
+		})
+	}
+}
+
+func events(id string, from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s part %d\n\n", n, id, n)
+	}
+	return b.String()
+}
+
+// Guards against events that are lost, repeated or joined when a stream goes on
+// at another upstream.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	for name, b := range map[string]standin.Behaviour{
+		"cut inside an event": {Events: 8, CutAfter: 3},
+		"silent":              {Events: 8, SilentAfter: 3},
+		"cut before events":   {Lose: true, Events: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 2)
+			s.replicas[0].Set(b)
+			s.replicas[1].Set(standin.Behaviour{Events: 8})
+			for i := range 2 {
+				id := fmt.Sprintf("r%d", i)
+				got := s.do(s.request(http.MethodPost, "/resume/", id, "x"))
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, events(id, 1, 8))
+			}
+		})
+	}
+}
+
+// Guards against a broken stream that looks complete.
+func TestBrokenStreamIsCut(t *testing.T) {
+	s := startSite(t, 2)
+	s.set(standin.Behaviour{Events: 8, CutAfter: 3})
+	got := s.do(s.request(http.MethodPost, "/events/", "r1", "x"))
+	assert.Equal(t, got.body, events("r1", 1, 3))
+	assert.Assert(t, got.err != nil, "the stream ended as if it were complete")
+	assert.Equal(t, s.ran(), 1)
+}
+
+// Guards against work that goes on for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	s := startSite(t, 1)
+	s.set(standin.Behaviour{Events: 1000, Work: 5 * time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	req := s.request(http.MethodPost, "/resume/", "r1", "x").WithContext(ctx)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	_, err = bufio.NewReader(resp.Body).ReadString('\n')
+	assert.NilError(t, err)
+	cancel()
+	resp.Body.Close()
+	left := time.Now()
+	for !s.replicas[0].Runs()[0].Ended {
+		assert.Assert(t, time.Since(left) < 500*time.Millisecond, "the upstream still works")
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Assert(t, !s.replicas[0].Runs()[0].Completed)
+	assert.Equal(t, s.ran(), 1)
+}
+
+// Guards against requests that are held beyond their route's timeout.
+func TestTimeoutIsFinal(t *testing.T) {
+	s := startSite(t, 2)
+	s.set(standin.Behaviour{Work: time.Minute})
+	started := time.Now()
+	got := s.do(s.request(http.MethodGet, "/again/", "r1", ""))
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(started) < 2500*time.Millisecond)
+
+	req := s.request(http.MethodGet, "/again/", "r2", "")
+	req.Header.Set("X-Deadline-Ms", "300")
+	started = time.Now()
+	assert.Equal(t, s.do(req).status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(started) < 800*time.Millisecond)
+}
+
+// Guards against requests at an address that another replica has taken over.
+func TestMisdirected(t *testing.T) {
+	s := startSite(t, 2)
+	registration, err := platform.DecodeReplica("gone", s.replicas[0].Registration("app", "here", "ready"))
+	assert.NilError(t, err)
+	other, err := platform.DecodeReplica(s.replicas[1].ID, s.replicas[1].Registration("app", "here", "ready"))
+	assert.NilError(t, err)
+	s.balancer.Update([]inventory.Entry{{Registration: registration}, {Registration: other}}, func(string) int { return 0 })
+	for i := range 4 {
+		got := s.do(s.request(http.MethodPost, "/once/", fmt.Sprintf("r%d", i), "x"))
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+	assert.Equal(t, len(s.replicas[0].Runs()), 0)
+}
+
+// Guards against requests that run without a configuration, or during a stop.
+func TestRefusesWhenUnable(t *testing.T) {
+	s := startSite(t, 1)
+	s.handler.RefuseNew()
+	got := s.do(s.request(http.MethodPost, "/once/", "r1", "x"))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	s.handler.SetTable(nil)
+	assert.Equal(t, s.do(s.request(http.MethodPost, "/once/", "r2", "x")).status, http.StatusServiceUnavailable)
+	assert.Equal(t, s.ran(), 0)
+}
+
+// Guards against upstreams of a failed service that get all repeats at once.
+func TestRetryBudget(t *testing.T) {
+	s := startSite(t, 2)
+	s.set(standin.Behaviour{Status: http.StatusInternalServerError})
+	const requests = 100
+	for i := range requests {
+		s.do(s.request(http.MethodGet, "/again/", fmt.Sprintf("r%d", i), ""))
+	}
+	repeats := s.ran() - requests
+	assert.Assert(t, repeats <= requests/5+5, "%d repeats of %d requests", repeats, requests)
+	assert.Assert(t, repeats > 0)
+}
