--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,196 @@
+package follow_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/follow"
+	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/platform"
+	"github.com/auburndyke/auburndyke/platform/standin"
+)
+
+// copyOf is a sink that holds the table.
+type copyOf struct {
+	mu       sync.Mutex
+	rows     map[string]string
+	lost     int
+	regained int
+}
+
+func (c *copyOf) Replace(now time.Time, rows []ports.Row, version ports.Version) {
+	c.mu.Lock()
+	c.rows = make(map[string]string)
+	c.mu.Unlock()
+	c.Apply(now, rows, version)
+}
+
+func (c *copyOf) Apply(_ time.Time, rows []ports.Row, _ ports.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range rows {
+		if r.Deleted {
+			delete(c.rows, r.Key)
+		} else {
+			c.rows[r.Key] = string(r.Value)
+		}
+	}
+}
+
+func (c *copyOf) Lost(error, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost++
+}
+
+func (c *copyOf) Regained(time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.regained++
+}
+
+func (c *copyOf) get(key string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rows[key]
+}
+
+func (c *copyOf) waitFor(t *testing.T, key, value string, bound time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(bound); c.get(key) != value; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%s is %q, not %q, after %s", key, c.get(key), value, bound)
+	}
+}
+
+func start(t *testing.T, o follow.Options) (*standin.Store, *copyOf) {
+	t.Helper()
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	sink := &copyOf{}
+	o.Rand = rand.New(rand.NewPCG(1, 2))
+	f := follow.New(platform.NewStore(server.Listener.Addr().String()).Replicas(), sink, o)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return store, sink
+}
+
+// inForce is the bound within which a change must arrive: a fifth of the
+// tightest bound of the sheets (2.5 s).
+const inForce = 500 * time.Millisecond
+
+// Guards against changes that arrive late or not at all.
+func TestFollowsChanges(t *testing.T) {
+	store, sink := start(t, follow.Options{})
+	store.Put("servers", "a", []byte("1"))
+	sink.waitFor(t, "a", "1", inForce)
+	store.Put("servers", "a", []byte("2"))
+	store.Put("other", "x", []byte("9"))
+	sink.waitFor(t, "a", "2", inForce)
+	store.Drop("servers", "a")
+	sink.waitFor(t, "a", "", inForce)
+	assert.Equal(t, sink.get("x"), "")
+}
+
+// Guards against changes that are missed when the history is dropped.
+func TestHistoryGone(t *testing.T) {
+	store, sink := start(t, follow.Options{Settle: 200 * time.Millisecond})
+	store.Put("servers", "a", []byte("1"))
+	sink.waitFor(t, "a", "1", inForce)
+	store.Put("servers", "b", []byte("1"))
+	store.Drop("servers", "a")
+	store.Forget()
+	sink.waitFor(t, "b", "1", 2*inForce)
+	sink.waitFor(t, "a", "", 2*inForce)
+}
+
+// Guards against a copy that is emptied by an outage, and against one that is
+// not brought up to date after it, whatever way the store fails.
+func TestOutages(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"busy": standin.Busy, "throttled": standin.Throttled, "reset": standin.Reset, "silent": standin.Silent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store, sink := start(t, follow.Options{Wait: 300 * time.Millisecond})
+			store.Put("servers", "a", []byte("1"))
+			sink.waitFor(t, "a", "1", inForce)
+			store.SetFault(fault)
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, sink.get("a"), "1")
+			store.Put("servers", "a", []byte("2"))
+			store.SetFault(standin.Healthy)
+			// The tightest sheet leaves 4 s after the store's return.
+			sink.waitFor(t, "a", "2", 4*time.Second)
+			sink.mu.Lock()
+			defer sink.mu.Unlock()
+			assert.Assert(t, sink.lost > 0)
+			assert.Equal(t, sink.regained, sink.lost)
+		})
+	}
+}
+
+// Guards against a calm table that is asked all the time.
+func TestCalmTableIsAskedRarely(t *testing.T) {
+	store, sink := start(t, follow.Options{Wait: time.Second})
+	store.Put("servers", "a", []byte("1"))
+	sink.waitFor(t, "a", "1", inForce)
+	before := store.Calls("/rows-feed")
+	time.Sleep(2500 * time.Millisecond)
+	assert.Assert(t, store.Calls("/rows-feed")-before <= 3)
+}
+
+// staleSource answers with an earlier state from its second reading on.
+type staleSource struct {
+	mu    sync.Mutex
+	reads int
+}
+
+func (s *staleSource) Read(context.Context) ([]ports.Row, ports.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.reads == 1 {
+		return []ports.Row{{Key: "a", Value: []byte("new"), Version: 9}}, 9, nil
+	}
+	return []ports.Row{{Key: "a", Value: []byte("old"), Version: 3}}, 3, nil
+}
+
+func (s *staleSource) Changes(context.Context, ports.Version, time.Duration) ([]ports.Row, ports.Version, error) {
+	return nil, 0, follow.ErrHistoryGone
+}
+
+// Guards against a stale reading that takes the copy back.
+func TestStaleReadIsNotUsed(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	sink, source := &copyOf{}, &staleSource{}
+	done := make(chan error, 1)
+	go func() {
+		done <- follow.New(source, sink, follow.Options{Rand: rand.New(rand.NewPCG(1, 2))}).Run(ctx)
+	}()
+	sink.waitFor(t, "a", "new", inForce)
+	for {
+		source.mu.Lock()
+		reads := source.reads
+		source.mu.Unlock()
+		if reads > 2 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, sink.get("a"), "new")
+	cancel()
+	assert.NilError(t, <-done)
+}
