--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -19,9 +19,6 @@
 	singleIdleAge = 3 * time.Second
 	// minAttempt is the least time that another attempt is worth.
 	minAttempt = 50 * time.Millisecond
-	// refusedPause is the pause before another attempt when every upstream has
-	// refused the request.
-	refusedPause = 50 * time.Millisecond
 )
 
 // result is what became of one attempt.
@@ -59,29 +56,22 @@
 	defer cancel()
 	q.ctx = ctx
 	q.h.Balancer.Arrive(q.arrived, q.query())
-	var kept *keptAnswer
 	for {
 		choice, ok := q.pick()
 		if !ok {
-			q.giveUp(kept, reasonNoUpstream)
+			q.giveUp(reasonNoUpstream)
 			return
 		}
 		a := &attempt{q: q, choice: choice}
-		r := a.send(ctx)
-		switch r {
+		switch a.send(ctx) {
 		case delivered, gone:
 			return
-		case unknown:
+		case unknown, failedAnswer:
 			q.mayHaveRun = true
-		case failedAnswer:
-			q.mayHaveRun = true
-			kept = a.keep()
-			if kept == nil {
-				break
-			}
+		case notRun:
 		}
 		if reason := q.mayRetry(); reason != "" {
-			q.giveUp(kept, reason)
+			q.giveUp(reason)
 			return
 		}
 	}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -46,7 +46,8 @@
 	detail     string
 	firstEvent time.Duration
 	stream     stream
-	kept       *keptAnswer
+	// kept is the last failure that an upstream answered with in full.
+	kept *keptAnswer
 	// aborted tells that the caller's connection must end without a regular
 	// end of the answer.
 	aborted bool
@@ -94,16 +95,16 @@
 }
 
 // giveUp gives the final answer of a request that no upstream completed.
-func (q *request) giveUp(kept *keptAnswer, reason string) {
+func (q *request) giveUp(reason string) {
 	timedOut := q.remaining() <= minAttempt
 	switch {
 	case q.outcome.stream.started:
 		q.cut(reason)
 	case q.r.Context().Err() != nil:
 		q.outcome.set(outcomeCallerGone, "")
-	case kept != nil:
+	case q.outcome.kept != nil:
 		q.outcome.reason = reason
-		q.deliver(*kept)
+		q.deliver(*q.outcome.kept)
 	case q.mayHaveRun && timedOut:
 		q.answer(http.StatusGatewayTimeout, reasonTimeout)
 	case q.mayHaveRun:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -35,11 +35,9 @@
 type stream struct {
 	started   bool
 	lastEvent string
-	// lastID is the number of lastEvent, or -1 if it is not a number.
-	lastID int64
-	events int
-	maxGap time.Duration
-	lastAt time.Time
+	events    int
+	maxGap    time.Duration
+	lastAt    time.Time
 }
 
 // relayStream relays events until the stream ends. Only complete events reach
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -56,9 +56,6 @@
 	return failedAnswer
 }
 
-// keep returns the failure that the attempt read in full.
-func (a *attempt) keep() *keptAnswer { return a.q.outcome.kept }
-
 func (a *attempt) bodyFailed(err error) result {
 	if a.q.r.Context().Err() != nil {
 		a.result = balancer.Abandoned
