Add a randomized fault soak of real daemon processes

Change: internal/soak runs daemons behind loopback proxies to the store and to the upstreams, with signals, misbehaving upstreams, store faults and new versions of the configuration in series and overlapping, and checks what callers and upstreams saw.

--- /dev/null
+++ b/internal/soak/clients_test.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	streamEvents = 12
+	routeTimeout = 3 * time.Second
+	// answerSlack is the time beyond the route's timeout in which a final
+	// answer must come. The sheets allow half a second; the rest covers a busy
+	// machine.
+	answerSlack = time.Second
+	clients     = 12
+	pause       = 15 * time.Millisecond
+)
+
+// exchange is one request and what its caller saw.
+type exchange struct {
+	id      string
+	route   string
+	daemon  *daemon
+	run     time.Time // start of the daemon's process
+	sent    time.Time
+	ended   time.Time
+	status  int
+	body    string
+	refused bool
+	err     error // the connection failed before the answer's end
+}
+
+// load sends requests until stopped and keeps all exchanges.
+type load struct {
+	fleet  *fleet
+	stop   atomic.Bool
+	next   atomic.Int64
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	all    []*exchange
+	prefix string
+}
+
+func startLoad(f *fleet, prefix string) *load {
+	l := &load{fleet: f, prefix: prefix}
+	routes := []string{"/once/", "/again/", "/events/", "/resume/"}
+	for i := range clients {
+		l.wait.Go(func() {
+			// Each client keeps its connection to one daemon until it breaks.
+			d := f.daemons[i%len(f.daemons)]
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			defer client.CloseIdleConnections()
+			for n := i; !l.stop.Load(); n++ {
+				l.add(l.send(client, d, routes[n%len(routes)]))
+				time.Sleep(pause)
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) end() []*exchange {
+	l.stop.Store(true)
+	l.wait.Wait()
+	return l.all
+}
+
+func (l *load) add(e *exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, e)
+}
+
+// send makes one request and reads its answer to the end.
+func (l *load) send(client *http.Client, d *daemon, route string) *exchange {
+	e := &exchange{
+		id: fmt.Sprintf("%s-%d", l.prefix, l.next.Add(1)), route: route, daemon: d, run: d.run(), sent: time.Now(),
+	}
+	defer func() { e.ended = time.Now() }()
+	ctx, cancel := context.WithTimeout(context.Background(), routeTimeout+answerSlack)
+	defer cancel()
+	method := http.MethodPost
+	if route == "/again/" || strings.HasPrefix(route, "/version-") {
+		method = http.MethodGet
+	}
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader(strings.Repeat("x", 20_000))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.callers+route, body)
+	if err != nil {
+		e.err = err
+		return e
+	}
+	// The transport must not repeat a request by itself.
+	req.GetBody = nil
+	req.Host = host
+	req.Header.Set("X-Attempt-Id", e.id)
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		e.err = err
+		return e
+	}
+	defer resp.Body.Close()
+	e.status = resp.StatusCode
+	e.refused = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	data, err := io.ReadAll(resp.Body)
+	e.body, e.err = string(data), err
+	return e
+}
--- /dev/null
+++ b/internal/soak/fleet_test.go
@@ -0,0 +1,289 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/platform/standin"
+)
+
+const (
+	apiKey    = "soak-key"
+	host      = "soak.example"
+	readyTime = 15 * time.Second
+	// stopBound is the settings' time between SIGTERM and the end.
+	stopBound = 8 * time.Second
+	// leaveBound is the settings' bound for new work at a leaving upstream.
+	leaveBound = 2500 * time.Millisecond
+	firstPort  = 20000
+	portCount  = 9000
+)
+
+// upstream is a replica behind a proxy.
+type upstream struct {
+	replica *standin.Replica
+	proxy   *proxy
+	service string
+}
+
+// daemon is one process behind a proxy to the store.
+type daemon struct {
+	name     string
+	store    *proxy
+	callers  string
+	ready    string
+	settings string
+	log      string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	started time.Time
+	// calm is since when nothing happened to the daemon.
+	calm time.Time
+}
+
+type fleet struct {
+	t         *testing.T
+	binary    string
+	dir       string
+	store     *standin.Store
+	daemons   []*daemon
+	upstreams []*upstream
+
+	mu      sync.Mutex
+	version int
+}
+
+// settingsText is what the platform's settings file says for a daemon.
+const settingsText = `
+node = %q
+ip = "127.0.0.1"
+zone = "a"
+region = "r"
+port_range = [%d,%d]
+[zones]
+a = "r"
+[listen]
+front = %q
+ready_addr = %q
+[limits]
+memory_mb = 112
+fds = 4100
+[bounds]
+drain_ms = 2500
+grace_s = 8
+budget_ratio = 0.2
+# %s
+[platform]
+addr = %q
+`
+
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "auburndyke")
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/auburndyke").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return binary
+}
+
+func startFleet(t *testing.T, binary string, daemons int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, binary: binary, dir: t.TempDir(), store: standin.NewStore()}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(func() {
+		f.store.SetFault(standin.Healthy)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	for i := range 5 {
+		service := "model"
+		if i >= 3 {
+			service = "app"
+		}
+		f.addUpstream(fmt.Sprintf("replica-%d", i), service)
+	}
+	f.configure()
+	for i := range daemons {
+		f.addDaemon(i, server.Listener.Addr().String())
+	}
+	for _, d := range f.daemons {
+		f.awaitReady(d)
+	}
+	return f
+}
+
+func (f *fleet) addUpstream(id, service string) {
+	r, err := standin.StartReplica(id)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(r.Close)
+	u := &upstream{replica: r, proxy: startProxy(f.t, r.Address()), service: service}
+	u.replica.Set(u.usual())
+	f.upstreams = append(f.upstreams, u)
+	f.register(u, "ready")
+}
+
+// usual is an upstream's behaviour without a fault.
+func (u *upstream) usual() standin.Behaviour {
+	if u.service == "model" {
+		return standin.Behaviour{Events: streamEvents, Work: 10 * time.Millisecond}
+	}
+	return standin.Behaviour{Work: 10 * time.Millisecond}
+}
+
+// register writes the upstream's row, with the address of its proxy.
+func (f *fleet) register(u *upstream, state string) {
+	var row map[string]any
+	err := json.Unmarshal(u.replica.Registration(u.service, "a", state), &row)
+	assert.NilError(f.t, err)
+	row["addr"] = u.proxy.address()
+	data, err := json.Marshal(row)
+	assert.NilError(f.t, err)
+	f.store.Put("servers", u.replica.ID, data)
+}
+
+// configure writes the next version of the configuration. Each version adds a
+// route that names it.
+func (f *fleet) configure() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	route := func(prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": host, "prefix": prefix, "type": kind, "service": service,
+			"attempts": attempts, "resumable": resumable, "timeout_ms": routeTimeout.Milliseconds(), "goal_ms": 1000, "gap_aim_ms": 200,
+		}
+	}
+	routes := []map[string]any{
+		route("/once/", "non_idempotent", "app", 2, false),
+		route("/again/", "idempotent", "app", 2, false),
+		route("/events/", "stream", "model", 2, false),
+		route("/resume/", "stream", "model", 3, true),
+	}
+	for v := 1; v <= f.version; v++ {
+		routes = append(routes, route(fmt.Sprintf("/version-%d/", v), "idempotent", "app", 2, false))
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": f.version, "routes": routes,
+		"services": []map[string]any{{"name": "app"}, {"name": "model", "engine": map[string]any{"slots": 8, "kv_tokens": 100000}}},
+		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+		"tenants":  []map[string]any{{"name": "soaker", "api_keys": []string{apiKey}}},
+	})
+	assert.NilError(f.t, err)
+	f.store.Put("op", "config", data)
+	return f.version
+}
+
+// freePort returns a port below the range of outgoing connections, which could
+// take it while its process restarts.
+func freePort(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		port := firstPort + rand.IntN(portCount)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, l.Close())
+		return port
+	}
+	t.Fatal("no free port")
+	return 0
+}
+
+func (f *fleet) addDaemon(i int, store string) {
+	d := &daemon{
+		name: fmt.Sprintf("edge-%d", i), store: startProxy(f.t, store),
+		callers: fmt.Sprintf("127.0.0.1:%d", freePort(f.t)), ready: fmt.Sprintf("127.0.0.1:%d", freePort(f.t)),
+		settings: filepath.Join(f.dir, fmt.Sprintf("edge-%d.toml", i)), log: filepath.Join(f.dir, fmt.Sprintf("edge-%d.log", i)),
+	}
+	inner := freePort(f.t)
+	text := fmt.Sprintf(settingsText, d.name, inner, inner+1, d.callers, d.ready, "first", d.store.address())
+	assert.NilError(f.t, os.WriteFile(d.settings, []byte(text), 0o600))
+	f.daemons = append(f.daemons, d)
+	d.start(f)
+	f.t.Cleanup(func() { d.signal(syscall.SIGCONT); d.kill() })
+}
+
+func (d *daemon) start(f *fleet) {
+	file, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(f.t, err)
+	defer file.Close()
+	cmd := exec.Command(f.binary, "edge", "--settings", d.settings)
+	cmd.Stdout, cmd.Stderr = file, file
+	assert.NilError(f.t, cmd.Start())
+	exited := make(chan struct{})
+	go func() {
+		defer close(exited)
+		_ = cmd.Wait() // the exit code is read from the state
+	}()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cmd, d.exited, d.started, d.calm = cmd, exited, time.Now(), time.Now()
+}
+
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.cmd.Process.Signal(s) // a process that has ended takes none
+}
+
+func (d *daemon) kill() {
+	d.signal(syscall.SIGKILL)
+	<-d.exited
+}
+
+// disturbed notes that something happens to the daemon until the given time.
+func (d *daemon) disturbed(until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if until.After(d.calm) {
+		d.calm = until
+	}
+}
+
+// touch is how long a daemon must be undisturbed before bounds hold for it.
+const touch = 4 * time.Second
+
+// inTouch reports whether bounds held for the daemon at a time.
+func (d *daemon) inTouch(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return at.Sub(d.calm) >= touch
+}
+
+// run identifies the present start of the daemon.
+func (d *daemon) run() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.started
+}
+
+func (f *fleet) awaitReady(d *daemon) {
+	f.t.Helper()
+	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get("http://" + d.ready + "/readyz")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	log, err := os.ReadFile(d.log)
+	f.t.Fatalf("%s is not ready: %v\n%s", d.name, err, log[max(0, len(log)-4000):])
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,313 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/platform/standin"
+)
+
+const (
+	// faultTime is how long faults come in one run.
+	faultTime = 6 * time.Second
+	// recoverTime is how long a run is quiet before all requests must succeed.
+	recoverTime = 5 * time.Second
+	quietTime   = 1500 * time.Millisecond
+)
+
+// regressions are seeds that failed once, with the cause.
+var regressions = []uint64{}
+
+// Guards against broken promises under random faults of processes, connections,
+// upstreams and the store. AUBURNDYKE_SOAK=N runs N fresh seeds;
+// AUBURNDYKE_SOAK_SEED=S runs one seed.
+func TestSoak(t *testing.T) {
+	seeds := append([]uint64{1}, regressions...)
+	if text := os.Getenv("AUBURNDYKE_SOAK_SEED"); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		assert.NilError(t, err)
+		seeds = []uint64{seed}
+	} else if text := os.Getenv("AUBURNDYKE_SOAK"); text != "" {
+		n, err := strconv.Atoi(text)
+		assert.NilError(t, err)
+		seeds = nil
+		for range n {
+			seeds = append(seeds, rand.Uint64N(1_000_000_000))
+		}
+	}
+	binary := build(t)
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			soak(t, binary, seed)
+		})
+	}
+}
+
+func soak(t *testing.T, binary string, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	f := startFleet(t, binary, 3)
+	run := startLoad(f, "a")
+	watch := &versions{fleet: f, load: run, highest: make(map[string]int), written: map[int]time.Time{1: time.Now()}}
+	var problems []problem
+	client := &http.Client{}
+	started := time.Now()
+	var faults sync.WaitGroup
+	for time.Since(started) < faultTime {
+		name, fault := draw(rng, f, watch)
+		t.Logf("%5d ms %s", time.Since(started).Milliseconds(), name)
+		faults.Go(fault)
+		time.Sleep(time.Duration(100+rng.IntN(500)) * time.Millisecond)
+		problems = append(problems, watch.look(client)...)
+	}
+	faults.Wait()
+	f.heal()
+	for _, d := range f.daemons {
+		f.awaitReady(d)
+	}
+	time.Sleep(recoverTime)
+	problems = append(problems, watch.look(client)...)
+	problems = append(problems, f.check(run.end())...)
+
+	quiet := startLoad(f, "q")
+	time.Sleep(quietTime)
+	after := quiet.end()
+	all := append(run.all, after...)
+	for _, e := range after {
+		if e.status != http.StatusOK || e.err != nil {
+			problems = append(problems, problem{"fails although all is well", fmt.Sprintf("%s %s at %s: status %d, error %v", e.id, e.route, e.daemon.name, e.status, e.err)})
+		}
+	}
+	problems = append(problems, f.check(all)...)
+	served := 0
+	for _, e := range run.all {
+		if e.status == http.StatusOK && e.err == nil {
+			served++
+		}
+	}
+	t.Logf("seed %d: %d of %d requests served under faults", seed, served, len(run.all))
+	if len(problems) == 0 {
+		return
+	}
+	for _, p := range problems[:min(len(problems), 10)] {
+		t.Error(p)
+	}
+	keepLogs(t, f, seed)
+}
+
+// keepLogs copies the daemons' logs to a folder that outlives the test.
+func keepLogs(t *testing.T, f *fleet, seed uint64) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	assert.NilError(t, err)
+	for _, d := range f.daemons {
+		data, err := os.ReadFile(d.log)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(dir+"/"+d.name+".log", data, 0o600))
+	}
+	t.Logf("logs are in %s", dir)
+}
+
+// heal ends all faults of connections, upstreams and the store.
+func (f *fleet) heal() {
+	f.store.SetFault(standin.Healthy)
+	f.store.LoseWrites(false)
+	for _, d := range f.daemons {
+		d.store.set(passing)
+		d.store.refusing.Store(false)
+		d.store.reset()
+	}
+	for _, u := range f.upstreams {
+		u.proxy.set(passing)
+		u.proxy.refusing.Store(false)
+		u.proxy.reset()
+		u.replica.Set(u.usual())
+		f.register(u, "ready")
+	}
+}
+
+// draw picks a fault and returns its name and what it does.
+func draw(rng *rand.Rand, f *fleet, watch *versions) (string, func()) {
+	d := f.daemons[rng.IntN(len(f.daemons))]
+	u := f.upstreams[rng.IntN(len(f.upstreams))]
+	lasts := time.Duration(200+rng.IntN(2000)) * time.Millisecond
+	mode := []proxyMode{delayed, deafUp, deafDown, silent}[rng.IntN(4)]
+	disturb := func(each ...*daemon) {
+		for _, one := range each {
+			one.disturbed(time.Now().Add(lasts))
+		}
+	}
+	switch rng.IntN(14) {
+	case 0:
+		return d.name + " is killed", func() { d.restart(f, d.kill) }
+	case 1:
+		return d.name + " gets SIGTERM", func() { d.restart(f, d.stop) }
+	case 2:
+		return fmt.Sprintf("%s freezes for %s", d.name, lasts), func() {
+			disturb(d)
+			d.signal(syscall.SIGSTOP)
+			time.Sleep(lasts)
+			d.signal(syscall.SIGCONT)
+		}
+	case 3:
+		return d.name + " gets SIGHUP with changed settings", func() { d.reload(f, rng.IntN(1000)) }
+	case 4:
+		return fmt.Sprintf("%s loses the store for %s, mode %d", d.name, lasts, mode), func() {
+			disturb(d)
+			d.store.set(mode)
+			time.Sleep(lasts)
+			d.store.set(passing)
+			d.store.reset()
+		}
+	case 5:
+		fault := []standin.Fault{standin.Busy, standin.Throttled, standin.Reset, standin.Silent}[rng.IntN(4)]
+		return fmt.Sprintf("the store fails for %s, mode %d", lasts, fault), func() {
+			disturb(f.daemons...)
+			f.store.SetFault(fault)
+			time.Sleep(lasts)
+			f.store.SetFault(standin.Healthy)
+		}
+	case 6:
+		return "the store forgets its history", f.store.Forget
+	case 7, 8:
+		f.mu.Lock()
+		next := f.version + 1
+		f.mu.Unlock()
+		watch.written[next] = time.Now()
+		f.configure()
+		return fmt.Sprintf("version %d is written", next), func() {}
+	case 9:
+		return fmt.Sprintf("connections to %s fail for %s, mode %d", u.replica.ID, lasts, mode), func() {
+			u.proxy.set(mode)
+			time.Sleep(lasts)
+			u.proxy.set(passing)
+			u.proxy.reset()
+		}
+	case 10:
+		return "connections to " + u.replica.ID + " are reset", u.proxy.reset
+	case 11:
+		return fmt.Sprintf("%s leaves for %s", u.replica.ID, lasts), func() {
+			if lasts%2 == 0 {
+				f.register(u, "draining")
+				time.Sleep(lasts / 2)
+			}
+			f.store.Drop("servers", u.replica.ID)
+			time.Sleep(lasts)
+			f.register(u, "ready")
+		}
+	default:
+		b := u.usual()
+		name := misbehave(rng, &b)
+		return fmt.Sprintf("%s %s for %s", u.replica.ID, name, lasts), func() {
+			u.replica.Set(b)
+			time.Sleep(lasts)
+			u.replica.Set(u.usual())
+		}
+	}
+}
+
+// misbehave changes a behaviour and names the change.
+func misbehave(rng *rand.Rand, b *standin.Behaviour) string {
+	stream := b.Events > 0
+	switch rng.IntN(8) {
+	case 0:
+		b.Refuse = true
+		return "refuses"
+	case 1:
+		b.Work = 400 * time.Millisecond
+		return "is slow"
+	case 2:
+		if stream {
+			b.CutAfter = 1 + rng.IntN(streamEvents-1)
+			return "cuts streams"
+		}
+		b.Lose = true
+		return "loses answers"
+	case 3:
+		if stream {
+			b.SilentAfter = 1 + rng.IntN(streamEvents-1)
+			return "goes silent in streams"
+		}
+		b.Truncate = true
+		return "truncates answers"
+	case 4:
+		if !stream {
+			b.Extra = true
+			return "sends extra answers"
+		}
+		b.Early = true
+		return "answers early"
+	case 5:
+		b.DropIdle = true
+		return "drops idle connections"
+	case 6:
+		if !stream {
+			b.ForeignFirst = true
+			return "sends foreign answers first"
+		}
+		b.Early = true
+		return "answers early"
+	default:
+		if !stream {
+			b.Status = http.StatusInternalServerError
+			return "fails"
+		}
+		b.Refuse = true
+		return "refuses"
+	}
+}
+
+// restart ends the process in some way and starts it again.
+func (d *daemon) restart(f *fleet, end func()) {
+	d.disturbed(time.Now().Add(time.Hour))
+	d.mu.Lock()
+	exited := d.exited
+	d.mu.Unlock()
+	end()
+	<-exited
+	d.mu.Lock()
+	again := d.exited == exited // another fault may have restarted it
+	if again {
+		d.exited = make(chan struct{})
+	}
+	d.mu.Unlock()
+	if again {
+		d.start(f)
+	}
+}
+
+// stop asks for a planned stop. A frozen process is woken.
+func (d *daemon) stop() {
+	d.signal(syscall.SIGTERM)
+	d.signal(syscall.SIGCONT)
+	select {
+	case <-d.exited:
+	case <-time.After(stopBound + 2*time.Second):
+		d.kill()
+	}
+}
+
+// reload changes the settings file and tells the process.
+func (d *daemon) reload(f *fleet, n int) {
+	data, err := os.ReadFile(d.settings)
+	assert.NilError(f.t, err)
+	lines := strings.Split(string(data), "\n")
+	for i, line := range lines {
+		if strings.HasPrefix(line, "# ") {
+			lines[i] = fmt.Sprintf("# %d", n)
+		}
+		if strings.HasPrefix(line, "budget_ratio") {
+			lines[i] = fmt.Sprintf("budget_ratio = 0.%d", 15+n%10)
+		}
+	}
+	assert.NilError(f.t, os.WriteFile(d.settings, []byte(strings.Join(lines, "\n")), 0o600))
+	d.signal(syscall.SIGHUP)
+}
