Let daemons read each other's copies of the platform's tables

Cause: while the store turns some daemons away and serves the others, the former kept an old configuration and list of upstreams, and a daemon that starts then has none. Ruled out: more calls to the store, which it refuses in that time. Change: datagrams tell the newest change of each copy; a daemon that lacks a change for 2 s reads the copy of a peer that has it. Copies go forward only.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,7 +116,7 @@
 	limitMemory(s)
 	e.deps.Log.Event(telemetry.DaemonStarting).
 		Str("zone", string(s.Zone)).Str("callers", s.Callers).
-		Str("readiness", s.Readiness).Str("metrics", s.Metrics).
+		Str("readiness", s.Readiness).Str("internal", s.Internal).
 		Str("platform", s.Platform).Send()
 	front, err := net.Listen("tcp", s.Callers)
 	if err != nil {
@@ -130,16 +130,17 @@
 	var g run.Group
 	addServer(&g, e.frontServer(), front, e.stopServing)
 	addServer(&g, &http.Server{Handler: e.probes(), ReadHeaderTimeout: headerTimeout}, ready, closeNow)
-	if err := e.addMetrics(&g, s.Metrics); err != nil {
-		return err
+	configuration := follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{Rand: newRand()})
+	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{Settle: listSettle(s), Rand: newRand()})
+	addLoop(&g, configuration.Run)
+	addLoop(&g, upstreams.Run)
+	node := e.newPeers(map[string]peers.Table{"configuration": configuration, "upstreams": upstreams})
+	if node != nil {
+		addLoop(&g, node.Run)
 	}
-	for _, f := range []*follow.Follower{
-		follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{Rand: newRand()}),
-		follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{Settle: listSettle(s), Rand: newRand()}),
-	} {
-		addLoop(&g, f.Run)
+	if err := e.addInternal(&g, s.Internal, node); err != nil {
+		return err
 	}
-	e.addPeers(&g)
 	addLoop(&g, e.sweep)
 	addLoop(&g, e.watchSettings)
 	addLoop(&g, func(group context.Context) error { return e.awaitStop(group, ctx) })
@@ -185,19 +186,23 @@
 	return router
 }
 
-func (e *Edge) addMetrics(g *run.Group, address string) error {
+// addInternal serves the metrics and the copies that peers read.
+func (e *Edge) addInternal(g *run.Group, address string, node *peers.Node) error {
 	if address == "" {
 		return nil
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return eris.Wrap(err, "listening for metrics")
+		return eris.Wrap(err, "listening for metrics and peers")
 	}
 	router := echo.New()
 	router.GET("/metrics", func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
 		return e.deps.Metrics.WritePrometheus(c.Response())
 	})
+	if node != nil {
+		router.GET(peers.TablePath, node.ServeTable)
+	}
 	addServer(g, &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, l, closeNow)
 	return nil
 }
@@ -219,17 +224,17 @@
 	}
 }
 
-// addPeers exchanges knowledge with the other daemons.
-func (e *Edge) addPeers(g *run.Group) {
+// newPeers returns the exchange with the other daemons, or nil if the daemon
+// works alone.
+func (e *Edge) newPeers(tables map[string]peers.Table) *peers.Node {
 	s := e.settings.Load()
-	if e.deps.Daemons == nil || s.Peers == "" {
-		return
+	if e.deps.Daemons == nil || s.Internal == "" {
+		return nil
 	}
-	node := peers.New(peers.Config{
-		Daemon: string(s.Daemon), Address: s.Peers, Directory: e.deps.Daemons,
-		Observer: peerObserver{e.state.balancer}, Rand: newRand(), Log: e.deps.Log,
+	return peers.New(peers.Config{
+		Daemon: string(s.Daemon), Address: s.Internal, Directory: e.deps.Daemons,
+		Observer: peerObserver{e.state.balancer}, Tables: tables, Rand: newRand(), Log: e.deps.Log,
 	})
-	addLoop(g, node.Run)
 }
 
 // limitMemory sets the goal of the garbage collector.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -13,14 +13,13 @@
 	Region domain.Region
 	// Regions maps each zone to its region.
 	Regions map[domain.AvailabilityZone]domain.Region
-	// Callers, Readiness and Metrics are the addresses to listen on. An empty
-	// Metrics serves none.
+	// Callers and Readiness are the addresses to listen on for callers and for
+	// the balancer's probes.
 	Callers   string
 	Readiness string
-	Metrics   string
-	// Peers is the address for datagrams of other daemons. Empty means that
-	// the daemon works alone.
-	Peers string
+	// Internal is the address for metrics and peers, by TCP and UDP. Empty
+	// means that the daemon serves no metrics and works alone.
+	Internal string
 	// Platform is the address of the platform's store.
 	Platform string
 	// MemoryBytes and Descriptors are the limits of the process. Zero means
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -65,10 +66,14 @@
 
 	// changed tells that the last step brought changes.
 	changed   bool
-	version   ports.Version
-	known     bool
 	failures  int
 	contactAt time.Time
+
+	// mu guards the copy and is held while the sink is told.
+	mu   sync.Mutex
+	copy Snapshot
+	// known is set while changes behind the copy's version can be asked for.
+	known bool
 }
 
 // Options sets up a Follower. Zero values take the defaults given with each
@@ -116,27 +121,46 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if !f.known {
+	if !f.isKnown() {
 		return f.read(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTime)
 	defer cancel()
-	rows, version, err := f.source.Changes(ctx, f.version, f.wait)
+	after := f.Versions().AsOf
+	rows, version, err := f.source.Changes(ctx, after, f.wait)
 	if errors.Is(err, ErrHistoryGone) {
-		f.known = false
+		f.setKnown(false)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	f.changed = len(rows) > 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.copy.AsOf != after {
+		return nil // a peer's copy came in between; its changes follow it
+	}
 	if f.changed {
+		f.copy.apply(rows)
 		f.sink.Apply(time.Now(), rows, version)
 	}
-	f.version = max(f.version, version)
+	f.copy.AsOf = max(f.copy.AsOf, version)
 	return nil
 }
 
+func (f *Follower) setKnown(known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = known
+}
+
+func (f *Follower) isKnown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTime)
 	defer cancel()
@@ -144,11 +168,13 @@
 	if err != nil {
 		return err
 	}
-	if version < f.version {
-		return eris.Wrapf(errStaleRead, "version %d after %d", version, f.version)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version < f.copy.AsOf {
+		return eris.Wrapf(errStaleRead, "version %d after %d", version, f.copy.AsOf)
 	}
-	f.sink.Replace(time.Now(), rows, version)
-	f.version, f.known, f.changed = version, true, true
+	f.replace(rows, version)
+	f.known, f.changed = true, true
 	return nil
 }
 
@@ -167,7 +193,7 @@
 		f.sink.Lost(err, f.contactAt)
 	}
 	if f.failures >= rereadAfter {
-		f.known = false
+		f.setKnown(false)
 	}
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -194,3 +194,35 @@
 	cancel()
 	assert.NilError(t, <-done)
 }
+
+// silentSource never answers.
+type silentSource struct{}
+
+func (silentSource) Read(ctx context.Context) ([]ports.Row, ports.Version, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (silentSource) Changes(ctx context.Context, _ ports.Version, _ time.Duration) ([]ports.Row, ports.Version, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against a peer's copy that takes this one back, and against one that
+// is refused although it is ahead.
+func TestOffer(t *testing.T) {
+	sink := &copyOf{}
+	f := follow.New(silentSource{}, sink, follow.Options{Rand: rand.New(rand.NewPCG(1, 2))})
+	offer := func(value string, asOf, changed ports.Version) bool {
+		rows := []ports.Row{{Key: "a", Value: []byte(value), Version: changed}}
+		return f.Offer(follow.NewSnapshot(rows, follow.Versions{AsOf: asOf, Changed: changed}))
+	}
+	assert.Assert(t, offer("1", 5, 5))
+	assert.Equal(t, sink.get("a"), "1")
+	assert.Assert(t, !offer("0", 4, 4))
+	assert.Assert(t, !offer("same", 9, 5))
+	assert.Equal(t, sink.get("a"), "1")
+	assert.Assert(t, offer("2", 8, 7))
+	assert.Equal(t, sink.get("a"), "2")
+	assert.Equal(t, f.Versions(), follow.Versions{AsOf: 8, Changed: 7})
+}
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -78,6 +78,13 @@
 	Age uint32
 }
 
+// TableState is the newest change in the sender's copy of a table.
+type TableState struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Changed uint64
+}
+
 // Message is one datagram.
 type Message struct {
 	_ struct{} `cbor:",toarray"`
@@ -87,6 +94,7 @@
 	Peers    []string
 	Services []Service
 	Loads    []Load
+	Tables   []TableState
 }
 
 // maxMessageBytes keeps a message within one Ethernet frame.
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -56,8 +56,10 @@
 	Address   string // IP:port to receive at
 	Directory Directory
 	Observer  Observer
-	Rand      *rand.Rand
-	Log       *telemetry.Log
+	// Tables are the copies that daemons help each other to keep, by name.
+	Tables map[string]Table
+	Rand   *rand.Rand
+	Log    *telemetry.Log
 }
 
 // Node exchanges messages with peers.
@@ -65,11 +67,12 @@
 	Config
 	mu    sync.Mutex
 	state *State
+	lags  map[string]lag
 }
 
 // New returns a Node that knows no peer.
 func New(c Config) *Node {
-	return &Node{Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString())}
+	return &Node{Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag)}
 }
 
 // member is a row of the directory.
@@ -116,6 +119,7 @@
 		fresh := n.state.Receive(time.Now(), m)
 		n.mu.Unlock()
 		n.Observer.SetLoads(fresh)
+		n.compare(ctx, time.Now(), m)
 	}
 }
 
@@ -154,6 +158,7 @@
 func (n *Node) compose(now time.Time) (target string, data []byte, err error) {
 	works := n.Observer.Works(now)
 	loads := n.Observer.Loads()
+	tables := n.tableStates()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for service, w := range works {
@@ -170,7 +175,9 @@
 	if target == "" {
 		return "", nil, nil
 	}
-	data, err = encode(n.state.Compose(now, n.Rand))
+	m := n.state.Compose(now, n.Rand)
+	m.Tables = tables
+	data, err = encode(m)
 	return target, data, err
 }
 
--- /dev/null
+++ b/internal/peers/node_test.go
@@ -0,0 +1,124 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/follow"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+// directory is a table in memory.
+type directory struct {
+	mu   sync.Mutex
+	rows map[string][]byte
+}
+
+func (d *directory) Put(_ context.Context, key string, value []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rows[key] = value
+	return nil
+}
+
+func (d *directory) Read(context.Context) ([]ports.Row, ports.Version, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []ports.Row
+	for key, value := range d.rows {
+		out = append(out, ports.Row{Key: key, Value: value})
+	}
+	return out, 1, nil
+}
+
+// quietObserver has nothing to tell.
+type quietObserver struct{}
+
+func (quietObserver) Works(time.Time) map[string]Work { return map[string]Work{"model": {}} }
+func (quietObserver) SetTotal(string, Work, int)      {}
+func (quietObserver) Loads() map[uint32]Report        { return nil }
+func (quietObserver) SetLoads(map[uint32]Report)      {}
+
+// fixedTable is a copy that changes by offers only.
+type fixedTable struct {
+	mu   sync.Mutex
+	copy follow.Snapshot
+}
+
+func (t *fixedTable) Versions() follow.Versions { return t.Snapshot().Versions }
+
+func (t *fixedTable) Snapshot() follow.Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.copy
+}
+
+func (t *fixedTable) Offer(s follow.Snapshot) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.copy.Behind(s.Versions) {
+		return false
+	}
+	t.copy = s
+	return true
+}
+
+// startNode runs a node whose copies are served at the address of its
+// datagrams.
+func startNode(t *testing.T, name string, d *directory, table Table) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	n := New(Config{
+		Daemon: name, Address: l.Addr().String(), Directory: d, Observer: quietObserver{},
+		Tables: map[string]Table{"configuration": table}, Rand: rand.New(rand.NewPCG(1, 2)), Log: telemetry.NopLog(),
+	})
+	router := echo.New()
+	router.GET(TablePath, n.ServeTable)
+	server := httptest.NewUnstartedServer(router)
+	assert.NilError(t, server.Listener.Close())
+	server.Listener = l
+	server.Start()
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	t.Cleanup(func() { cancel(); assert.NilError(t, <-done) })
+}
+
+// Guards against a daemon that the platform turns away and that keeps an older
+// configuration although its peers have a later one.
+func TestCopyComesFromPeer(t *testing.T) {
+	d := &directory{rows: make(map[string][]byte)}
+	rows := []ports.Row{{Key: "config", Value: []byte("new"), Version: 9}}
+	ahead := &fixedTable{copy: follow.NewSnapshot(rows, follow.Versions{AsOf: 12, Changed: 9})}
+	behind := &fixedTable{copy: follow.NewSnapshot(nil, follow.Versions{AsOf: 5, Changed: 3})}
+	startNode(t, "ahead", d, ahead)
+	startNode(t, "behind", d, behind)
+	// The sheets leave 8.5 s for a daemon that the store turns away.
+	for end := time.Now().Add(8 * time.Second); behind.Versions().AsOf != 12; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the copy did not come")
+	}
+	copied := behind.Snapshot()
+	assert.DeepEqual(t, copied.Rows(), rows)
+}
+
+// Guards against copies of tables that a node does not have.
+func TestUnknownTable(t *testing.T) {
+	n := New(Config{Tables: map[string]Table{}})
+	router := echo.New()
+	router.GET(TablePath, n.ServeTable)
+	w := httptest.NewRecorder()
+	router.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/peers/tables/other", nil))
+	assert.Equal(t, w.Code, http.StatusNotFound)
+}
--- /dev/null
+++ b/internal/peers/table.go
@@ -0,0 +1,162 @@
+package peers
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/follow"
+	"github.com/auburndyke/auburndyke/internal/ports"
+)
+
+const (
+	// lagPatience is how long a daemon waits for a change from the platform
+	// after a peer has told of it. It is above the time for which a list
+	// settles.
+	lagPatience = 2 * time.Second
+	// fetchTimeout bounds the reading of a peer's copy.
+	fetchTimeout = time.Second
+	// maxCopyBytes bounds a peer's copy.
+	maxCopyBytes = 16 << 20
+	// TablePath is where daemons read each other's copies.
+	TablePath = "/peers/tables/:name"
+)
+
+// Table is a copy of a table of the platform, which daemons help each other to
+// keep while the platform turns some of them away.
+type Table interface {
+	Versions() follow.Versions
+	Snapshot() follow.Snapshot
+	// Offer takes another daemon's copy if it has a change that this one lacks.
+	Offer(follow.Snapshot) bool
+}
+
+// lag is a change that peers have and this daemon lacks.
+type lag struct {
+	changed  ports.Version
+	since    time.Time
+	peer     string
+	fetching bool
+}
+
+// tableCopy is a copy on its way between daemons.
+type tableCopy struct {
+	AsOf    uint64    `cbor:"1,keyasint"`
+	Changed uint64    `cbor:"2,keyasint"`
+	Rows    []copyRow `cbor:"3,keyasint"`
+}
+
+type copyRow struct {
+	_       struct{} `cbor:",toarray"`
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// tableStates returns what messages say of the daemon's copies.
+func (n *Node) tableStates() []TableState {
+	var out []TableState
+	for name, table := range n.Tables {
+		out = append(out, TableState{Name: name, Changed: uint64(table.Versions().Changed)})
+	}
+	return out
+}
+
+// compare notes what a peer has and this daemon lacks, and reads the peer's
+// copy when the change has not come from the platform in time.
+func (n *Node) compare(ctx context.Context, now time.Time, m *Message) {
+	for _, state := range m.Tables {
+		table := n.Tables[state.Name]
+		if table == nil || m.Sender == "" {
+			continue
+		}
+		changed := ports.Version(state.Changed)
+		n.mu.Lock()
+		l := n.lags[state.Name]
+		if table.Versions().AsOf >= l.changed {
+			l = lag{fetching: l.fetching}
+		}
+		if table.Versions().AsOf < changed && changed > l.changed {
+			if l.since.IsZero() {
+				l.since = now
+			}
+			l.changed, l.peer = changed, m.Sender
+		}
+		fetch := !l.since.IsZero() && !l.fetching && now.Sub(l.since) >= lagPatience
+		l.fetching = l.fetching || fetch
+		n.lags[state.Name] = l
+		n.mu.Unlock()
+		if fetch {
+			go n.fetch(ctx, state.Name, l)
+		}
+	}
+}
+
+func (n *Node) fetch(ctx context.Context, name string, l lag) {
+	taken, err := n.fetchCopy(ctx, name, l.peer)
+	line := n.Log.Event(telemetry.PeerCopyRead)
+	if err != nil {
+		line.Err(err)
+	}
+	line.Str("table", name).Str("peer", l.peer).Bool("taken", taken).
+		Uint64("changed", uint64(l.changed)).Int64("lag_ms", time.Since(l.since).Milliseconds()).Send()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lags[name] = lag{}
+}
+
+func (n *Node) fetchCopy(ctx context.Context, name, peer string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+"/peers/tables/"+name, nil)
+	if err != nil {
+		return false, err
+	}
+	req.Close = true // copies are read rarely
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false, eris.Wrap(err, "reading a peer's copy")
+	}
+	defer func() { _ = resp.Body.Close() }() // it has been read
+	if resp.StatusCode != http.StatusOK {
+		return false, eris.Errorf("peer answered %d", resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyBytes))
+	if err != nil {
+		return false, eris.Wrap(err, "reading a peer's copy")
+	}
+	var c tableCopy
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return false, eris.Wrap(err, "decoding a peer's copy")
+	}
+	rows := make([]ports.Row, 0, len(c.Rows))
+	for _, r := range c.Rows {
+		rows = append(rows, ports.Row{Key: r.Key, Value: r.Value, Version: ports.Version(r.Version)})
+	}
+	versions := follow.Versions{AsOf: ports.Version(c.AsOf), Changed: ports.Version(c.Changed)}
+	return n.Tables[name].Offer(follow.NewSnapshot(rows, versions)), nil
+}
+
+// ServeTable answers a peer that reads a copy.
+func (n *Node) ServeTable(c echo.Context) error {
+	table := n.Tables[c.Param("name")]
+	if table == nil {
+		return c.NoContent(http.StatusNotFound)
+	}
+	s := table.Snapshot()
+	out := tableCopy{AsOf: uint64(s.AsOf), Changed: uint64(s.Changed)}
+	for _, r := range s.Rows() {
+		out.Rows = append(out.Rows, copyRow{Key: r.Key, Value: r.Value, Version: uint64(r.Version)})
+	}
+	data, err := cbor.Marshal(out)
+	if err != nil {
+		return eris.Wrap(err, "encoding a copy")
+	}
+	return c.Blob(http.StatusOK, "application/cbor", data)
+}
