Serve what ends before the grace time while stopping

Ruled out: the balancer, which sends no new connections by then. Change: after the lame-duck time the daemon refuses only what could outlast the grace time.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -31,8 +31,8 @@
 func (s *stopper) stopping() bool { return s.begun.Load() }
 
 // awaitStop waits for the signal and then lets the requests in progress end.
-// The daemon is not ready from the signal on, serves what still arrives for
-// lameDuck, and then refuses new requests.
+// The daemon is not ready from the signal on. It serves what still arrives for
+// lameDuck, and after that only what ends in time by its route's timeout.
 func (e *Edge) awaitStop(ctx, stop context.Context) error {
 	signals, restore := notify(syscall.SIGTERM, os.Interrupt)
 	defer restore()
@@ -49,7 +49,7 @@
 	e.handler.CloseConnections()
 	e.deps.Log.Event(telemetry.ShutdownStarted).Int("active", e.handler.Active()).Int64("bound_ms", bound.Milliseconds()).Send()
 	pause(ctx, lameDuck)
-	e.handler.RefuseNew()
+	e.handler.EndAt(end)
 	for e.handler.Active() > 0 && time.Now().Before(end) && ctx.Err() == nil {
 		pause(ctx, quietCheck)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,9 +45,10 @@
 	table atomic.Pointer[httproute.Table]
 	// closing tells that kept connections end with their next answer.
 	closing atomic.Bool
-	// refusing tells that new requests are refused.
-	refusing atomic.Bool
-	active   atomic.Int64
+	// end is when the daemon ends, once it refuses requests that could last
+	// longer.
+	end    atomic.Pointer[time.Time]
+	active atomic.Int64
 }
 
 // New returns a Handler that refuses requests until SetTable is called.
@@ -62,8 +63,9 @@
 // CloseConnections makes every further answer end its connection.
 func (h *Handler) CloseConnections() { h.closing.Store(true) }
 
-// RefuseNew makes the handler refuse requests that arrive from now on.
-func (h *Handler) RefuseNew() { h.refusing.Store(true) }
+// EndAt makes the handler refuse new requests that could last longer than to
+// the given time.
+func (h *Handler) EndAt(end time.Time) { h.end.Store(&end) }
 
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
@@ -114,9 +116,6 @@
 	if q.table == nil {
 		return q.refuse(http.StatusServiceUnavailable, reasonNoConfiguration, startupRetry)
 	}
-	if q.h.refusing.Load() {
-		return q.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetry)
-	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
 	q.route = q.table.Lookup(q.r.Host, path)
 	if q.route == nil {
@@ -151,6 +150,7 @@
 	return true
 }
 
+// readBody sets the deadline and reads the body.
 func (q *request) readBody() bool {
 	wait := q.caller.Wait
 	if wait <= 0 {
@@ -160,6 +160,9 @@
 		wait = min(wait, q.route.Timeout)
 	}
 	q.deadline = q.arrived.Add(wait)
+	if end := q.h.end.Load(); end != nil && q.deadline.After(*end) {
+		return q.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetry)
+	}
 	limit := q.table.Limits.BodyBytes
 	if limit == 0 {
 		limit = defaultBodyBytes
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -385,7 +385,7 @@
 // Guards against requests that run without a configuration, or during a stop.
 func TestRefusesWhenUnable(t *testing.T) {
 	s := startSite(t, 1)
-	s.handler.RefuseNew()
+	s.handler.EndAt(time.Now().Add(time.Second))
 	got := s.do(s.request(http.MethodPost, "/once/", "r1", "x"))
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Assert(t, got.header.Get("Retry-After") != "")
@@ -394,6 +394,20 @@
 	assert.Equal(t, s.ran(), 0)
 }
 
+// Guards against refusals by a daemon that stops of requests which it could
+// still serve.
+func TestServesWhatEndsInTime(t *testing.T) {
+	s := startSite(t, 1)
+	s.handler.EndAt(time.Now().Add(5 * time.Second))
+	assert.Equal(t, s.do(s.request(http.MethodPost, "/once/", "r1", "x")).status, http.StatusOK)
+	s.handler.EndAt(time.Now().Add(time.Second))
+	assert.Equal(t, s.do(s.request(http.MethodPost, "/once/", "r2", "x")).status, http.StatusServiceUnavailable)
+	short := s.request(http.MethodPost, "/once/", "r3", "x")
+	short.Header.Set("X-Deadline-Ms", "500")
+	assert.Equal(t, s.do(short).status, http.StatusOK)
+	assert.Equal(t, s.ran(), 2)
+}
+
 // Guards against upstreams of a failed service that get all repeats at once.
 func TestRetryBudget(t *testing.T) {
 	s := startSite(t, 2)
