Share the retry slack by the number of daemons; bound front connections

Cause: every daemon took two repeats a window without traffic, which 300 daemons could add up to more than the deployment's slack; the settings' slack was not used. Connections and headers of callers were not bounded. Change: a daemon's part is 0.8 of the slack by the number of known daemons; callers get half of the descriptors and 64 KB a header. Edge has tests of its own. Result: go test ./internal/edge ./internal/relay ./internal/exchange passes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/netutil"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
@@ -46,8 +47,14 @@
 	// idleTimeout ends idle connections of callers. It is longer than the
 	// limit of any configuration, so that callers end them first.
 	idleTimeout = 2 * time.Minute
-	// retryFloor is the daemon's share of the retry budget without traffic.
-	retryFloor = 2
+	// unknownFleet is the number of daemons that is assumed while the peers are
+	// not known. It is the size that the project plans for.
+	unknownFleet = 330
+	// maxHeaderBytes bounds a request's header in memory.
+	maxHeaderBytes = 64 << 10
+	// connectionShare is the share of the descriptors for callers; the rest is
+	// for upstreams, the store and peers.
+	connectionShare = 0.5
 )
 
 // Deps are the adapters that a daemon needs.
@@ -83,7 +90,7 @@
 		Protocol: d.Protocol,
 		Balancer: b,
 		Pool:     pool,
-		Retries:  relay.NewRetries(s.RetryRatio, retryFloor),
+		Retries:  relay.NewRetries(s.RetryRatio, relay.Floor(s.RetrySlack, unknownFleet)),
 		Log:      d.Log,
 		Metrics:  relay.NewMetrics(d.Metrics),
 	})
@@ -122,6 +129,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
+	if s.Descriptors > 0 {
+		front = netutil.LimitListener(front, max(int(connectionShare*float64(s.Descriptors)), 1))
+	}
 	ready, err := net.Listen("tcp", s.Readiness)
 	if err != nil {
 		_ = front.Close() // never served
@@ -171,6 +181,7 @@
 		Handler:           e.handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
@@ -233,7 +244,7 @@
 	}
 	return peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.Internal, Directory: e.deps.Daemons,
-		Observer: peerObserver{e.state.balancer}, Tables: tables, Rand: newRand(), Log: e.deps.Log,
+		Observer: peerObserver{e}, Tables: tables, Rand: newRand(), Log: e.deps.Log,
 	})
 }
 
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,149 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/edge"
+	"github.com/auburndyke/auburndyke/platform"
+	"github.com/auburndyke/auburndyke/platform/standin"
+)
+
+const bound = 5 * time.Second
+
+// site is one daemon in this process, its store and one replica.
+type site struct {
+	t        *testing.T
+	store    *standin.Store
+	replica  *standin.Replica
+	settings atomic.Pointer[edge.Settings]
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func start(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, store: standin.NewStore(), done: make(chan error, 1)}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	replica, err := standin.StartReplica("replica-0")
+	assert.NilError(t, err)
+	t.Cleanup(replica.Close)
+	s.replica = replica
+	s.settings.Store(&edge.Settings{
+		Daemon: "edge-1", Zone: "a", Region: "r", Platform: server.Listener.Addr().String(),
+		Callers: freeAddress(t), Readiness: freeAddress(t), Internal: freeAddress(t),
+		StopBound: 3 * time.Second, LeaveBound: time.Second, RetryRatio: 0.2, RetrySlack: 56,
+	})
+	store := platform.NewStore(s.settings.Load().Platform)
+	e := edge.New(s.settings.Load(), edge.Deps{
+		Protocol: platform.Protocol{},
+		Formats: edge.Formats{
+			IsConfig: platform.IsConfig, Config: platform.DecodeConfig, Registration: platform.DecodeReplica,
+		},
+		Configuration: store.Configuration(), Upstreams: store.Replicas(), Daemons: store.Daemons(),
+		ReadSettings: func() (*edge.Settings, error) { return s.settings.Load(), nil },
+		Log:          telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go func() { s.done <- e.Run(ctx) }()
+	t.Cleanup(func() { cancel(); assert.NilError(t, <-s.done) })
+	return s
+}
+
+func (s *site) configure(version int, prefix string) {
+	s.store.Put("op", "config", fmt.Appendf(nil, `{"version":%d,"services":[{"name":"app"}],"routes":[
+		{"name":"r","host":"h.example","prefix":%q,"type":"idempotent","service":"app","attempts":1,"timeout_ms":1000}]}`, version, prefix))
+}
+
+// get returns the status of a request, 0 if there was no answer.
+func (s *site) get(url, host string) (int, string) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	assert.NilError(s.t, err)
+	req.Host = host
+	req.Header.Set("X-Attempt-Id", "r1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(s.t, err)
+	return resp.StatusCode, string(body)
+}
+
+func (s *site) await(url, host string, status int) {
+	s.t.Helper()
+	got := 0
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if got, _ = s.get(url, host); got == status {
+			return
+		}
+	}
+	s.t.Fatalf("%s answers %d, not %d", url, got, status)
+}
+
+func (s *site) ready() string { return "http://" + s.settings.Load().Readiness + "/readyz" }
+
+func (s *site) route(path string) string { return "http://" + s.settings.Load().Callers + path }
+
+// Guards against a daemon that takes callers before it can serve them, that
+// goes back to an earlier configuration, or that drops a good one for a bad.
+func TestLifeOfADaemon(t *testing.T) {
+	s := start(t)
+	s.await(s.ready(), "", http.StatusServiceUnavailable)
+	s.await(s.route("/a/"), "h.example", http.StatusServiceUnavailable)
+
+	s.configure(3, "/a/")
+	s.await(s.ready(), "", http.StatusOK)
+	s.store.Put("servers", "broken", []byte(`{"service":7}`))
+	s.store.Put("servers", "replica-0", s.replica.Registration("app", "a", "ready"))
+	s.await(s.route("/a/x"), "h.example", http.StatusOK)
+
+	s.configure(2, "/old/")
+	s.store.Put("op", "config", []byte("not a configuration"))
+	s.configure(5, "/b/")
+	s.await(s.route("/b/"), "h.example", http.StatusOK)
+	status, _ := s.get(s.route("/old/"), "h.example")
+	assert.Equal(t, status, http.StatusNotFound)
+	status, _ = s.get(s.route("/a/"), "h.example")
+	assert.Equal(t, status, http.StatusNotFound)
+
+	status, metrics := s.get("http://"+s.settings.Load().Internal+"/metrics", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.Contains(metrics, `auburndyke_requests_total{status="200"`), metrics)
+	assert.Assert(t, strings.Contains(metrics, "auburndyke_request_microseconds_count"))
+
+	s.store.Drop("servers", "replica-0")
+	s.await(s.route("/b/"), "h.example", http.StatusServiceUnavailable)
+}
+
+// Guards against addresses that are taken without an error.
+func TestAddressInUse(t *testing.T) {
+	s := start(t)
+	s.await(s.ready(), "", http.StatusServiceUnavailable)
+	e := edge.New(s.settings.Load(), edge.Deps{
+		Protocol: platform.Protocol{}, Log: telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
+	})
+	assert.ErrorContains(t, e.Run(t.Context()), "listening for callers")
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -31,9 +31,8 @@
 	// LeaveBound is how long after an upstream has left the list it may still
 	// get new work.
 	LeaveBound time.Duration
-	// RetryRatio and RetrySlack bound the repeats to a service, for all daemons
-	// together within RetryWindow.
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetryRatio and RetrySlack bound the repeats to a service within ten
+	// seconds, for all daemons together: a share of the requests and a number.
+	RetryRatio float64
+	RetrySlack float64
 }
--- a/internal/exchange/budget.go
+++ b/internal/exchange/budget.go
@@ -32,7 +32,7 @@
 // It is safe for concurrent use and takes no lock.
 type Budget struct {
 	ratio float64
-	floor int
+	floor atomic.Int64
 	// Each slot packs epoch, requests and retries, so that one
 	// compare-and-swap moves a slot to a new epoch together with its counts.
 	slots [budgetSlots]atomic.Uint64
@@ -41,9 +41,15 @@
 // NewBudget returns a budget of ratio retries per request and floor retries
 // per window. A negative floor means no floor.
 func NewBudget(ratio float64, floor int) *Budget {
-	return &Budget{ratio: ratio, floor: max(floor, 0)}
+	b := &Budget{ratio: ratio}
+	b.SetFloor(floor)
+	return b
 }
 
+// SetFloor changes the retries per window that need no traffic. A negative
+// floor means none.
+func (b *Budget) SetFloor(floor int) { b.floor.Store(int64(max(floor, 0))) }
+
 // Deposit counts one request.
 func (b *Budget) Deposit(now time.Time) {
 	b.add(now, 1, 0)
@@ -56,7 +62,7 @@
 	// cannot exceed the budget together.
 	b.add(now, 0, 1)
 	requests, retries := b.window(now)
-	if float64(retries) <= float64(b.floor)+b.ratio*float64(requests) {
+	if float64(retries) <= float64(b.floor.Load())+b.ratio*float64(requests) {
 		return true
 	}
 	b.add(now, 0, -1)
@@ -66,7 +72,7 @@
 // Remaining returns the number of retries that the budget allows now.
 func (b *Budget) Remaining(now time.Time) int {
 	requests, retries := b.window(now)
-	return b.floor + int(b.ratio*float64(requests)) - retries
+	return int(b.floor.Load()) + int(b.ratio*float64(requests)) - retries
 }
 
 func (b *Budget) add(now time.Time, requests, retries int) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -408,6 +408,14 @@
 	assert.Equal(t, s.ran(), 2)
 }
 
+// Guards against daemons whose parts of the slack add up to more than it.
+func TestSlackIsShared(t *testing.T) {
+	for _, daemons := range []int{0, 1, 8, 91, 330} {
+		assert.Assert(t, relay.Floor(222, daemons)*daemons <= 222, "%d daemons", daemons)
+	}
+	assert.Assert(t, relay.Floor(56, 8) > 0)
+}
+
 // Guards against upstreams of a failed service that get all repeats at once.
 func TestRetryBudget(t *testing.T) {
 	s := startSite(t, 2)
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -7,6 +7,9 @@
 	"github.com/auburndyke/auburndyke/internal/exchange"
 )
 
+// slackShare is the part of the slack that the known daemons use.
+const slackShare = 0.8
+
 // Retries bounds the repeated sends to each service by this daemon's share of
 // a budget that all daemons keep together.
 type Retries struct {
@@ -44,6 +47,25 @@
 	}
 }
 
+// SetFloor changes the repeats per window that need no traffic.
+func (r *Retries) SetFloor(floor int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if floor == r.floor {
+		return
+	}
+	r.floor = floor
+	for _, b := range r.budgets {
+		b.SetFloor(floor)
+	}
+}
+
+// Floor returns a daemon's part of the slack that all daemons of a fleet share,
+// in repeats per window. A margin stays for daemons that are not known.
+func Floor(slack float64, daemons int) int {
+	return int(slack * slackShare / float64(max(daemons, 1)))
+}
+
 // Deposit counts a request for a service.
 func (r *Retries) Deposit(now time.Time, service string) { r.budget(service).Deposit(now) }
 
