Go on with a reading where the rate limit stopped it

Each reading of 3,000 registrations takes seven calls and started over when one was refused. Change: a refused page is asked for again after a pause.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -37,8 +37,7 @@
 
 // Source is a table of the platform.
 type Source interface {
-	// Read returns all rows and the version as of which they are.
-	Read(ctx context.Context) ([]ports.Row, ports.Version, error)
+	Reader
 	// Changes returns the rows that changed after a version, in order. It
 	// waits for the first change, and returns nothing when there is none.
 	Changes(ctx context.Context, after ports.Version, wait time.Duration) ([]ports.Row, ports.Version, error)
@@ -164,7 +163,7 @@
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTime)
 	defer cancel()
-	rows, version, err := f.source.Read(ctx)
+	rows, version, err := ReadAll(ctx, f.source, f.rng)
 	if err != nil {
 		return err
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -158,14 +158,14 @@
 	reads int
 }
 
-func (s *staleSource) Read(context.Context) ([]ports.Row, ports.Version, error) {
+func (s *staleSource) ReadPage(context.Context, string) (follow.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.reads == 1 {
-		return []ports.Row{{Key: "a", Value: []byte("new"), Version: 9}}, 9, nil
+		return follow.Page{Rows: []ports.Row{{Key: "a", Value: []byte("new"), Version: 9}}, Version: 9}, nil
 	}
-	return []ports.Row{{Key: "a", Value: []byte("old"), Version: 3}}, 3, nil
+	return follow.Page{Rows: []ports.Row{{Key: "a", Value: []byte("old"), Version: 3}}, Version: 3}, nil
 }
 
 func (s *staleSource) Changes(context.Context, ports.Version, time.Duration) ([]ports.Row, ports.Version, error) {
@@ -198,9 +198,9 @@
 // silentSource never answers.
 type silentSource struct{}
 
-func (silentSource) Read(ctx context.Context) ([]ports.Row, ports.Version, error) {
+func (silentSource) ReadPage(ctx context.Context, _ string) (follow.Page, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return follow.Page{}, ctx.Err()
 }
 
 func (silentSource) Changes(ctx context.Context, _ ports.Version, _ time.Duration) ([]ports.Row, ports.Version, error) {
@@ -226,3 +226,30 @@
 	assert.Equal(t, sink.get("a"), "2")
 	assert.Equal(t, f.Versions(), follow.Versions{AsOf: 8, Changed: 7})
 }
+
+// limitedReader refuses every second page.
+type limitedReader struct{ calls, pages int }
+
+func (r *limitedReader) ReadPage(_ context.Context, from string) (follow.Page, error) {
+	r.calls++
+	if r.calls%2 == 0 {
+		return follow.Page{}, ports.ErrThrottled
+	}
+	r.pages++
+	page := follow.Page{Rows: []ports.Row{{Key: from + "x"}}, Version: ports.Version(r.calls)}
+	if r.pages < 6 {
+		page.Next = from + "x"
+	}
+	return page, nil
+}
+
+// Guards against readings that start over whenever the platform's rate limit
+// refuses a page, which keeps hundreds of daemons from ever ending one.
+func TestReadGoesOnBehindRateLimit(t *testing.T) {
+	r := &limitedReader{}
+	rows, version, err := follow.ReadAll(t.Context(), r, rand.New(rand.NewPCG(1, 2)))
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 6)
+	assert.Equal(t, version, ports.Version(1))
+	assert.Equal(t, r.pages, 6)
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
-	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/follow"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // Directory is a table of the platform with one row for each daemon.
 type Directory interface {
-	Read(ctx context.Context) ([]ports.Row, ports.Version, error)
+	follow.Reader
 	// Put writes one row, whatever it held.
 	Put(ctx context.Context, key string, value []byte) error
 }
@@ -68,11 +68,16 @@
 	mu    sync.Mutex
 	state *State
 	lags  map[string]lag
+	// readRand spreads readings of the directory. Rand belongs to the sender.
+	readRand *rand.Rand
 }
 
 // New returns a Node that knows no peer.
 func New(c Config) *Node {
-	return &Node{Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag)}
+	return &Node{
+		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag),
+		readRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
+	}
 }
 
 // member is a row of the directory.
@@ -215,7 +220,7 @@
 		}
 		*announced = true
 	}
-	rows, _, err := n.Directory.Read(ctx)
+	rows, _, err := follow.ReadAll(ctx, n.Directory, n.readRand)
 	if err != nil {
 		return err
 	}
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -31,14 +31,14 @@
 	return nil
 }
 
-func (d *directory) Read(context.Context) ([]ports.Row, ports.Version, error) {
+func (d *directory) ReadPage(context.Context, string) (follow.Page, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []ports.Row
 	for key, value := range d.rows {
 		out = append(out, ports.Row{Key: key, Value: value})
 	}
-	return out, 1, nil
+	return follow.Page{Rows: out, Version: 1}, nil
 }
 
 // quietObserver has nothing to tell.
@@ -115,7 +115,7 @@
 
 // Guards against copies of tables that a node does not have.
 func TestUnknownTable(t *testing.T) {
-	n := New(Config{Tables: map[string]Table{}})
+	n := New(Config{Tables: map[string]Table{}, Rand: rand.New(rand.NewPCG(1, 2))})
 	router := echo.New()
 	router.GET(TablePath, n.ServeTable)
 	w := httptest.NewRecorder()
