Enforce the operator's limits on headers and idle connections

Cause: of the configuration's limits only that of bodies was enforced; other decoded fields were not used at all. Result: TestLimits, TestLifeOfADaemon.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,11 +41,10 @@
 	settleShare = 0.33
 	// sweepInterval is how often expired connections are closed.
 	sweepInterval = 2 * time.Second
-	// headerTimeout bounds the reading of a request's header while the
-	// configuration states no limit.
+	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 5 * time.Second
-	// idleTimeout ends idle connections of callers. It is longer than the
-	// limit of any configuration, so that callers end them first.
+	// idleTimeout ends idle connections of callers while the configuration
+	// states no limit.
 	idleTimeout = 2 * time.Minute
 	// unknownFleet is the number of daemons that is assumed while the peers are
 	// not known. It is the size that the project plans for.
@@ -177,8 +176,15 @@
 func closeNow(s *http.Server) { _ = s.Close() } // the process ends
 
 func (e *Edge) frontServer() *http.Server {
+	idle := newIdleCloser(func() time.Duration {
+		if table := e.handler.Table(); table != nil {
+			return table.Limits.IdleTimeout
+		}
+		return 0
+	})
 	return &http.Server{
 		Handler:           e.handler,
+		ConnState:         idle.observe,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -72,7 +72,7 @@
 }
 
 func (s *site) configure(version int, prefix string) {
-	s.store.Put("op", "config", fmt.Appendf(nil, `{"version":%d,"services":[{"name":"app"}],"routes":[
+	s.store.Put("op", "config", fmt.Appendf(nil, `{"version":%d,"limits":{"idle_timeout_ms":200},"services":[{"name":"app"}],"routes":[
 		{"name":"r","host":"h.example","prefix":%q,"type":"idempotent","service":"app","attempts":1,"timeout_ms":1000}]}`, version, prefix))
 }
 
@@ -134,6 +134,16 @@
 	assert.Assert(t, strings.Contains(metrics, `auburndyke_requests_total{status="200"`), metrics)
 	assert.Assert(t, strings.Contains(metrics, "auburndyke_request_microseconds_count"))
 
+	// A connection that idles longer than the limit allows is closed.
+	c, err := net.Dial("tcp", s.settings.Load().Callers)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /b/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: r2\r\n\r\n")
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(bound)))
+	_, err = io.Copy(io.Discard, c)
+	assert.NilError(t, err)
+
 	s.store.Drop("servers", "replica-0")
 	s.await(s.route("/b/"), "h.example", http.StatusServiceUnavailable)
 }
--- a/internal/httproute/config.go
+++ b/internal/httproute/config.go
@@ -58,8 +58,6 @@
 	Priority int
 	// Public routes need no API key.
 	Public bool
-	// PromptAffinity marks requests that carry the parts of their prompt.
-	PromptAffinity bool
 	// Targets is never empty and its weights sum to more than zero.
 	Targets []Target
 }
@@ -71,29 +69,22 @@
 
 // Engine describes the model engines of a service. Nil means a plain service.
 type Engine struct {
-	// Slots is the number of requests that an engine runs at once.
-	Slots int
 	// KVTokens is the number of tokens that an engine's memory holds.
 	KVTokens int
 }
 
 // Service is a group of equal upstreams.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConns bounds the connections of all callers to one upstream. Zero
-	// means no bound.
-	MaxConns int
-	Engine   *Engine
+	Name   string
+	Engine *Engine
 }
 
 // Limits bound what a caller may send and how long its connection may idle.
 // Zero values leave the daemon's defaults in place.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // Customer owns API keys.
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -13,6 +13,7 @@
 	reasonStopping        = "stopping"
 	reasonNoRoute         = "no_route"
 	reasonUnknownKey      = "unknown_key"
+	reasonHeaderTooLarge  = "header_too_large"
 	reasonBodyTooLarge    = "body_too_large"
 	reasonBodyBroken      = "body_broken"
 	reasonNoUpstream      = "no_upstream"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,6 +116,9 @@
 	if q.table == nil {
 		return q.refuse(http.StatusServiceUnavailable, reasonNoConfiguration, startupRetry)
 	}
+	if limit := q.table.Limits.HeaderBytes; limit > 0 && headerBytes(q.r) > limit {
+		return q.reject(http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge)
+	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
 	q.route = q.table.Lookup(q.r.Host, path)
 	if q.route == nil {
@@ -188,6 +191,17 @@
 	return true
 }
 
+// headerBytes is the size of a request's line and header, about as it came.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 var errTooLarge = errors.New("body exceeds the limit")
 
 // readAll reads a body of at most limit bytes. length is -1 if unknown.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -54,6 +54,7 @@
 			route("/resume/", httproute.Stream, true, 3),
 		},
 		Services:  []httproute.Service{{Name: "app"}},
+		Limits:    httproute.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20},
 		Customers: []httproute.Customer{{Name: "anna", Keys: []string{testKey}}},
 	}
 }
@@ -408,6 +409,20 @@
 	assert.Equal(t, s.ran(), 2)
 }
 
+// Guards against requests beyond the operator's limits that reach an upstream.
+func TestLimits(t *testing.T) {
+	s := startSite(t, 1)
+	long := s.request(http.MethodGet, "/again/", "r1", "")
+	long.Header.Set("X-Long", strings.Repeat("x", 9<<10))
+	assert.Equal(t, s.do(long).status, http.StatusRequestHeaderFieldsTooLarge)
+	body := strings.Repeat("x", 1<<20+1)
+	assert.Equal(t, s.do(s.request(http.MethodPost, "/once/", "r2", body)).status, http.StatusRequestEntityTooLarge)
+	chunked := s.request(http.MethodPost, "/once/", "r3", body)
+	chunked.ContentLength, chunked.GetBody = -1, nil
+	assert.Equal(t, s.do(chunked).status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, s.ran(), 0)
+}
+
 // Guards against daemons whose parts of the slack add up to more than it.
 func TestSlackIsShared(t *testing.T) {
 	for _, daemons := range []int{0, 1, 8, 91, 330} {
