Move the command line above all packages and telemetry below the gateway

Cause: internal/adapters/cli is the composition root and imports everything, and the gateway and the relay import telemetry, which ran against the layers. Change: internal/cli and internal/telemetry; two tests that walk the sources start from the same folder as before. The failed-attempt line states whether the request was sent from the attempt itself. No behaviour changes but that log field.

--- a/cmd/auburndyke/main.go
+++ b/cmd/auburndyke/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/cli"
+	"github.com/auburndyke/auburndyke/internal/cli"
 )
 
 func main() {
--- a/internal/adapters/adminhttp/auth.go
+++ b/internal/adapters/adminhttp/auth.go
@@ -7,8 +7,8 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // maxTokenBytes bounds the tokens that are hashed.
--- a/internal/adapters/adminhttp/change.go
+++ b/internal/adapters/adminhttp/change.go
@@ -12,12 +12,12 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // Headers of a change.
--- a/internal/adapters/adminhttp/control.go
+++ b/internal/adapters/adminhttp/control.go
@@ -5,11 +5,11 @@
 	"context"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // Control is the daemon as the administration API needs it. It is safe for
--- a/internal/adapters/adminhttp/drain.go
+++ b/internal/adapters/adminhttp/drain.go
@@ -7,10 +7,10 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // drain starts a drain. It starts at once and is recorded in the configuration
--- a/internal/adapters/adminhttp/helpers_test.go
+++ b/internal/adapters/adminhttp/helpers_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/auburndyke/auburndyke/examples"
 	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -23,6 +22,7 @@
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/control"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/adapters/certs/certs_test.go
+++ b/internal/adapters/certs/certs_test.go
@@ -20,9 +20,9 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/settings"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // testInterval keeps the tests short; files carry distinct sizes or times.
--- a/internal/adapters/certs/source.go
+++ b/internal/adapters/certs/source.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/settings"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // DefaultCheckInterval is the shortest time between two looks at the files.
--- a/internal/capacity/decide.go
+++ b/internal/capacity/decide.go
@@ -9,12 +9,12 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/admission"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/routing"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
--- a/internal/capacity/relay.go
+++ b/internal/capacity/relay.go
@@ -20,11 +20,11 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/gateway"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/routing"
 	"github.com/auburndyke/auburndyke/internal/standin/engine"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // probePrefix starts the prompts of the load generator; the number behind it
--- a/internal/adapters/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -17,7 +17,7 @@
 func example(dir string) []string {
 	paths := make([]string, len(configurationFiles))
 	for i, name := range configurationFiles {
-		paths[i] = filepath.Join("..", "..", "..", "examples", dir, name)
+		paths[i] = filepath.Join("..", "..", "examples", dir, name)
 	}
 	return paths
 }
--- a/internal/adapters/cli/dev.go
+++ b/internal/cli/dev.go
@@ -13,8 +13,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/auburndyke/auburndyke/examples"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/dev"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // startTimeout bounds how long the development deployment takes to be ready.
--- a/internal/adapters/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -11,12 +11,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
-const operatorPages = "../../../docs/operators"
+const operatorPages = "../../docs/operators"
 
 var (
 	fencePattern = regexp.MustCompile("(?ms)^```(sh|toml \\S+)\n(.*?)^```")
@@ -35,7 +35,7 @@
 			w = filepath.Join(d.dir, w)
 		}
 		if rest, ok := strings.CutPrefix(w, "examples/"); ok {
-			w = filepath.Join("..", "..", "..", "examples", rest)
+			w = filepath.Join("..", "..", "examples", rest)
 		}
 		words[i] = w
 	}
@@ -126,7 +126,7 @@
 // goSource returns the code below internal without tests.
 func goSource(t *testing.T) string {
 	var all strings.Builder
-	err := filepath.WalkDir("../..", func(path string, entry os.DirEntry, err error) error {
+	err := filepath.WalkDir("..", func(path string, entry os.DirEntry, err error) error {
 		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
--- a/internal/adapters/cli/edge.go
+++ b/internal/cli/edge.go
@@ -9,8 +9,8 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/spf13/cobra"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/edge"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 	"github.com/auburndyke/auburndyke/platform"
 )
 
--- a/internal/adapters/cli/serve.go
+++ b/internal/cli/serve.go
@@ -23,11 +23,11 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/httpsend"
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/platformclient"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/daemon"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/settings"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -10,12 +10,12 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/adminhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/drain"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // acceptWait is how long a drain order waits for its acceptance. The drain
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
@@ -16,6 +15,7 @@
 	"github.com/auburndyke/auburndyke/internal/membership"
 	"github.com/auburndyke/auburndyke/internal/mesh"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/policy"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 func (d *Daemon) configurationHooks() configlog.Hooks {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/callerhttp"
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/administration"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
@@ -27,6 +26,7 @@
 	"github.com/auburndyke/auburndyke/internal/membership"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // Config describes one daemon process.
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -8,13 +8,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/drain"
 	"github.com/auburndyke/auburndyke/internal/membership"
 	"github.com/auburndyke/auburndyke/internal/mesh"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // errNoFence answers orders to refuse new work: the upstream protocol has no
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/gateway"
 	"github.com/auburndyke/auburndyke/internal/placement"
 	"github.com/auburndyke/auburndyke/internal/routing"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -15,6 +14,7 @@
 	"github.com/auburndyke/auburndyke/internal/placement"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -4,10 +4,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/mesh"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // announce spreads a revision that is in force here. Daemons that already
--- a/internal/dev/cluster_test.go
+++ b/internal/dev/cluster_test.go
@@ -12,12 +12,12 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/drain"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/standin/engine"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // spreadBound and noNewWorkBound are the stated targets.
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -19,7 +19,6 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/httpsend"
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
 	"github.com/auburndyke/auburndyke/internal/adapters/platformclient"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/daemon"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -29,6 +28,7 @@
 	"github.com/auburndyke/auburndyke/internal/standin/engine"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
 	"github.com/auburndyke/auburndyke/internal/standin/service"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // AdminToken is the operator's token in a development fleet.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,13 +18,13 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/netutil"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/inventory"
 	"github.com/auburndyke/auburndyke/internal/peers"
 	"github.com/auburndyke/auburndyke/internal/relay"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -14,8 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/edge"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 	"github.com/auburndyke/auburndyke/platform"
 	"github.com/auburndyke/auburndyke/platform/standin"
 )
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // settingsInterval is how often the settings are compared with their file,
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -4,13 +4,13 @@
 	"sync"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
 	"github.com/auburndyke/auburndyke/internal/inventory"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/relay"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // Formats decodes the rows of the platform's tables.
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/admission"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -16,6 +15,7 @@
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/routing"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // Backend is the client of one upstream. Which half is used depends on the
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -5,12 +5,12 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/admission"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/exchange"
 	"github.com/auburndyke/auburndyke/internal/routing"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // Names of the request metrics.
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -8,11 +8,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/auburndyke/auburndyke/examples"
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/routing"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // Guards against a data race, seen under -race, between a request that has
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/follow"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -13,9 +13,9 @@
 	"github.com/labstack/echo/v4"
 	"gotest.tools/v3/assert"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // directory is a table in memory.
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -10,9 +10,9 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,6 +48,8 @@
 	verdict Verdict
 	result  balancer.Result
 	cause   string
+	// sent tells that the upstream may have seen the request.
+	sent bool
 }
 
 // run makes attempts until the caller has a final answer.
@@ -177,6 +179,7 @@
 
 // sent counts a request that reached its upstream.
 func (q *request) sent(a *attempt) {
+	a.sent = true
 	q.sends++
 	q.tried = append(q.tried, a.choice.Upstream.ID)
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // logPick writes which upstream a request goes to and what decided it.
@@ -43,7 +43,7 @@
 	line.Str("request", string(q.id())).
 		Str("upstream", string(a.choice.Upstream.ID)).
 		Str("error", a.cause).
-		Bool("sent", a.answer != nil || len(q.tried) == q.sends).
+		Bool("sent", a.sent).
 		Int64("elapsed_ms", time.Since(q.arrived).Milliseconds())
 	if a.answer != nil {
 		line.Int("status", a.answer.Status).Bool("reused_connection", !a.answer.Fresh)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -6,7 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // Metrics counts requests and their latencies.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,11 +10,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,12 +13,12 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/httproute"
 	"github.com/auburndyke/auburndyke/internal/inventory"
 	"github.com/auburndyke/auburndyke/internal/relay"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 	"github.com/auburndyke/auburndyke/platform"
 	"github.com/auburndyke/auburndyke/platform/standin"
 )
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -9,10 +9,10 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/auburndyke/auburndyke/internal/adapters/telemetry"
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/inventory"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
--- a/internal/adapters/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -17,7 +17,7 @@
 // Guards against events that operators cannot look up, and against catalogue
 // entries that the code no longer writes.
 func TestCatalogueMatchesDocs(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/events.md")
+	page, err := os.ReadFile("../../docs/events.md")
 	assert.NilError(t, err)
 	rows := regexp.MustCompile("(?m)^\\| (AD\\d{4}) \\| `([a-z_]+)` \\| (\\w+) \\| (.+?) \\|$").FindAllStringSubmatch(string(page), -1)
 	documented := make(map[string]Event)
@@ -55,7 +55,7 @@
 	source, err := os.ReadFile("events.go")
 	assert.NilError(t, err)
 	var code strings.Builder
-	err = filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+	err = filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
