Keep soak runs apart and announce readiness in the log

Cause: failed once: two soak runs at the same time had given one port to two daemons, one of which ended at its start; its log says "address already in use". Ruled out: the daemon; it says why it ends and exits. Change: runs take ports from blocks of their own and see when a daemon ends; the seed is a regression case. The daemon logs AD1002 once both tables are known.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -34,6 +34,8 @@
 	inventory *inventory.Inventory
 	// listed is set once the list of upstreams was read.
 	listed bool
+	// announced is set once the log tells that the daemon is ready.
+	announced bool
 	// expire is armed for the next entry of the list that ends.
 	expire *time.Timer
 }
@@ -51,7 +53,19 @@
 func (s *state) ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.listed && s.handler.Table() != nil
+	return s.readyLocked()
+}
+
+func (s *state) readyLocked() bool { return s.listed && s.handler.Table() != nil }
+
+// announce tells the log once that both tables are known. The caller holds mu.
+func (s *state) announce() {
+	if s.announced || !s.readyLocked() {
+		return
+	}
+	s.announced = true
+	s.log.Event(telemetry.DaemonReady).Uint64("revision", uint64(s.handler.Table().Version)).
+		Int("upstreams", len(s.inventory.Entries())).Send()
 }
 
 // putInForce applies a configuration unless a later one is in force.
@@ -80,6 +94,7 @@
 		Uint64("revision", uint64(table.Version)).Uint64("previous", uint64(before)).
 		Uint64("row_version", uint64(version)).Int("routes", len(config.Routes)).Int("customers", len(config.Customers)).
 		Send()
+	s.announce()
 }
 
 func (s *state) rejected(err error, version ports.Version) {
@@ -154,6 +169,7 @@
 	s.listed = true
 	s.updateBalancer()
 	s.log.Event(telemetry.UpstreamsListed).Int("upstreams", len(all)).Uint64("table_version", uint64(version)).Send()
+	s.announce()
 }
 
 func (s upstreamSink) Apply(now time.Time, rows []ports.Row, _ ports.Version) {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -29,9 +29,14 @@
 	// leaveBound is the settings' bound for new work at a leaving upstream.
 	leaveBound = 2500 * time.Millisecond
 	firstPort  = 20000
-	portCount  = 9000
+	// portBlocks and blockPorts keep runs that go on at the same time apart.
+	portBlocks = 18
+	blockPorts = 500
 )
 
+// takenPorts are the ports that this run has given away.
+var takenPorts = make(map[int]bool)
+
 // upstream is a replica behind a proxy.
 type upstream struct {
 	replica *standin.Replica
@@ -191,13 +196,18 @@
 // take it while its process restarts.
 func freePort(t *testing.T) int {
 	t.Helper()
+	block := firstPort + os.Getpid()%portBlocks*blockPorts
 	for range 100 {
-		port := firstPort + rand.IntN(portCount)
+		port := block + rand.IntN(blockPorts)
+		if takenPorts[port] {
+			continue
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
 		assert.NilError(t, l.Close())
+		takenPorts[port] = true
 		return port
 	}
 	t.Fatal("no free port")
@@ -272,9 +282,22 @@
 	return d.started
 }
 
+// alive reports whether the daemon's process runs. Another process at its
+// address is not taken for it.
+func (d *daemon) alive() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 func (f *fleet) awaitReady(d *daemon) {
 	f.t.Helper()
-	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(readyTime); time.Now().Before(end) && d.alive(); time.Sleep(50 * time.Millisecond) {
 		resp, err := http.Get("http://" + d.ready + "/readyz")
 		if err != nil {
 			continue
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,7 +26,9 @@
 )
 
 // regressions are seeds that failed once, with the cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	946944076, // two runs at the same time had given one port to two daemons
+}
 
 // Guards against broken promises under random faults of processes, connections,
 // upstreams and the store. AUBURNDYKE_SOAK=N runs N fresh seeds;
