Bound the writes to callers and keep one copy of the pause

Cause: reading the change as a newcomer: a caller that reads nothing held its upstream without an end; the pause that ends with its context stood three times. Change: writes end one second after the request's deadline; backoff.Sleep serves follow, peers, edge and daemon; small names and constants moved. Result: TestWritesAreBounded and the tests of the touched packages pass.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -5,6 +5,7 @@
 package backoff
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -39,3 +40,15 @@
 	}
 	return min(bound, p.Cap)
 }
+
+// Sleep waits and reports whether ctx is still alive.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/engineclient"
+	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/gateway"
 	"github.com/auburndyke/auburndyke/internal/placement"
@@ -116,7 +117,7 @@
 		if table := d.gateway.Table(); table != nil {
 			members = table.Members()
 		}
-		if !sleep(ctx, reportInterval(len(members))/time.Duration(max(len(members), 1))) {
+		if !backoff.Sleep(ctx, reportInterval(len(members))/time.Duration(max(len(members), 1))) {
 			return nil
 		}
 		if len(members) == 0 {
@@ -170,15 +171,3 @@
 		u.State.Prefixes.Apply(e)
 	}
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -151,7 +152,7 @@
 // region through one load balancer, so one daemon's demand times their number
 // stands for the region's.
 func (x *director) watchDemand(ctx context.Context) error {
-	for sleep(ctx, demandInterval) {
+	for backoff.Sleep(ctx, demandInterval) {
 		if !x.lease.Held(time.Now()) {
 			continue
 		}
@@ -187,7 +188,7 @@
 func (d *Daemon) housekeeping(ctx context.Context) error {
 	gone := func(o claims.Owner) bool { return d.cluster.gone(o.Daemon, o.Incarnation) }
 	sweeper := claims.NewSweeper(d.cfg.Platform, gone, claims.Limits{})
-	for sleep(ctx, housekeepingInterval) {
+	for backoff.Sleep(ctx, housekeepingInterval) {
 		if !d.cluster.lease.Held(time.Now()) {
 			continue
 		}
--- a/internal/daemon/startup.go
+++ b/internal/daemon/startup.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/peerws"
+	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/mesh"
@@ -68,7 +69,7 @@
 func (d *Daemon) askLoop(ctx context.Context) error {
 	rng := d.rng()
 	for {
-		if !sleep(ctx, askFloor+time.Duration(rng.Int64N(int64(askSpread)))) {
+		if !backoff.Sleep(ctx, askFloor+time.Duration(rng.Int64N(int64(askSpread)))) {
 			return nil
 		}
 		if d.watcher.Readiness().Ready {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -48,10 +49,11 @@
 	e.stop.begun.Store(true)
 	e.handler.CloseConnections()
 	e.deps.Log.Event(telemetry.ShutdownStarted).Int("active", e.handler.Active()).Int64("bound_ms", bound.Milliseconds()).Send()
-	pause(ctx, lameDuck)
+	if !backoff.Sleep(ctx, lameDuck) {
+		return nil
+	}
 	e.handler.EndAt(end)
-	for e.handler.Active() > 0 && time.Now().Before(end) && ctx.Err() == nil {
-		pause(ctx, quietCheck)
+	for e.handler.Active() > 0 && time.Now().Before(end) && backoff.Sleep(ctx, quietCheck) {
 	}
 	e.deps.Log.Event(telemetry.ShutdownComplete).Int("cut", e.handler.Active()).Send()
 	return nil
@@ -59,12 +61,3 @@
 
 // stopServing ends the server for callers once the group stops.
 func (e *Edge) stopServing(s *http.Server) { _ = s.Close() } // requests have ended or their time is over
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -106,13 +106,13 @@
 		}
 		if err == nil {
 			f.reached()
-			if f.changed && !sleep(ctx, f.settle) {
+			if f.changed && !backoff.Sleep(ctx, f.settle) {
 				break
 			}
 			continue
 		}
 		f.missed(err)
-		if !sleep(ctx, pause.Delay(f.failures, f.rng)) {
+		if !backoff.Sleep(ctx, pause.Delay(f.failures, f.rng)) {
 			break
 		}
 	}
@@ -195,14 +195,3 @@
 		f.setKnown(false)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -41,7 +41,7 @@
 		page, err := r.ReadPage(ctx, from)
 		if errors.Is(err, ports.ErrThrottled) && !first {
 			refused++
-			if !sleep(ctx, pageRetry.Delay(refused, rng)) {
+			if !backoff.Sleep(ctx, pageRetry.Delay(refused, rng)) {
 				return nil, 0, ctx.Err()
 			}
 			continue
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -190,7 +191,7 @@
 func (n *Node) keepDirectory(ctx context.Context) {
 	announced := false
 	next := directoryStart
-	for ctx.Err() == nil {
+	for {
 		wait := next
 		if err := n.visitDirectory(ctx, &announced); err != nil {
 			n.Log.Event(telemetry.PeerDirectoryFailed).Err(err).Send()
@@ -198,12 +199,9 @@
 		} else {
 			next = directoryInterval
 		}
-		timer := time.NewTimer(wait/2 + time.Duration(rand.Int64N(int64(wait))))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
+		if !backoff.Sleep(ctx, wait/2+time.Duration(n.readRand.Int64N(int64(wait)))) {
+			return
 		}
-		timer.Stop()
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/httproute"
 )
 
 const (
@@ -42,7 +43,6 @@
 type attempt struct {
 	q      *request
 	choice balancer.Choice
-	ctx    context.Context
 	answer *upstreamhttp.Answer
 	// verdict is that of the answer.
 	verdict Verdict
@@ -57,6 +57,8 @@
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	q.boundWrites(q.deadline.Add(writeSlack))
+	defer q.boundWrites(time.Time{})
 	q.h.Balancer.Arrive(q.arrived, q.query())
 	for {
 		choice, ok := q.pick()
@@ -122,7 +124,6 @@
 	q := a.q
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	a.ctx = ctx
 	a.result = balancer.Failed
 	lease := a.choice.Lease()
 	defer func() { lease.Done(time.Now(), a.result) }()
@@ -145,7 +146,7 @@
 		return a.broken("answer is not marked as the upstream's")
 	case answer.Header.Get("Content-Encoding") != "":
 		return a.broken("answer is encoded")
-	case q.route.Type == streamType && answer.Status == http.StatusOK:
+	case q.route.Type == httproute.Stream && answer.Status == http.StatusOK:
 		return a.relayStream()
 	default:
 		return a.relayWhole()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,9 @@
 	defaultBodyBytes = 4 << 20
 	// bodyTimeout bounds the reading of a request body.
 	bodyTimeout = 10 * time.Second
+	// writeSlack is how long a caller may take for the rest of an answer after
+	// the request's deadline.
+	writeSlack = time.Second
 	// returnMargin is taken off the time that an upstream gets, so that its
 	// answer still reaches the caller in time.
 	returnMargin = 20 * time.Millisecond
@@ -109,6 +112,13 @@
 	}
 }
 
+// boundWrites keeps a caller that reads nothing from holding an upstream. The
+// zero time ends the bound, since a connection keeps it over requests.
+func (q *request) boundWrites(at time.Time) {
+	// Writers without deadlines are those of tests.
+	_ = http.NewResponseController(q.w).SetWriteDeadline(at)
+}
+
 // admit finds route and customer and reads the body. It answers the request
 // itself when it reports false.
 func (q *request) admit() bool {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -409,6 +409,33 @@
 	assert.Equal(t, s.ran(), 2)
 }
 
+// slowWriter records the bounds of writes.
+type slowWriter struct {
+	httptest.ResponseRecorder
+	bounds []time.Time
+}
+
+func (w *slowWriter) SetWriteDeadline(t time.Time) error {
+	w.bounds = append(w.bounds, t)
+	return nil
+}
+
+// Guards against callers that read nothing and hold an upstream for ever, and
+// against a bound that cuts the next request of the connection.
+func TestWritesAreBounded(t *testing.T) {
+	s := startSite(t, 1)
+	w := &slowWriter{ResponseRecorder: *httptest.NewRecorder()}
+	req := httptest.NewRequest(http.MethodGet, "/again/", nil)
+	req.Host = "shop.example"
+	req.Header.Set("X-Attempt-Id", "r1")
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	before := time.Now()
+	s.handler.ServeHTTP(w, req)
+	assert.Equal(t, len(w.bounds), 2)
+	assert.Assert(t, w.bounds[0].After(before) && w.bounds[0].Before(before.Add(10*time.Second)))
+	assert.Assert(t, w.bounds[1].IsZero())
+}
+
 // Guards against requests beyond the operator's limits that reach an upstream.
 func TestLimits(t *testing.T) {
 	s := startSite(t, 1)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -11,11 +11,9 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/balancer"
-	"github.com/auburndyke/auburndyke/internal/httproute"
 )
 
 const (
-	streamType = httproute.Stream
 	// eventBuffer is the size of the read buffer for events.
 	eventBuffer = 4 << 10
 	// maxEventBytes bounds one event.
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -16,6 +16,8 @@
 	// drainBytes bounds what is read of an unused answer to keep its
 	// connection.
 	drainBytes = 16 << 10
+	// drainTimeout bounds the reading of an unused answer.
+	drainTimeout = 50 * time.Millisecond
 	// copyBytes is the size of the buffer for longer answers.
 	copyBytes = 16 << 10
 )
@@ -138,6 +140,3 @@
 	// A failed read leaves the answer incomplete, so Close drops the connection.
 	_, _ = io.Copy(io.Discard, a.answer)
 }
-
-// drainTimeout bounds the reading of an unused answer.
-const drainTimeout = 50 * time.Millisecond
