--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -161,7 +161,10 @@
 		q.outcome.set(outcomeCallerGone, "")
 		return gone
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case q.ctx.Err() != nil:
+		err = q.ctx.Err() // the end of the time closed the connection
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = errSilent
 	}
 	a.cause = err.Error() + " after " + strconv.Itoa(q.outcome.stream.events) + " events"
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -64,6 +64,9 @@
 		a.q.outcome.set(outcomeCallerGone, "")
 		return gone
 	}
+	if cause := a.q.ctx.Err(); cause != nil {
+		err = cause // the end of the time closed the connection
+	}
 	return a.broken("answer broke off: " + err.Error())
 }
 
