Draw the soak's faults in one goroutine and keep restarts apart

Ruled out: the product; the race is in the harness. Change: values are drawn before the fault starts; a daemon restarts once at a time.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -53,6 +53,9 @@
 	settings string
 	log      string
 
+	// restarting keeps two restarts of the daemon apart.
+	restarting sync.Mutex
+
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	exited  chan struct{}
@@ -253,7 +256,14 @@
 
 func (d *daemon) kill() {
 	d.signal(syscall.SIGKILL)
-	<-d.exited
+	<-d.ended()
+}
+
+// ended returns a channel that closes when the present process has ended.
+func (d *daemon) ended() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.exited
 }
 
 // disturbed notes that something happens to the daemon until the given time.
@@ -285,10 +295,8 @@
 // alive reports whether the daemon's process runs. Another process at its
 // address is not taken for it.
 func (d *daemon) alive() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	select {
-	case <-d.exited:
+	case <-d.ended():
 		return false
 	default:
 		return true
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -160,7 +160,8 @@
 			d.signal(syscall.SIGCONT)
 		}
 	case 3:
-		return d.name + " gets SIGHUP with changed settings", func() { d.reload(f, rng.IntN(1000)) }
+		n := rng.IntN(1000)
+		return d.name + " gets SIGHUP with changed settings", func() { d.reload(f, n) }
 	case 4:
 		return fmt.Sprintf("%s loses the store for %s, mode %d", d.name, lasts, mode), func() {
 			disturb(d)
@@ -269,21 +270,12 @@
 
 // restart ends the process in some way and starts it again.
 func (d *daemon) restart(f *fleet, end func()) {
+	d.restarting.Lock()
+	defer d.restarting.Unlock()
 	d.disturbed(time.Now().Add(time.Hour))
-	d.mu.Lock()
-	exited := d.exited
-	d.mu.Unlock()
 	end()
-	<-exited
-	d.mu.Lock()
-	again := d.exited == exited // another fault may have restarted it
-	if again {
-		d.exited = make(chan struct{})
-	}
-	d.mu.Unlock()
-	if again {
-		d.start(f)
-	}
+	<-d.ended()
+	d.start(f)
 }
 
 // stop asks for a planned stop. A frozen process is woken.
@@ -291,7 +283,7 @@
 	d.signal(syscall.SIGTERM)
 	d.signal(syscall.SIGCONT)
 	select {
-	case <-d.exited:
+	case <-d.ended():
 	case <-time.After(stopBound + 2*time.Second):
 		d.kill()
 	}
