Drop a threshold of one failure in follow

Cause: rereadAfter was 1, so its check could not be false. Change: a failure leads to a full reading without the check. Behaviour is the same; go test ./internal/follow ./internal/edge passes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -27,9 +27,6 @@
 	defaultWait = 5 * time.Second
 	// answerTime is how long an answer may take beyond the wait.
 	answerTime = time.Second
-	// rereadAfter is the number of failures in a row after which the whole
-	// table is read again: rows may have lapsed and come back meanwhile.
-	rereadAfter = 1
 	// failureFloor and failureCap bound the pause after a failure.
 	failureFloor = 100 * time.Millisecond
 	failureCap   = 2 * time.Second
@@ -191,7 +188,6 @@
 	if f.failures == 1 {
 		f.sink.Lost(err, f.contactAt)
 	}
-	if f.failures >= rereadAfter {
-		f.setKnown(false)
-	}
+	// The whole table is read again: rows may have lapsed and come back.
+	f.setKnown(false)
 }
