Copy the shared parts of a prompt from the engine that holds them

Engines that read all the time give running streams one token a chunk, so reviews end at their deadline. Ruled out: affinity by itself (99% of the long prompts go to their home); a cheap move. Change: the choice of an upstream stays; a request that is placed where its shared parts are not expected names the home, or the home before the last change of pools or engines, as the engine to copy from. Most copies still find nothing, so daemons need to know where prompts are.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -61,6 +61,20 @@
 	speed   prefillSpeed
 	pools   pools
 	load    typicalLoad
+	// tokenCopy is Engine.TokenCopy.
+	tokenCopy time.Duration
+	// poolSize is the size of the interactive pool at the last pick.
+	poolSize int
+}
+
+// Engine describes the engines of a service. The zero value means a plain
+// service.
+type Engine struct {
+	// Memory is the number of tokens that an engine's memory holds.
+	Memory int
+	// TokenCopy is the time in which an engine copies the memory of one token
+	// from another engine. Zero means that engines do not copy.
+	TokenCopy time.Duration
 }
 
 // Site is where a daemon runs.
@@ -94,11 +108,11 @@
 }
 
 // Update takes the list of upstreams. What is known of those that stay in the
-// same incarnation is kept. memory returns the number of tokens that an engine
-// of a service holds; zero means a plain service.
-func (b *Balancer) Update(entries []inventory.Entry, memory func(service string) int) {
+// same incarnation is kept. engine describes the engines of a service.
+func (b *Balancer) Update(now time.Time, entries []inventory.Entry, engine func(service string) Engine) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	first := len(b.upstreams) == 0
 	next := make(map[domain.UpstreamID]*upstream, len(entries))
 	for _, s := range b.services {
 		s.upstreams = nil
@@ -107,16 +121,21 @@
 		u := b.upstreams[e.ID]
 		if u == nil || u.Incarnation != e.Incarnation || u.Address != e.Address {
 			u = &upstream{hash: xxhash.Sum64String(string(e.ID))}
+			if !first {
+				u.joinedAt = now
+			}
 		}
 		u.Entry = e
 		u.distance = b.site.distance(e.Zone)
-		u.cache.capacity = memory(e.Service)
+		kind := engine(e.Service)
+		u.cache.capacity = kind.Memory
 		next[e.ID] = u
 		s := b.services[e.Service]
 		if s == nil {
 			s = &service{}
 			b.services[e.Service] = s
 		}
+		s.tokenCopy = kind.TokenCopy
 		s.upstreams = append(s.upstreams, u)
 	}
 	for name, s := range b.services {
@@ -147,6 +166,10 @@
 	// Uncached is the number of prompt tokens that the upstream is expected to
 	// read.
 	Uncached int
+	// Fetched is the number of prompt tokens that the upstream is expected to
+	// copy from the engine at FetchFrom instead of reading them.
+	Fetched   int
+	FetchFrom string
 	// Interactive tells that the request belongs to the pool for streams with
 	// short pauses, which has PoolSize upstreams.
 	Interactive bool
@@ -207,13 +230,19 @@
 	best := Choice{Interactive: interactive}
 	if len(prompt.hashes) > 0 {
 		best.PoolSize = s.pools.size(now, len(s.serving))
+		s.setPool(now, best.PoolSize)
 	}
 	// A prompt's home is in the pool of its request.
 	own := func(u *upstream) bool { return u.inPool(best.PoolSize) == interactive }
 	home := rendezvous(candidates, prompt.affinity, own)
+	holder := s.holder(now, candidates, prompt, interactive)
 	var picked *upstream
 	for _, u := range candidates {
 		uncached := u.cache.missing(prompt)
+		fetched := 0
+		if u != holder && holder != nil && s.worthCopying(uncached-prompt.own) {
+			fetched = uncached - prompt.own
+		}
 		if u == home {
 			uncached = min(uncached, prompt.own)
 		}
@@ -222,10 +251,13 @@
 			cost += poolPenalty
 		}
 		if picked == nil || cost < best.Cost {
-			best.Cost, best.Uncached, picked = cost, uncached, u
+			best.Cost, best.Uncached, best.Fetched, picked = cost, uncached, fetched, u
 		}
 	}
 	best.Home = picked == home
+	if best.Fetched > 0 {
+		best.FetchFrom = holder.Address
+	}
 	return best, picked
 }
 
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -24,9 +24,13 @@
 	return out
 }
 
+func kindOf(memory int) func(string) Engine {
+	return func(string) Engine { return Engine{Memory: memory} }
+}
+
 func newBalancer(entries []inventory.Entry) *Balancer {
 	b := New(Site{})
-	b.Update(entries, func(string) int { return 400_000 })
+	b.Update(start, entries, kindOf(400_000))
 	return b
 }
 
@@ -95,10 +99,10 @@
 	}
 	assert.Equal(t, place(t, b, start, review(1, 2)).Upstream.ID, entries[2].ID)
 	entries[2].Standing = inventory.Leaving
-	b.Update(entries, func(string) int { return 0 })
+	b.Update(start, entries, kindOf(0))
 	assert.Equal(t, place(t, b, start, review(1, 2)).Upstream.ID, entries[1].ID)
 	entries[1].Standing = inventory.Leaving
-	b.Update(entries, func(string) int { return 0 })
+	b.Update(start, entries, kindOf(0))
 	_, ok := b.Pick(start, review(1, 2))
 	assert.Assert(t, !ok)
 }
@@ -133,7 +137,7 @@
 	u := b.upstreams[entries[0].ID]
 	assert.Equal(t, u.cache.missing(newPrompt(review(1, 2).Parts)), 3_000)
 	entries[0].Incarnation = 2
-	b.Update(entries, func(string) int { return 400_000 })
+	b.Update(start, entries, kindOf(400_000))
 	u = b.upstreams[entries[0].ID]
 	assert.Equal(t, u.cache.missing(newPrompt(review(1, 2).Parts)), 16_000)
 	assert.Equal(t, u.inFlight, 0)
@@ -261,7 +265,7 @@
 		entries[i].Slots, entries[i].Zone = 6, zones[i]
 	}
 	b := New(Site{Zone: "near", Region: "r1", Regions: map[domain.AvailabilityZone]domain.Region{"near": "r1", "far": "r2", "farther": "r3"}})
-	b.Update(entries, func(string) int { return 0 })
+	b.Update(start, entries, kindOf(0))
 	used := make(map[domain.UpstreamID]int)
 	for i := range 15 {
 		c, ok := b.Pick(start, Query{Service: "model"})
@@ -277,6 +281,93 @@
 	assert.Equal(t, len(used), 3)
 }
 
+// Guards against shared parts that are read again although an engine holds
+// them: when a prompt leaves its full home, and when it gets a new home because
+// an engine joins.
+func TestCopiesFromHolder(t *testing.T) {
+	copying := func(string) Engine { return Engine{Memory: 400_000, TokenCopy: 2 * time.Microsecond} }
+	entries := engines(12)
+	b := New(Site{})
+	b.Update(start, entries[:11], copying)
+	first := place(t, b, start, review(1, 10))
+	assert.Assert(t, first.Home && first.FetchFrom == "")
+	for i := range 60 {
+		c := place(t, b, start, review(1, uint64(i+100)))
+		if c.Upstream.ID == first.Upstream.ID {
+			assert.Equal(t, c.FetchFrom, "")
+		} else if c.Fetched > 0 {
+			assert.Equal(t, c.Fetched, 13_000)
+			assert.Equal(t, c.FetchFrom, first.Upstream.Address)
+		}
+	}
+
+	b = New(Site{})
+	b.Update(start, entries[:11], copying)
+	before := make(map[uint64]Choice)
+	for thing := range uint64(100) {
+		before[thing] = place(t, b, start, review(thing, 1000+thing))
+		before[thing].Lease().Done(start, OK)
+	}
+	// Another daemon has not seen these prompts.
+	b = New(Site{})
+	b.Update(start, entries[:11], copying)
+	joined := start.Add(time.Minute)
+	b.Update(joined, entries, copying)
+	moved := 0
+	for thing := range uint64(100) {
+		c := place(t, b, joined, review(thing, 2000+thing))
+		c.Lease().Done(joined, OK)
+		if c.Upstream.ID == before[thing].Upstream.ID {
+			assert.Equal(t, c.FetchFrom, "")
+			continue
+		}
+		moved++
+		assert.Equal(t, c.Upstream.ID, entries[11].ID)
+		assert.Equal(t, c.FetchFrom, before[thing].Upstream.Address)
+	}
+	assert.Assert(t, moved > 0)
+	later := joined.Add(movedLife)
+	for thing := range uint64(100) {
+		c := place(t, b, later, review(1000+thing, 3000+thing))
+		c.Lease().Done(later, OK)
+		assert.Equal(t, c.FetchFrom, "")
+	}
+}
+
+// Guards against copies for a service whose engines do not copy.
+func TestNoCopyWithoutLinks(t *testing.T) {
+	b := newBalancer(engines(4))
+	for i := range 60 {
+		assert.Equal(t, place(t, b, start, review(1, uint64(i+10))).FetchFrom, "")
+	}
+}
+
+// Guards against prompts that are read again when the pool of interactive
+// streams grows over the home of a prompt.
+func TestCopiesAcrossPools(t *testing.T) {
+	b := New(Site{})
+	b.Update(start, engines(12), func(string) Engine { return Engine{Memory: 400_000, TokenCopy: 2 * time.Microsecond} })
+	place(t, b, start, note(1)).Lease().Done(start, OK)
+	b.SetTotal(start, "model", Work{Interactive: 100, Other: 1100})
+	before := make(map[uint64]Choice)
+	for thing := range uint64(100) {
+		before[thing] = place(t, b, start, review(thing, 1000+thing))
+		before[thing].Lease().Done(start, OK)
+	}
+	later := start.Add(time.Minute)
+	b.SetTotal(later, "model", Work{Interactive: 600, Other: 600})
+	moved := 0
+	for thing := range uint64(100) {
+		c := place(t, b, later, review(thing, 2000+thing))
+		c.Lease().Done(later, OK)
+		if c.Upstream.ID != before[thing].Upstream.ID {
+			moved++
+			assert.Equal(t, c.FetchFrom, before[thing].Upstream.Address)
+		}
+	}
+	assert.Assert(t, moved > 20, "%d prompts moved", moved)
+}
+
 // BenchmarkPick measures one decision at today's and the planned size.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{12, 90, 2500} {
--- /dev/null
+++ b/internal/balancer/fetch.go
@@ -0,0 +1,54 @@
+package balancer
+
+import "time"
+
+const (
+	// copySetup is the time that a copy takes before its first token.
+	copySetup = 5 * time.Millisecond
+	// movedLife is how long an engine that joined, or came from the other pool,
+	// counts as one that lacks the prompts of its new home. Prompts in use come
+	// back within that time.
+	movedLife = 20 * time.Second
+)
+
+// An engine that lacks the shared parts of a prompt can copy them from the
+// memory of one that holds them, which takes a small part of the time of
+// reading them. Daemons do not tell each other where prompts are. They know it
+// without: all of them send a prompt to its home, and after a change of the
+// engines or of the pools the home before the change still holds it. The copy is
+// an attempt: an engine reads what the other does not hold, so the choice of an
+// upstream counts on reading.
+
+// setPool takes the size of the interactive pool and notes which engines
+// changed sides.
+func (s *service) setPool(now time.Time, size int) {
+	if size == s.poolSize {
+		return
+	}
+	low, high := min(size, s.poolSize), max(size, s.poolSize)
+	for i := low; i < min(high, len(s.serving)); i++ {
+		s.serving[i].switchedAt = now
+	}
+	s.poolSize = size
+}
+
+// holder returns the engine that most likely holds the shared parts of a
+// prompt, or nil if engines do not copy. interactive names the pool of the
+// request.
+func (s *service) holder(now time.Time, candidates []*upstream, p prompt, interactive bool) *upstream {
+	if s.tokenCopy == 0 {
+		return nil
+	}
+	return rendezvous(candidates, p.affinity, func(u *upstream) bool {
+		own := u.inPool(s.poolSize) == interactive
+		return !recent(now, u.joinedAt) && own != recent(now, u.switchedAt)
+	})
+}
+
+// worthCopying reports whether copying tokens takes less time than reading
+// them.
+func (s *service) worthCopying(tokens int) bool {
+	return tokens > 0 && copySetup+time.Duration(tokens)*s.tokenCopy < s.speed.duration(tokens)
+}
+
+func recent(now, at time.Time) bool { return !at.IsZero() && now.Sub(at) < movedLife }
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -35,7 +35,11 @@
 	position int
 	hash     uint64
 	cache    promptCache
-	health   health
+	// joinedAt is when the engine joined the others; zero if it was in the
+	// first list. switchedAt is when it came from the other pool.
+	joinedAt   time.Time
+	switchedAt time.Time
+	health     health
 	// inFlight is the number of requests that this daemon has there.
 	inFlight int
 	// reading is the number of prompt tokens that this daemon sent and whose
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -104,14 +104,19 @@
 // updateBalancer hands the list to the balancer. The caller holds mu.
 func (s *state) updateBalancer() {
 	table := s.handler.Table()
-	s.balancer.Update(s.inventory.Entries(), func(service string) int {
+	s.balancer.Update(time.Now(), s.inventory.Entries(), func(service string) balancer.Engine {
 		if table == nil {
-			return 0
+			return balancer.Engine{}
 		}
-		if known := table.Service(service); known != nil && known.Engine != nil {
-			return known.Engine.KVTokens
+		known := table.Service(service)
+		if known == nil || known.Engine == nil {
+			return balancer.Engine{}
 		}
-		return 0
+		e := balancer.Engine{Memory: known.Engine.KVTokens}
+		if rate := known.Engine.LinkBitRate; rate > 0 {
+			e.TokenCopy = time.Duration(float64(known.Engine.KVTokenBytes*8) / rate * float64(time.Second))
+		}
+		return e
 	})
 	s.armExpiry()
 }
--- a/internal/httproute/config.go
+++ b/internal/httproute/config.go
@@ -71,6 +71,12 @@
 type Engine struct {
 	// KVTokens is the number of tokens that an engine's memory holds.
 	KVTokens int
+	// KVTokenBytes is the size of one token in that memory. Zero means that it
+	// is not known.
+	KVTokenBytes int
+	// LinkBitRate is the rate at which an engine copies memory from another, in
+	// bits per second. Zero means that engines do not copy.
+	LinkBitRate float64
 }
 
 // Service is a group of equal upstreams.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -169,6 +169,7 @@
 			Remaining: max(q.remaining()-returnMargin, time.Millisecond),
 			Urgency:   q.table.Scale(q.rank, q.h.Protocol.MaxUrgency()),
 			Engine:    q.engine,
+			FetchFrom: a.choice.FetchFrom,
 			LastEvent: q.caller.LastEvent,
 		}),
 		Body:           q.body,
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -28,6 +28,8 @@
 		Bool("home", c.Home).
 		Int("in_flight", c.InFlight).
 		Int("uncached_tokens", c.Uncached).
+		Int("fetched_tokens", c.Fetched).
+		Str("fetched_from", c.FetchFrom).
 		Int64("cost_ms", c.Cost.Milliseconds()).
 		Int64("report_age_ms", c.ReportAge.Milliseconds()).
 		Int("attempt", len(q.tried)+1).
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -32,6 +32,9 @@
 	Urgency int
 	// Engine marks upstreams that take an urgency.
 	Engine bool
+	// FetchFrom is the address of the engine from whose memory the upstream
+	// copies the prompt's shared parts; empty for none.
+	FetchFrom string
 	// LastEvent is the event behind which the stream goes on; empty to start
 	// at the beginning.
 	LastEvent string
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -93,7 +93,7 @@
 		assert.NilError(s.t, err)
 		entries = append(entries, inventory.Entry{Registration: registration})
 	}
-	s.balancer.Update(entries, func(string) int { return 0 })
+	s.balancer.Update(time.Now(), entries, func(string) balancer.Engine { return balancer.Engine{} })
 }
 
 // set gives all replicas one behaviour.
@@ -375,7 +375,7 @@
 	assert.NilError(t, err)
 	other, err := platform.DecodeReplica(s.replicas[1].ID, s.replicas[1].Registration("app", "here", "ready"))
 	assert.NilError(t, err)
-	s.balancer.Update([]inventory.Entry{{Registration: registration}, {Registration: other}}, func(string) int { return 0 })
+	s.balancer.Update(time.Now(), []inventory.Entry{{Registration: registration}, {Registration: other}}, func(string) balancer.Engine { return balancer.Engine{} })
 	for i := range 4 {
 		got := s.do(s.request(http.MethodPost, "/once/", fmt.Sprintf("r%d", i), "x"))
 		assert.Equal(t, got.status, http.StatusOK)
