Count engines as new only after requests have come, pools as changed after 2 s

Cause: engines that register while daemons start, before the first request, and engines that the first guesses of the pool's size moved about were taken for newcomers, so that nine long prompts in ten named an engine to copy from that held nothing. Ruled out: a lasting harm of vain copies; the worth differs by little. Change: an engine counts as joined only when its service has had a request; one that was in the other pool for under 2 s still holds its prompts.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -65,6 +65,8 @@
 	tokenCopy time.Duration
 	// poolSize is the size of the interactive pool at the last pick.
 	poolSize int
+	// firstPick is when the service got its first request.
+	firstPick time.Time
 }
 
 // Engine describes the engines of a service. The zero value means a plain
@@ -112,7 +114,6 @@
 func (b *Balancer) Update(now time.Time, entries []inventory.Entry, engine func(service string) Engine) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	first := len(b.upstreams) == 0
 	next := make(map[domain.UpstreamID]*upstream, len(entries))
 	for _, s := range b.services {
 		s.upstreams = nil
@@ -121,7 +122,8 @@
 		u := b.upstreams[e.ID]
 		if u == nil || u.Incarnation != e.Incarnation || u.Address != e.Address {
 			u = &upstream{hash: xxhash.Sum64String(string(e.ID))}
-			if !first {
+			// Before the first request no engine holds anything.
+			if s := b.services[e.Service]; s != nil && !s.firstPick.IsZero() {
 				u.joinedAt = now
 			}
 		}
@@ -229,6 +231,9 @@
 func (s *service) pick(now time.Time, q Query, prompt prompt, candidates []*upstream, interactive bool) (Choice, *upstream) {
 	best := Choice{Interactive: interactive}
 	if len(prompt.hashes) > 0 {
+		if s.firstPick.IsZero() {
+			s.firstPick = now
+		}
 		best.PoolSize = s.pools.size(now, len(s.serving))
 		s.setPool(now, best.PoolSize)
 	}
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -311,6 +311,7 @@
 	// Another daemon has not seen these prompts.
 	b = New(Site{})
 	b.Update(start, entries[:11], copying)
+	place(t, b, start, review(1, 1)).Lease().Done(start, OK)
 	joined := start.Add(time.Minute)
 	b.Update(joined, entries, copying)
 	moved := 0
--- a/internal/balancer/fetch.go
+++ b/internal/balancer/fetch.go
@@ -9,6 +9,9 @@
 	// counts as one that lacks the prompts of its new home. Prompts in use come
 	// back within that time.
 	movedLife = 20 * time.Second
+	// settledTime is how long an engine is in a pool before it holds prompts
+	// that are worth copying.
+	settledTime = 2 * time.Second
 )
 
 // An engine that lacks the shared parts of a prompt can copy them from the
@@ -26,12 +29,25 @@
 		return
 	}
 	low, high := min(size, s.poolSize), max(size, s.poolSize)
-	for i := low; i < min(high, len(s.serving)); i++ {
-		s.serving[i].switchedAt = now
+	for _, u := range s.serving[min(low, len(s.serving)):min(high, len(s.serving))] {
+		u.switchPool(now, s.firstPick)
 	}
 	s.poolSize = size
 }
 
+// switchPool notes that the engine changed sides. One that returns after a
+// short time still holds its prompts.
+func (u *upstream) switchPool(now, first time.Time) {
+	since := u.switchedAt
+	if since.IsZero() {
+		since = first
+	}
+	u.switchedAt = now
+	if now.Sub(since) < settledTime {
+		u.switchedAt = time.Time{}
+	}
+}
+
 // holder returns the engine that most likely holds the shared parts of a
 // prompt, or nil if engines do not copy. interactive names the pool of the
 // request.
