Give a full home one alternate engine, which copies from it

Cause: a prompt that leaves its full home went to any engine, at the cost of reading it there; so it mostly stayed and waited. Change: the second engine of a prompt's order counts with the cost of a copy, which rises like that of reading while requests wait. TestFullHomeHasOneAlternate fails without the change.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -241,6 +241,12 @@
 	own := func(u *upstream) bool { return u.inPool(best.PoolSize) == interactive }
 	home := rendezvous(candidates, prompt.affinity, own)
 	holder := s.holder(now, candidates, prompt, interactive)
+	// A full home sends its prompts to one other engine, so that they are copied
+	// once. Elsewhere the choice counts on reading.
+	var alternate *upstream
+	if holder != nil {
+		alternate = rendezvous(candidates, prompt.affinity, func(u *upstream) bool { return u != home && own(u) })
+	}
 	var picked *upstream
 	for _, u := range candidates {
 		uncached := u.cache.missing(prompt)
@@ -251,7 +257,12 @@
 		if u == home {
 			uncached = min(uncached, prompt.own)
 		}
-		cost := u.cost(now, s, prompt, uncached) + u.distance
+		cost := u.distance
+		if u == alternate && fetched > 0 {
+			uncached = prompt.own
+			cost += s.copyCost(fetched)
+		}
+		cost += u.cost(now, s, prompt, uncached)
 		if !own(u) {
 			cost += poolPenalty
 		}
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -335,6 +335,33 @@
 	}
 }
 
+// Guards against a popular prompt that is read at many engines when its home is
+// full, and against daemons that send it to different ones. The load is 40
+// requests for one prompt at once, which is more than its home serves in time.
+func TestFullHomeHasOneAlternate(t *testing.T) {
+	copying := func(string) Engine { return Engine{Memory: 400_000, TokenCopy: 2 * time.Microsecond} }
+	var alternates []domain.UpstreamID
+	for range 2 {
+		b := New(Site{})
+		b.Update(start, engines(12), copying)
+		home := place(t, b, start, review(1, 10))
+		used := make(map[domain.UpstreamID]int)
+		for i := range 40 {
+			c := place(t, b, start, review(1, uint64(i+100)))
+			used[c.Upstream.ID]++
+			if c.Upstream.ID != home.Upstream.ID && used[c.Upstream.ID] == 1 {
+				assert.Equal(t, c.FetchFrom, home.Upstream.Address)
+				if len(used) == 2 {
+					alternates = append(alternates, c.Upstream.ID)
+				}
+			}
+		}
+		assert.Assert(t, len(used) > 1 && len(used) <= 4, "%v", used)
+	}
+	assert.Equal(t, len(alternates), 2)
+	assert.Equal(t, alternates[0], alternates[1])
+}
+
 // Guards against copies for a service whose engines do not copy.
 func TestNoCopyWithoutLinks(t *testing.T) {
 	b := newBalancer(engines(4))
--- a/internal/balancer/fetch.go
+++ b/internal/balancer/fetch.go
@@ -5,6 +5,9 @@
 const (
 	// copySetup is the time that a copy takes before its first token.
 	copySetup = 5 * time.Millisecond
+	// copyWeight counts the time of a copy more than once: it takes memory at
+	// the other engine and transport on the way.
+	copyWeight = 8.0
 	// movedLife is how long an engine that joined, or came from the other pool,
 	// counts as one that lacks the prompts of its new home. Prompts in use come
 	// back within that time.
@@ -19,8 +22,7 @@
 // reading them. Daemons do not tell each other where prompts are. They know it
 // without: all of them send a prompt to its home, and after a change of the
 // engines or of the pools the home before the change still holds it. The copy is
-// an attempt: an engine reads what the other does not hold, so the choice of an
-// upstream counts on reading.
+// an attempt: an engine reads what the other does not hold.
 
 // setPool takes the size of the interactive pool and notes which engines
 // changed sides.
@@ -67,4 +69,11 @@
 	return tokens > 0 && copySetup+time.Duration(tokens)*s.tokenCopy < s.speed.duration(tokens)
 }
 
+// copyCost is the cost of copying tokens. It rises while requests wait at all
+// engines, because a home that is still reading has nothing to copy yet.
+func (s *service) copyCost(tokens int) time.Duration {
+	weight := copyWeight * (1 + pressureWeight*s.load.pressure)
+	return copySetup + time.Duration(weight*float64(tokens)*float64(s.tokenCopy))
+}
+
 func recent(now, at time.Time) bool { return !at.IsZero() && now.Sub(at) < movedLife }
