Take an upstream that refuses for a full one

A refusal was no failure and its load said 0 running, 0 waiting, which peers learned too, so the idle-looking engines drew the burst: 653 refusals in two seconds, one engine 132 of them, and 291 chats that ran out of attempts or of the retry budget. Ruled out: full queues (the refusals came within 30 ms, with a load of 0).

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -224,6 +224,63 @@
 	assert.Equal(t, place(t, b, start, note(999)).PoolSize, 19)
 }
 
+// Guards against an engine that refuses everything at once, states no load and
+// so draws the requests of all daemons. The load is a burst of notes while one of
+// 12 engines has come back empty and does not serve yet.
+func TestRefusingEngineDrawsNoRequests(t *testing.T) {
+	const daemons = 6
+	entries := engines(12)
+	var fleet []*Balancer
+	for range daemons {
+		b := newBalancer(entries)
+		for i := range uint64(60) { // so that the notes are known as short
+			place(t, b, start, review(i, i+10)).Lease().Done(start, OK)
+		}
+		fleet = append(fleet, b)
+	}
+	bad := fleet[0].services["model"].serving[0].ID // in the pool for notes
+	now, refused := start, 0
+	for i := range 1200 {
+		now = now.Add(5 * time.Millisecond)
+		b := fleet[i%daemons]
+		for _, u := range b.upstreams {
+			switch {
+			case i >= daemons:
+			case u.ID == bad:
+				b.Observe(now, u.ID, Load{Slots: 32})
+			default:
+				b.Observe(now, u.ID, Load{Running: 20, Waiting: 1, Slots: 32})
+			}
+		}
+		b.SetTotal(now, "model", Work{Interactive: 600, Other: 600})
+		c := place(t, b, now, note(uint64(i+100)))
+		if c.Upstream.ID == bad {
+			refused++
+			c.Lease().Report(now, Load{Slots: 32})
+			c.Lease().Done(now, Refused)
+		} else {
+			c.Lease().FirstEvent(now.Add(100 * time.Millisecond))
+			c.Lease().Report(now, Load{Running: 20, Waiting: 1, Slots: 32})
+			c.Lease().Done(now, OK)
+		}
+		if i%100 == 99 {
+			spread := make(map[uint32]Report)
+			for _, b := range fleet {
+				for id, r := range b.Learned() {
+					if r.At.After(spread[id].At) {
+						spread[id] = r
+					}
+				}
+			}
+			for _, b := range fleet {
+				b.SetReports(spread)
+			}
+		}
+	}
+	// Each daemon may try it when its avoidance ends: at 0, 0.5, 1.5, 3.5 s.
+	assert.Assert(t, refused > 0 && refused <= daemons*5, "%d of 1200 requests were refused", refused)
+}
+
 // Guards against questions to engines while no request waits, and against
 // requests that go to an engine which peers know to be full.
 func TestReports(t *testing.T) {
--- a/internal/balancer/lease.go
+++ b/internal/balancer/lease.go
@@ -77,5 +77,12 @@
 		l.u.inFlight--
 		l.endReading()
 		l.u.health.observe(now, result)
+		if result == Refused {
+			// Whatever load it states, it has no room. Peers learn it too.
+			full := max(l.u.Slots, 1)
+			l.b.stated(now, l.u, Load{
+				Running: max(l.u.report.Running, full), Waiting: max(l.u.report.Waiting, full), Slots: l.u.report.Slots,
+			})
+		}
 	})
 }
