Let one daemon of a group read the platform's tables for it

The store's rates are bounded; at 330 daemons the calls grow with the fleet. Ruled out: longer waits for a change alone (a silent store would go unnoticed for as long); an elected reader (a record that must be kept and fenced). Change: groups of up to 16 daemons of a zone; the best one that reaches the store covers those behind it, see docs/decisions/0013. Copies travel as changes after a version. The directory holds the zone and is read each minute instead of each 30 s. Small sites have no group of 4 and are unchanged.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,12 @@
 	connectionShare = 0.5
 )
 
+// Names of the tables that daemons follow.
+const (
+	tableConfiguration = "configuration"
+	tableUpstreams     = "upstreams"
+)
+
 // Deps are the adapters that a daemon needs.
 type Deps struct {
 	Protocol      relay.Protocol
@@ -139,12 +145,26 @@
 	var g run.Group
 	addServer(&g, e.frontServer(), front, e.stopServing)
 	addServer(&g, &http.Server{Handler: e.probes(), ReadHeaderTimeout: headerTimeout}, ready, closeNow)
-	configuration := follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{Rand: newRand()})
-	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{Settle: listSettle(s), Rand: newRand()})
+	var node *peers.Node
+	covered := func(table string) func(time.Time) time.Duration {
+		return func(now time.Time) time.Duration {
+			if node == nil {
+				return 0
+			}
+			return node.Covered(table, now)
+		}
+	}
+	configuration := follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{
+		Covered: covered(tableConfiguration), Rand: newRand(),
+	})
+	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{
+		Settle: listSettle(s), Covered: covered(tableUpstreams), Rand: newRand(),
+	})
+	node = e.newPeers(map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
 	addLoop(&g, configuration.Run)
 	addLoop(&g, upstreams.Run)
-	node := e.newPeers(map[string]peers.Table{"configuration": configuration, "upstreams": upstreams})
 	if node != nil {
+		e.state.changed = node.Changed
 		addLoop(&g, node.Run)
 	}
 	if err := e.addInternal(&g, s.Internal, node); err != nil {
@@ -249,7 +269,7 @@
 		return nil
 	}
 	return peers.New(peers.Config{
-		Daemon: string(s.Daemon), Address: s.Internal, Directory: e.deps.Daemons,
+		Daemon: string(s.Daemon), Address: s.Internal, Zone: string(s.Zone), Directory: e.deps.Daemons,
 		Observer: peerObserver{e}, Tables: tables, Rand: newRand(), Log: e.deps.Log,
 	})
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -36,6 +36,8 @@
 	listed bool
 	// announced is set once the log tells that the daemon is ready.
 	announced bool
+	// changed is called when a table has changed. Nil means nobody asks.
+	changed func()
 	// expire is armed for the next entry of the list that ends.
 	expire *time.Timer
 }
@@ -97,6 +99,12 @@
 	s.announce()
 }
 
+func (s *state) tellChange() {
+	if s.changed != nil {
+		s.changed()
+	}
+}
+
 func (s *state) rejected(err error, version ports.Version) {
 	s.log.Event(telemetry.ConfigurationRejected).Err(err).Uint64("row_version", uint64(version)).Send()
 }
@@ -152,6 +160,7 @@
 			s.putInForce(row.Value, row.Version)
 		}
 	}
+	s.tellChange()
 }
 
 func (s configSink) Lost(err error, since time.Time) { s.lost("configuration", err, since) }
@@ -175,6 +184,7 @@
 	s.updateBalancer()
 	s.log.Event(telemetry.UpstreamsListed).Int("upstreams", len(all)).Uint64("table_version", uint64(version)).Send()
 	s.announce()
+	s.tellChange()
 }
 
 func (s upstreamSink) Apply(now time.Time, rows []ports.Row, _ ports.Version) {
@@ -193,6 +203,7 @@
 		s.log.Event(telemetry.UpstreamUnlisted).Str("upstream", row.Key).Uint64("row_version", uint64(row.Version)).Send()
 	}
 	s.updateBalancer()
+	s.tellChange()
 }
 
 // decode returns the registration in a row, if it holds one.
--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -19,15 +20,21 @@
 // Behind reports whether a copy lacks a change that another one has.
 func (v Versions) Behind(other Versions) bool { return other.Changed > v.AsOf }
 
+// maxRemoved bounds the removed rows that a copy remembers.
+const maxRemoved = 1000
+
 // Snapshot is a copy of a table.
 type Snapshot struct {
 	Versions
 	rows map[string]ports.Row
+	// removed holds the versions of rows that were removed behind complete.
+	removed  map[string]ports.Version
+	complete ports.Version
 }
 
 // NewSnapshot returns a copy with the given rows.
 func NewSnapshot(rows []ports.Row, versions Versions) Snapshot {
-	s := Snapshot{Versions: versions, rows: make(map[string]ports.Row, len(rows))}
+	s := Snapshot{Versions: versions, rows: make(map[string]ports.Row, len(rows)), complete: versions.AsOf}
 	for _, r := range rows {
 		s.rows[r.Key] = r
 	}
@@ -52,12 +59,46 @@
 		s.Changed = max(s.Changed, r.Version)
 		if r.Deleted {
 			delete(s.rows, r.Key)
+			s.remove(r)
 		} else {
 			s.rows[r.Key] = r
+			delete(s.removed, r.Key)
 		}
 	}
 }
 
+func (s *Snapshot) remove(r ports.Row) {
+	if s.removed == nil {
+		s.removed = make(map[string]ports.Version)
+	}
+	s.removed[r.Key] = r.Version
+	if len(s.removed) > maxRemoved {
+		// Later changes are told against the full copy.
+		s.removed, s.complete = nil, s.Changed
+	}
+}
+
+// Since returns the rows that changed after a version. It reports false if it
+// does not know all of them.
+func (s *Snapshot) Since(after ports.Version) ([]ports.Row, bool) {
+	if after < s.complete {
+		return nil, false
+	}
+	var out []ports.Row
+	for _, r := range s.rows {
+		if r.Version > after {
+			out = append(out, r)
+		}
+	}
+	for key, version := range s.removed {
+		if version > after {
+			out = append(out, ports.Row{Key: key, Version: version, Deleted: true})
+		}
+	}
+	slices.SortFunc(out, func(a, b ports.Row) int { return cmp.Compare(a.Version, b.Version) })
+	return out, true
+}
+
 // replace takes a complete table. The caller holds mu.
 func (f *Follower) replace(rows []ports.Row, version ports.Version) {
 	changed := f.copy.Changed
@@ -80,6 +121,39 @@
 	return NewSnapshot(f.copy.Rows(), f.copy.Versions)
 }
 
+// Since returns the rows that changed after a version, and how far the copy
+// reaches. It reports false if it does not know all of them.
+func (f *Follower) Since(after ports.Version) ([]ports.Row, Versions, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows, ok := f.copy.Since(after)
+	return rows, f.copy.Versions, ok
+}
+
+// OfferChanges takes the rows that another daemon's copy has changed after a
+// version that this copy had reached. It reports whether it did.
+func (f *Follower) OfferChanges(after ports.Version, rows []ports.Row, v Versions) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if after > f.copy.AsOf || v.AsOf <= f.copy.AsOf {
+		return false
+	}
+	if len(rows) > 0 {
+		f.copy.apply(rows)
+		f.sink.Apply(time.Now(), rows, v.AsOf)
+	}
+	f.copy.AsOf = v.AsOf
+	return true
+}
+
+// Reads reports whether the last call to the platform succeeded and the next one
+// has not gone on for longer than it may.
+func (f *Follower) Reads(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known && now.Sub(f.contactAt) < f.callWait+answerTime
+}
+
 // Offer takes the copy of another daemon if it has a change that this one
 // lacks. It reports whether it did. Changes behind it are asked for as usual.
 func (f *Follower) Offer(s Snapshot) bool {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,6 +26,9 @@
 	// defaultWait is how long one call waits for a change. A lost answer goes
 	// unnoticed for that long.
 	defaultWait = 5 * time.Second
+	// restedWait is how long the first call after a rest waits, so that the
+	// follower knows soon whether it reaches the platform.
+	restedWait = 20 * time.Millisecond
 	// answerTime is how long an answer may take beyond the wait.
 	answerTime = time.Second
 	// failureFloor and failureCap bound the pause after a failure.
@@ -54,22 +58,28 @@
 
 // Follower follows one Source.
 type Follower struct {
-	source Source
-	sink   Sink
-	wait   time.Duration
-	settle time.Duration
-	rng    *rand.Rand
+	source  Source
+	sink    Sink
+	wait    atomic.Int64 // time.Duration
+	settle  time.Duration
+	covered func(time.Time) time.Duration
+	rng     *rand.Rand
 
 	// changed tells that the last step brought changes.
-	changed   bool
-	failures  int
-	contactAt time.Time
+	changed  bool
+	failures int
+	// rested tells that another daemon covered the last step.
+	rested bool
 
 	// mu guards the copy and is held while the sink is told.
 	mu   sync.Mutex
 	copy Snapshot
 	// known is set while changes behind the copy's version can be asked for.
 	known bool
+	// contactAt is when the platform answered last.
+	contactAt time.Time
+	// callWait is how long the last call waits for a change.
+	callWait time.Duration
 }
 
 // Options sets up a Follower. Zero values take the defaults given with each
@@ -80,24 +90,37 @@
 	// Settle is the pause after a change, so that changes that come together
 	// are read together. Default none.
 	Settle time.Duration
+	// Covered returns for how long another daemon that reads the table tells of
+	// its changes. The follower rests meanwhile. Nil means never.
+	Covered func(now time.Time) time.Duration
 	// Rand spreads the pauses after failures. Required.
 	Rand *rand.Rand
 }
 
 // New returns a Follower.
 func New(source Source, sink Sink, o Options) *Follower {
-	return &Follower{
-		source: source, sink: sink,
-		wait: cmp.Or(o.Wait, defaultWait), settle: o.Settle, rng: o.Rand,
-	}
+	f := &Follower{source: source, sink: sink, settle: o.Settle, covered: o.Covered, rng: o.Rand}
+	f.SetWait(cmp.Or(o.Wait, defaultWait))
+	return f
 }
 
+// SetWait changes how long one call waits for a change.
+func (f *Follower) SetWait(d time.Duration) { f.wait.Store(int64(d)) }
+
+func (f *Follower) waitTime() time.Duration { return time.Duration(f.wait.Load()) }
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	f.mu.Lock()
 	f.contactAt = time.Now()
+	f.mu.Unlock()
 	pause := backoff.Policy{Floor: failureFloor, Cap: failureCap}
 	for ctx.Err() == nil {
+		if f.rests(ctx) {
+			continue
+		}
 		err := f.step(ctx)
+		f.rested = false
 		if ctx.Err() != nil {
 			break
 		}
@@ -116,14 +139,35 @@
 	return nil
 }
 
+// rests waits while another daemon covers the table, and reports whether it did.
+func (f *Follower) rests(ctx context.Context) bool {
+	if f.covered == nil || !f.isKnown() {
+		return false
+	}
+	left := f.covered(time.Now())
+	if left <= 0 {
+		return false
+	}
+	f.rested = true
+	backoff.Sleep(ctx, left)
+	return true
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	if !f.isKnown() {
 		return f.read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTime)
+	wait := f.waitTime()
+	if f.rested {
+		wait = restedWait
+	}
+	f.mu.Lock()
+	f.callWait = wait
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
 	after := f.Versions().AsOf
-	rows, version, err := f.source.Changes(ctx, after, f.wait)
+	rows, version, err := f.source.Changes(ctx, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.setKnown(false)
 		return nil
@@ -158,7 +202,7 @@
 }
 
 func (f *Follower) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTime)
+	ctx, cancel := context.WithTimeout(ctx, f.waitTime()+answerTime)
 	defer cancel()
 	rows, version, err := ReadAll(ctx, f.source, f.rng)
 	if err != nil {
@@ -176,17 +220,23 @@
 
 func (f *Follower) reached() {
 	now := time.Now()
+	f.mu.Lock()
+	before := f.contactAt
+	f.contactAt = now
+	f.mu.Unlock()
 	if f.failures > 0 {
-		f.sink.Regained(now.Sub(f.contactAt))
+		f.sink.Regained(now.Sub(before))
 	}
 	f.failures = 0
-	f.contactAt = now
 }
 
 func (f *Follower) missed(err error) {
 	f.failures++
 	if f.failures == 1 {
-		f.sink.Lost(err, f.contactAt)
+		f.mu.Lock()
+		since := f.contactAt
+		f.mu.Unlock()
+		f.sink.Lost(err, since)
 	}
 	// The whole table is read again: rows may have lapsed and come back.
 	f.setKnown(false)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
 	"sync"
@@ -227,6 +228,67 @@
 	assert.Equal(t, f.Versions(), follow.Versions{AsOf: 8, Changed: 7})
 }
 
+// Guards against changes of a covered copy that are lost, applied twice against
+// each other, or told to a peer whose copy is too old for them.
+func TestOfferChanges(t *testing.T) {
+	row := func(key, value string, v ports.Version) ports.Row {
+		return ports.Row{Key: key, Value: []byte(value), Version: v}
+	}
+	sink, ahead := &copyOf{}, &copyOf{}
+	f := follow.New(silentSource{}, sink, follow.Options{Rand: rand.New(rand.NewPCG(1, 2))})
+	g := follow.New(silentSource{}, ahead, follow.Options{Rand: rand.New(rand.NewPCG(1, 2))})
+	first := []ports.Row{row("a", "1", 3), row("b", "1", 4), row("c", "1", 5)}
+	for _, one := range []*follow.Follower{f, g} {
+		assert.Assert(t, one.Offer(follow.NewSnapshot(first, follow.Versions{AsOf: 5, Changed: 5})))
+	}
+	changes := []ports.Row{row("a", "2", 7), {Key: "b", Version: 8, Deleted: true}}
+	assert.Assert(t, g.OfferChanges(5, changes, follow.Versions{AsOf: 9, Changed: 8}))
+	rows, v, ok := g.Since(f.Versions().AsOf)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(rows), 2)
+	assert.Assert(t, f.OfferChanges(5, rows, v))
+	assert.Equal(t, sink.get("a"), "2")
+	assert.Equal(t, sink.get("b"), "")
+	assert.Equal(t, sink.get("c"), "1")
+	assert.Equal(t, f.Versions(), follow.Versions{AsOf: 9, Changed: 8})
+	assert.Assert(t, !f.OfferChanges(5, first, follow.Versions{AsOf: 9, Changed: 8}), "an older state is taken")
+	assert.Assert(t, !f.OfferChanges(10, nil, follow.Versions{AsOf: 11}), "a gap is skipped")
+	assert.Assert(t, f.OfferChanges(9, nil, follow.Versions{AsOf: 11, Changed: 8}))
+	assert.Equal(t, f.Versions().AsOf, ports.Version(11))
+	_, _, ok = g.Since(4)
+	assert.Assert(t, !ok, "a peer whose copy is older than the first reading must take all of it")
+	for i := range ports.Version(1100) {
+		gone := []ports.Row{{Key: fmt.Sprint(i), Version: 20 + i, Deleted: true}}
+		assert.Assert(t, g.OfferChanges(g.Versions().AsOf, gone, follow.Versions{AsOf: 20 + i, Changed: 20 + i}))
+	}
+	_, _, ok = g.Since(9)
+	assert.Assert(t, !ok, "removed rows are remembered without a bound")
+}
+
+// Guards against a follower that calls the platform while another daemon covers
+// it, and against one that stays at rest when the cover ends.
+func TestCoveredFollowerRests(t *testing.T) {
+	var mu sync.Mutex
+	var until time.Time
+	store, sink := start(t, follow.Options{Wait: 300 * time.Millisecond, Covered: func(now time.Time) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return until.Sub(now)
+	}})
+	store.Put("servers", "a", []byte("1"))
+	sink.waitFor(t, "a", "1", inForce)
+	mu.Lock()
+	until = time.Now().Add(2 * time.Second)
+	mu.Unlock()
+	time.Sleep(500 * time.Millisecond) // a call that began before ends
+	before := store.Calls("/rows-feed")
+	store.Put("servers", "a", []byte("2"))
+	time.Sleep(time.Second)
+	assert.Equal(t, store.Calls("/rows-feed"), before)
+	assert.Equal(t, sink.get("a"), "1")
+	sink.waitFor(t, "a", "2", 500*time.Millisecond+inForce)
+}
+
 // limitedReader refuses every second page.
 type limitedReader struct{ calls, pages int }
 
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -78,11 +78,14 @@
 	Age uint32
 }
 
-// TableState is the newest change in the sender's copy of a table.
+// TableState is how far the sender's copy of a table reaches.
 type TableState struct {
 	_       struct{} `cbor:",toarray"`
 	Name    string
 	Changed uint64
+	// AsOf is the version up to which the copy is complete, if the sender reads
+	// the table for its group. Zero otherwise.
+	AsOf uint64
 }
 
 // Message is one datagram.
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -22,7 +22,7 @@
 	interval = 500 * time.Millisecond
 	// directoryInterval is how often the directory is read again. A daemon that
 	// lost all its peers finds them by it.
-	directoryInterval = 30 * time.Second
+	directoryInterval = time.Minute
 	// directoryStart is the pause before the second reading, which finds the
 	// daemons that started at the same moment.
 	directoryStart = 3 * time.Second
@@ -57,6 +57,8 @@
 	Address   string // IP:port to receive at
 	Directory Directory
 	Observer  Observer
+	// Zone is where the daemon runs. Daemons of one zone form groups.
+	Zone string
 	// Tables are the copies that daemons help each other to keep, by name.
 	Tables map[string]Table
 	Rand   *rand.Rand
@@ -69,6 +71,11 @@
 	mu    sync.Mutex
 	state *State
 	lags  map[string]lag
+	group group
+	// cover holds the daemon that reads a table for this one, by table.
+	cover map[string]cover
+	// changed wakes the sender when a copy has changed.
+	changed chan struct{}
 	// readRand spreads readings of the directory. Rand belongs to the sender.
 	readRand *rand.Rand
 }
@@ -77,6 +84,7 @@
 func New(c Config) *Node {
 	return &Node{
 		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag),
+		cover: make(map[string]cover), changed: make(chan struct{}, 1),
 		readRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
 	}
 }
@@ -84,6 +92,7 @@
 // member is a row of the directory.
 type member struct {
 	Address string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint,omitempty"`
 }
 
 // Run exchanges messages until ctx ends.
@@ -125,6 +134,9 @@
 		fresh := n.state.Receive(time.Now(), m)
 		n.mu.Unlock()
 		n.Observer.SetLoads(fresh)
+		for _, state := range m.Tables {
+			n.noteReader(time.Now(), state, m.Sender)
+		}
 		n.compare(ctx, time.Now(), m)
 	}
 }
@@ -138,6 +150,9 @@
 			return
 		case now := <-ticker.C:
 			n.send(now, socket)
+			n.sendGroup(now, socket)
+		case <-n.changed:
+			n.sendGroup(time.Now(), socket)
 		}
 	}
 }
@@ -149,9 +164,12 @@
 		n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
 		return
 	}
-	if target == "" {
-		return
+	if target != "" {
+		n.sendTo(socket, target, data)
 	}
+}
+
+func (n *Node) sendTo(socket *net.UDPConn, target string, data []byte) {
 	address, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
@@ -209,7 +227,7 @@
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
 	if !*announced {
-		value, err := cbor.Marshal(member{n.Address})
+		value, err := cbor.Marshal(member{n.Address, n.Zone})
 		if err != nil {
 			return err
 		}
@@ -225,6 +243,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	var zone []string
 	for _, row := range rows {
 		var m member
 		if err := cbor.Unmarshal(row.Value, &m); err != nil {
@@ -232,6 +251,10 @@
 			continue
 		}
 		n.state.AddPeer(m.Address, now)
+		if m.Zone == n.Zone {
+			zone = append(zone, m.Address)
+		}
 	}
+	n.group = newGroup(n.Address, zone)
 	return nil
 }
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -73,6 +73,14 @@
 	return true
 }
 
+func (*fixedTable) Since(ports.Version) ([]ports.Row, follow.Versions, bool) {
+	return nil, follow.Versions{}, false
+}
+
+func (*fixedTable) OfferChanges(ports.Version, []ports.Row, follow.Versions) bool { return false }
+func (*fixedTable) Reads(time.Time) bool                                          { return false }
+func (*fixedTable) SetWait(time.Duration)                                         {}
+
 // startNode runs a node whose copies are served at the address of its
 // datagrams.
 func startNode(t *testing.T, name string, d *directory, table Table) {
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -35,6 +36,15 @@
 	Snapshot() follow.Snapshot
 	// Offer takes another daemon's copy if it has a change that this one lacks.
 	Offer(follow.Snapshot) bool
+	// Since returns the rows that changed after a version, unless it does not
+	// know all of them.
+	Since(after ports.Version) ([]ports.Row, follow.Versions, bool)
+	// OfferChanges takes the changes of another daemon's copy.
+	OfferChanges(after ports.Version, rows []ports.Row, v follow.Versions) bool
+	// Reads reports whether the copy comes from the platform itself.
+	Reads(now time.Time) bool
+	// SetWait changes how long a call to the platform waits for a change.
+	SetWait(time.Duration)
 }
 
 // lag is a change that peers have and this daemon lacks.
@@ -50,6 +60,8 @@
 	AsOf    uint64    `cbor:"1,keyasint"`
 	Changed uint64    `cbor:"2,keyasint"`
 	Rows    []copyRow `cbor:"3,keyasint"`
+	// Partial tells that Rows holds only what changed after the asked version.
+	Partial bool `cbor:"4,keyasint,omitempty"`
 }
 
 type copyRow struct {
@@ -57,6 +69,7 @@
 	Key     string
 	Value   []byte
 	Version uint64
+	Removed bool
 }
 
 // tableStates returns what messages say of the daemon's copies.
@@ -88,7 +101,7 @@
 			}
 			l.changed, l.peer = changed, m.Sender
 		}
-		fetch := !l.since.IsZero() && !l.fetching && now.Sub(l.since) >= lagPatience
+		fetch := !l.since.IsZero() && !l.fetching && now.Sub(l.since) >= n.patience(now, state, m.Sender)
 		l.fetching = l.fetching || fetch
 		n.lags[state.Name] = l
 		n.mu.Unlock()
@@ -114,7 +127,9 @@
 func (n *Node) fetchCopy(ctx context.Context, name, peer string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+"/peers/tables/"+name, nil)
+	after := n.Tables[name].Versions().AsOf
+	url := "http://" + peer + "/peers/tables/" + name + "?after=" + strconv.FormatUint(uint64(after), 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
 	}
@@ -137,9 +152,12 @@
 	}
 	rows := make([]ports.Row, 0, len(c.Rows))
 	for _, r := range c.Rows {
-		rows = append(rows, ports.Row{Key: r.Key, Value: r.Value, Version: ports.Version(r.Version)})
+		rows = append(rows, ports.Row{Key: r.Key, Value: r.Value, Version: ports.Version(r.Version), Deleted: r.Removed})
 	}
 	versions := follow.Versions{AsOf: ports.Version(c.AsOf), Changed: ports.Version(c.Changed)}
+	if c.Partial {
+		return n.Tables[name].OfferChanges(after, rows, versions), nil
+	}
 	return n.Tables[name].Offer(follow.NewSnapshot(rows, versions)), nil
 }
 
@@ -149,10 +167,18 @@
 	if table == nil {
 		return c.NoContent(http.StatusNotFound)
 	}
-	s := table.Snapshot()
-	out := tableCopy{AsOf: uint64(s.AsOf), Changed: uint64(s.Changed)}
-	for _, r := range s.Rows() {
-		out.Rows = append(out.Rows, copyRow{Key: r.Key, Value: r.Value, Version: uint64(r.Version)})
+	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	rows, versions, partial := table.Since(ports.Version(after))
+	if !partial {
+		s := table.Snapshot()
+		rows, versions = s.Rows(), s.Versions
+	}
+	out := tableCopy{AsOf: uint64(versions.AsOf), Changed: uint64(versions.Changed), Partial: partial}
+	for _, r := range rows {
+		out.Rows = append(out.Rows, copyRow{Key: r.Key, Value: r.Value, Version: uint64(r.Version), Removed: r.Deleted})
 	}
 	data, err := cbor.Marshal(out)
 	if err != nil {
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -74,6 +74,7 @@
 	UpstreamRegistered   = Event{"AD8007", "upstream_registered", zerolog.InfoLevel, "An upstream registered itself or changed its registration."}
 	UpstreamUnlisted     = Event{"AD8008", "upstream_unlisted", zerolog.InfoLevel, "The registration of an upstream is gone or can't be read."}
 	RegistrationRejected = Event{"AD8009", "registration_rejected", zerolog.WarnLevel, "A registration can't be read and names no upstream to use."}
+	TableReaderChanged   = Event{"AD8010", "table_reader_changed", zerolog.InfoLevel, "Another daemon of the group reads a table for this one, or, without a reader, this one reads it again."}
 
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
 )
@@ -90,7 +91,7 @@
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
-	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged,
 }
 
 // Log writes numbered events as JSON lines.
