Let a prompt's home copy from the alternate as well

Cause: while homes are full, daemons send a prompt's first request to the alternate; the home then read the prompt once more. Change: a home of which the daemon does not know that it holds the prompt names the alternate to copy from; an engine copies only what it lacks.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -271,8 +271,14 @@
 		}
 	}
 	best.Home = picked == home
-	if best.Fetched > 0 {
+	switch {
+	case best.Fetched > 0:
 		best.FetchFrom = holder.Address
+	case picked == home && alternate != nil:
+		// The alternate may have read the prompt before its home.
+		if shared := picked.cache.missing(prompt) - prompt.own; s.worthCopying(shared) {
+			best.Fetched, best.FetchFrom = shared, alternate.Address
+		}
 	}
 	return best, picked
 }
