Tell groups what changed only, and end a cover whose copy can't be read

Change: a full reading is taken as changes against the copy before; a reader states how far its history reaches, and only daemons within it rely on it; a covered daemon waits 2 s as others do; a failed reading of the copy ends the cover for 5 s.

--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -15,6 +15,8 @@
 	AsOf ports.Version
 	// Changed is the version of the newest change in the copy.
 	Changed ports.Version
+	// From is the earliest version behind which the copy knows all changes.
+	From ports.Version
 }
 
 // Behind reports whether a copy lacks a change that another one has.
@@ -27,14 +29,14 @@
 type Snapshot struct {
 	Versions
 	rows map[string]ports.Row
-	// removed holds the versions of rows that were removed behind complete.
-	removed  map[string]ports.Version
-	complete ports.Version
+	// removed holds the versions of rows that were removed behind From.
+	removed map[string]ports.Version
 }
 
 // NewSnapshot returns a copy with the given rows.
 func NewSnapshot(rows []ports.Row, versions Versions) Snapshot {
-	s := Snapshot{Versions: versions, rows: make(map[string]ports.Row, len(rows)), complete: versions.AsOf}
+	s := Snapshot{Versions: versions, rows: make(map[string]ports.Row, len(rows))}
+	s.From = versions.AsOf
 	for _, r := range rows {
 		s.rows[r.Key] = r
 	}
@@ -74,14 +76,14 @@
 	s.removed[r.Key] = r.Version
 	if len(s.removed) > maxRemoved {
 		// Later changes are told against the full copy.
-		s.removed, s.complete = nil, s.Changed
+		s.removed, s.From = nil, s.Changed
 	}
 }
 
 // Since returns the rows that changed after a version. It reports false if it
 // does not know all of them.
 func (s *Snapshot) Since(after ports.Version) ([]ports.Row, bool) {
-	if after < s.complete {
+	if after < s.From {
 		return nil, false
 	}
 	var out []ports.Row
@@ -101,12 +103,31 @@
 
 // replace takes a complete table. The caller holds mu.
 func (f *Follower) replace(rows []ports.Row, version ports.Version) {
-	changed := f.copy.Changed
-	f.copy = NewSnapshot(nil, Versions{AsOf: version, Changed: changed})
-	f.copy.apply(rows)
+	f.copy.replace(rows, version)
 	f.sink.Replace(time.Now(), rows, version)
 }
 
+// replace takes a complete table. Rows that it lacks were removed at an unknown
+// version, which is told as the latest possible one, so that the copy can still
+// tell what changed since earlier versions.
+func (s *Snapshot) replace(rows []ports.Row, version ports.Version) {
+	if s.rows == nil {
+		s.From = version
+	}
+	listed := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		listed[r.Key] = true
+	}
+	changes := slices.Clone(rows)
+	for key := range s.rows {
+		if !listed[key] {
+			changes = append(changes, ports.Row{Key: key, Version: version, Deleted: true})
+		}
+	}
+	s.apply(changes)
+	s.AsOf = version
+}
+
 // Versions returns how far the copy reaches.
 func (f *Follower) Versions() Versions {
 	f.mu.Lock()
@@ -163,6 +184,6 @@
 		return false
 	}
 	f.replace(s.Rows(), s.AsOf)
-	f.copy.Changed = s.Changed
+	f.copy.Changed = max(f.copy.Changed, s.Changed)
 	return true
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -225,7 +225,7 @@
 	assert.Equal(t, sink.get("a"), "1")
 	assert.Assert(t, offer("2", 8, 7))
 	assert.Equal(t, sink.get("a"), "2")
-	assert.Equal(t, f.Versions(), follow.Versions{AsOf: 8, Changed: 7})
+	assert.Equal(t, f.Versions(), follow.Versions{AsOf: 8, Changed: 7, From: 5})
 }
 
 // Guards against changes of a covered copy that are lost, applied twice against
@@ -250,7 +250,7 @@
 	assert.Equal(t, sink.get("a"), "2")
 	assert.Equal(t, sink.get("b"), "")
 	assert.Equal(t, sink.get("c"), "1")
-	assert.Equal(t, f.Versions(), follow.Versions{AsOf: 9, Changed: 8})
+	assert.Equal(t, f.Versions(), follow.Versions{AsOf: 9, Changed: 8, From: 5})
 	assert.Assert(t, !f.OfferChanges(5, first, follow.Versions{AsOf: 9, Changed: 8}), "an older state is taken")
 	assert.Assert(t, !f.OfferChanges(10, nil, follow.Versions{AsOf: 11}), "a gap is skipped")
 	assert.Assert(t, f.OfferChanges(9, nil, follow.Versions{AsOf: 11, Changed: 8}))
@@ -265,6 +265,22 @@
 	assert.Assert(t, !ok, "removed rows are remembered without a bound")
 }
 
+// Guards against a copy that forgets its history with each full reading, so that
+// every daemon behind it must take the whole table.
+func TestFullReadingKeepsHistory(t *testing.T) {
+	f := follow.New(silentSource{}, &copyOf{}, follow.Options{Rand: rand.New(rand.NewPCG(1, 2))})
+	first := []ports.Row{{Key: "a", Version: 3}, {Key: "b", Version: 4}, {Key: "c", Version: 5}}
+	assert.Assert(t, f.Offer(follow.NewSnapshot(first, follow.Versions{AsOf: 5, Changed: 5})))
+	second := []ports.Row{{Key: "a", Version: 3}, {Key: "b", Version: 9}, {Key: "d", Version: 8}}
+	assert.Assert(t, f.Offer(follow.NewSnapshot(second, follow.Versions{AsOf: 12, Changed: 9})))
+	rows, v, ok := f.Since(5)
+	assert.Assert(t, ok)
+	assert.Equal(t, v.AsOf, ports.Version(12))
+	assert.DeepEqual(t, rows, []ports.Row{{Key: "d", Version: 8}, {Key: "b", Version: 9}, {Key: "c", Version: 12, Deleted: true}})
+	_, _, ok = f.Since(4)
+	assert.Assert(t, !ok)
+}
+
 // Guards against a follower that calls the platform while another daemon covers
 // it, and against one that stays at rest when the cover ends.
 func TestCoveredFollowerRests(t *testing.T) {
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -26,9 +26,9 @@
 	readerWait = 2 * time.Second
 	// soloWait is the same for a daemon that reads for itself.
 	soloWait = 5 * time.Second
-	// coveredPatience is how long a covered daemon waits for its reader after
-	// another daemon has told of a change.
-	coveredPatience = 300 * time.Millisecond
+	// coverRefusal is how long a daemon reads for itself after it could not read
+	// its reader's copy.
+	coverRefusal = 5 * time.Second
 )
 
 // group is the daemons that share a reader, best first. The first one that
@@ -73,6 +73,8 @@
 type cover struct {
 	reader string
 	until  time.Time
+	// refused is until when no reader is relied on.
+	refused time.Time
 }
 
 // Covered returns for how long another daemon reads a table for this one.
@@ -91,7 +93,7 @@
 }
 
 // noteReader relies on a better daemon of the group that reads a table, unless
-// its copy is behind this one.
+// its copy is behind this one or does not reach back to it.
 func (n *Node) noteReader(now time.Time, state TableState, sender string) {
 	table := n.Tables[state.Name]
 	if table == nil || state.AsOf == 0 {
@@ -100,8 +102,12 @@
 	asOf := ports.Version(state.AsOf)
 	own := table.Versions()
 	n.mu.Lock()
-	accepted := n.group.better[sender] && asOf >= own.AsOf && own.AsOf > 0
-	before := n.cover[state.Name].reader
+	held := n.cover[state.Name]
+	// The reader must know all changes behind this copy: the whole table is too
+	// much for one daemon to send to its group.
+	within := ports.Version(state.From) <= own.AsOf && own.AsOf <= asOf && own.AsOf > 0
+	accepted := within && n.group.better[sender] && !now.Before(held.refused)
+	before := held.reader
 	if accepted {
 		n.cover[state.Name] = cover{reader: sender, until: now.Add(coverLife)}
 	}
@@ -125,15 +131,16 @@
 
 // patience is how long a change that a peer has is awaited from elsewhere.
 func (n *Node) patience(now time.Time, state TableState, sender string) time.Duration {
-	c := n.cover[state.Name]
-	switch {
-	case !now.Before(c.until):
-		return lagPatience
-	case c.reader == sender:
+	if c := n.cover[state.Name]; c.reader == sender && now.Before(c.until) {
 		return 0
-	default:
-		return coveredPatience
 	}
+	return lagPatience
+}
+
+// refuse ends the cover of a table whose reader's copy could not be read. The
+// caller holds mu.
+func (n *Node) refuse(now time.Time, table string) {
+	n.cover[table] = cover{refused: now.Add(coverRefusal)}
 }
 
 // readFor returns the tables that the daemon reads for its group, and sets how
@@ -144,8 +151,9 @@
 	behind = n.group.behind
 	covered := make(map[string]bool, len(n.cover))
 	for name, c := range n.cover {
-		if covered[name] = now.Before(c.until); !covered[name] {
-			delete(n.cover, name)
+		covered[name] = now.Before(c.until)
+		if !covered[name] && c.reader != "" {
+			n.cover[name] = cover{refused: c.refused}
 			lost = append(lost, name)
 		}
 	}
@@ -163,7 +171,7 @@
 			continue
 		}
 		v := table.Versions()
-		tables = append(tables, TableState{Name: name, Changed: uint64(v.Changed), AsOf: uint64(v.AsOf)})
+		tables = append(tables, TableState{Name: name, Changed: uint64(v.Changed), AsOf: uint64(v.AsOf), From: uint64(v.From)})
 	}
 	return tables, behind
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -86,6 +86,8 @@
 	// AsOf is the version up to which the copy is complete, if the sender reads
 	// the table for its group. Zero otherwise.
 	AsOf uint64
+	// From is the earliest version behind which the sender knows all changes.
+	From uint64
 }
 
 // Message is one datagram.
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -122,6 +122,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lags[name] = lag{}
+	if err != nil && n.cover[name].reader == l.peer {
+		n.refuse(time.Now(), name)
+	}
 }
 
 func (n *Node) fetchCopy(ctx context.Context, name, peer string) (bool, error) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,9 @@
 	// recoverTime is how long a run is quiet before all requests must succeed.
 	recoverTime = 5 * time.Second
 	quietTime   = 1500 * time.Millisecond
+	// fleetSize is above the size from which one daemon reads the store for
+	// others.
+	fleetSize = 5
 )
 
 // regressions are seeds that failed once, with the cause.
@@ -57,7 +60,7 @@
 
 func soak(t *testing.T, binary string, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	f := startFleet(t, binary, 3)
+	f := startFleet(t, binary, fleetSize)
 	run := startLoad(f, "a")
 	watch := &versions{fleet: f, load: run, highest: make(map[string]int), written: map[int]time.Time{1: time.Now()}}
 	var problems []problem
