--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -54,13 +56,25 @@
 		if e.status == http.StatusUnauthorized || e.status == http.StatusNotFound {
 			add("denied")
 		}
+		if e.unanswered() && e.daemon.stopping(e) {
+			add("left without an answer by a planned stop")
+		}
 		if took := e.ended.Sub(e.sent); took >= routeTimeout+answerSlack && e.daemon.inTouch(e.sent) {
 			add("no final answer after %s", took)
 		}
 	}
+	for _, d := range f.daemons {
+		out = append(out, d.checkStops()...)
+	}
 	return append(out, f.checkRuns(runs, all)...)
 }
 
+// unanswered reports whether the daemon closed the connection, or took none,
+// before any of an answer.
+func (e *exchange) unanswered() bool {
+	return e.err != nil && e.status == 0 && !errors.Is(e.err, context.DeadlineExceeded)
+}
+
 // checkAnswer compares a success with what an upstream sends for the request.
 func (e *exchange) checkAnswer() []problem {
 	if e.route != "/events/" && e.route != "/resume/" {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -62,6 +63,48 @@
 	started time.Time
 	// calm is since when nothing happened to the daemon.
 	calm time.Time
+	// stops are the SIGTERMs after which the process ended by itself.
+	stops []plannedStop
+	kills []time.Time
+}
+
+type plannedStop struct{ asked, ended time.Time }
+
+// rotationTime is how long callers may still come after a SIGTERM: two failed
+// probes, one second apart, take a daemon out of rotation.
+const rotationTime = 2 * time.Second
+
+// stopping returns whether a request met a planned stop while it had to be
+// answered.
+func (d *daemon) stopping(e *exchange) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.stops {
+		if !d.killedIn(s.asked, e.ended) && e.ended.After(s.asked) && e.sent.Before(s.asked.Add(rotationTime)) {
+			return true
+		}
+	}
+	return false
+}
+
+// killedIn reports whether the daemon was killed between two times. The caller
+// holds mu.
+func (d *daemon) killedIn(from, to time.Time) bool {
+	return slices.ContainsFunc(d.kills, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
+// checkStops looks for planned stops that end while callers still come, which
+// cuts whatever they have in progress.
+func (d *daemon) checkStops() []problem {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []problem
+	for _, s := range d.stops {
+		if took := s.ended.Sub(s.asked); took < rotationTime && !d.killedIn(s.asked, s.ended) {
+			out = append(out, problem{fmt.Sprintf("ended %s after SIGTERM", took), d.name})
+		}
+	}
+	return out
 }
 
 type fleet struct {
@@ -255,6 +298,9 @@
 }
 
 func (d *daemon) kill() {
+	d.mu.Lock()
+	d.kills = append(d.kills, time.Now())
+	d.mu.Unlock()
 	d.signal(syscall.SIGKILL)
 	<-d.ended()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -283,10 +283,14 @@
 
 // stop asks for a planned stop. A frozen process is woken.
 func (d *daemon) stop() {
+	asked := time.Now()
 	d.signal(syscall.SIGTERM)
 	d.signal(syscall.SIGCONT)
 	select {
 	case <-d.ended():
+		d.mu.Lock()
+		d.stops = append(d.stops, plannedStop{asked, time.Now()})
+		d.mu.Unlock()
 	case <-time.After(stopBound + 2*time.Second):
 		d.kill()
 	}
