Give up an answer that never begins for another upstream

Before the first event only the deadline bounded the wait. Ruled out: dead connections (keep-alive probes are answered); a bound while requests wait at engines, where first events are late by queueing and a repeat reads again. Change: a request that may be repeated and has an attempt left waits for the beginning of its answer for 1.5 times the route's goal, 8 times the balancer's estimate, or 0.5 s, whichever is longest; not while a seventh of load reports show waiting requests. TestAnswerThatNeverBegins waits 2 s and fails without it.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -179,6 +179,8 @@
 	// Home tells that the upstream is the one that all daemons prefer for the
 	// prompt.
 	Home bool
+	// Queues tells that requests wait at the service's upstreams.
+	Queues bool
 	// InFlight is the number of requests that this daemon has there.
 	InFlight int
 	// ReportAge is the age of the upstream's load report; negative without one.
@@ -206,6 +208,7 @@
 	prompt := newPrompt(q.Parts)
 	best, picked := s.pick(now, q, prompt, candidates, s.pools.classify(q.Route))
 	best.Upstream = picked.Entry
+	best.Queues = s.load.pressure >= askPressure
 	best.Candidates = len(candidates)
 	best.InFlight = picked.inFlight
 	best.ReportAge = picked.reportAge(now)
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -95,11 +95,13 @@
 		if table.Versions().AsOf >= l.changed {
 			l = lag{fetching: l.fetching}
 		}
-		if table.Versions().AsOf < changed && changed > l.changed {
+		// A change that the group's reader tells is read there, in the own zone.
+		reader := n.patience(now, state, m.Sender) == 0
+		if table.Versions().AsOf < changed && (changed > l.changed || reader) {
 			if l.since.IsZero() {
 				l.since = now
 			}
-			l.changed, l.peer = changed, m.Sender
+			l.changed, l.peer = max(changed, l.changed), m.Sender
 		}
 		fetch := !l.since.IsZero() && !l.fetching && now.Sub(l.since) >= n.patience(now, state, m.Sender)
 		l.fetching = l.fetching || fetch
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -125,6 +125,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a.result = balancer.Failed
+	q.silentAt = q.awaitAnswer(a.choice)
 	lease := a.choice.Lease()
 	defer func() { lease.Done(time.Now(), a.result) }()
 
@@ -149,6 +150,9 @@
 	case q.route.Type == httproute.Stream && answer.Status == http.StatusOK:
 		return a.relayStream()
 	default:
+		if err := answer.SetReadDeadline(q.deadline); err != nil {
+			return a.broken(err.Error())
+		}
 		return a.relayWhole()
 	}
 }
@@ -175,7 +179,7 @@
 		Body:           q.body,
 		MaxIdleAge:     idleAge,
 		Mine:           func(h http.Header) bool { return q.h.Protocol.Mine(h, q.caller.ID) },
-		HeaderDeadline: q.deadline,
+		HeaderDeadline: q.silentAt,
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,7 +90,9 @@
 	deadline time.Time
 	ctx      context.Context
 
-	tried []domain.UpstreamID
+	// silentAt is when an answer that has not begun counts as lost.
+	silentAt time.Time
+	tried    []domain.UpstreamID
 	// sends counts the upstreams that the request was sent to.
 	sends int
 	// mayHaveRun is set once an upstream may have run the request.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -321,6 +321,44 @@
 	}
 }
 
+// Guards against a request that waits for an answer that its upstream has lost
+// until the caller's time is over, although another upstream could answer; and
+// against a second send of one that must not be repeated.
+func TestAnswerThatNeverBegins(t *testing.T) {
+	for path, served := range map[string]bool{"/again/": true, "/resume/": true, "/events/": false} {
+		t.Run(path, func(t *testing.T) {
+			s := startSite(t, 2)
+			s.replicas[0].Set(standin.Behaviour{Work: 10 * time.Second, Events: 8})
+			s.replicas[1].Set(standin.Behaviour{Events: 8})
+			method := http.MethodPost
+			if path == "/again/" {
+				method = http.MethodGet
+				s.replicas[0].Set(standin.Behaviour{Work: 10 * time.Second})
+				s.replicas[1].Set(standin.Behaviour{})
+			}
+			var slowest time.Duration
+			sent, failed := 0, 0
+			for ; len(s.replicas[0].Runs()) == 0; sent++ {
+				assert.Assert(t, sent < 10, "the silent upstream got no request")
+				began := time.Now()
+				got := s.do(s.request(method, path, fmt.Sprintf("r%d", sent), "x"))
+				slowest = max(slowest, time.Since(began))
+				if got.status != http.StatusOK {
+					failed++
+				}
+			}
+			assert.Equal(t, failed > 0, !served)
+			if served {
+				assert.Equal(t, s.ran(), sent+1)
+				// The route's time is 2 s.
+				assert.Assert(t, slowest < 2*time.Second, "took %s", slowest)
+			} else {
+				assert.Equal(t, s.ran(), sent)
+			}
+		})
+	}
+}
+
 // Guards against a broken stream that looks complete.
 func TestBrokenStreamIsCut(t *testing.T) {
 	s := startSite(t, 2)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -24,6 +24,13 @@
 	// minSilence is the shortest pause that counts as silence. Engines pause
 	// for the reading of long prompts.
 	minSilence = 1500 * time.Millisecond
+	// silenceGoals and silenceCosts are the multiples of the route's goal and of
+	// the balancer's estimate after which an answer that has not begun counts as
+	// lost, whichever is more, and minWait the least time. An upstream that
+	// lost its answer closes no connection.
+	silenceGoals = 1.5
+	silenceCosts = 8
+	minWait      = 500 * time.Millisecond
 )
 
 // errSilent means that a stream paused for longer than it may.
@@ -69,9 +76,12 @@
 
 // readDeadline is when the stream counts as silent.
 func (q *request) readDeadline() time.Time {
-	if !q.outcome.stream.started || !q.route.Repeatable() {
+	if !q.route.Repeatable() {
 		return q.deadline
 	}
+	if !q.outcome.stream.started {
+		return q.silentAt
+	}
 	silence := max(minSilence, silenceGaps*q.route.MaxGap)
 	if at := time.Now().Add(silence); at.Before(q.deadline) {
 		return at
@@ -79,6 +89,20 @@
 	return q.deadline
 }
 
+// awaitAnswer returns until when the answer of an attempt may begin. While
+// requests wait at the upstreams, or if no further attempt may follow, that is the
+// request's deadline.
+func (q *request) awaitAnswer(c balancer.Choice) time.Time {
+	if !q.route.Repeatable() || q.sends+1 >= q.route.Attempts || c.Queues {
+		return q.deadline
+	}
+	wait := max(time.Duration(silenceGoals*float64(q.route.Goal)), silenceCosts*c.Cost, minWait)
+	if at := time.Now().Add(wait); at.Before(q.deadline) {
+		return at
+	}
+	return q.deadline
+}
+
 // readEvent appends one event with its closing blank line to buf. It returns
 // io.EOF with an empty event at the end of the stream.
 func readEvent(r *bufio.Reader, buf []byte) ([]byte, error) {
