--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -165,11 +165,11 @@
 	Candidates int
 	// Cost is the estimated delay of the pick.
 	Cost time.Duration
-	// Uncached is the number of prompt tokens that the upstream is expected to
-	// read.
+	// Uncached is the number of prompt tokens on whose reading the choice counted.
 	Uncached int
-	// Fetched is the number of prompt tokens that the upstream is expected to
-	// copy from the engine at FetchFrom instead of reading them.
+	// Fetched is the number of prompt tokens that the upstream is asked to copy
+	// from the engine at FetchFrom. Unless the upstream is the home of the prompt
+	// or its alternate, they are part of Uncached, since the copy may fail.
 	Fetched   int
 	FetchFrom string
 	// Interactive tells that the request belongs to the pool for streams with
--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -7,6 +7,8 @@
 // every daemon ranks the upstreams of a prompt in the same order, so the first
 // one most likely holds the prompt's shared parts already. A prompt leaves its
 // first upstream when the wait there costs more than reading the prompt again.
+// The second in the order, its alternate, is the cheaper place to go: each of the
+// two copies the shared parts from the other where engines can (see fetch.go).
 //
 // Load reports in answers are used with their age: a report counts fully when
 // it arrives and fades out within reportLife, and requests that this daemon
