Hash the parts of a prompt once for a request

Cause: Arrive, Ask and each Pick of the balancer hashed the same parts, under its lock: twice for each request, three times while requests wait, more for retries. Change: Query holds a Prompt, made once by the relay before the lock is taken. The classification of the route moves into pick, which both callers passed it to.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -21,8 +21,8 @@
 // Query describes a request that needs an upstream.
 type Query struct {
 	Service string
-	// Parts is the prompt in order; the last part is the request's own.
-	Parts []Part
+	// Prompt is empty for a request to a plain service.
+	Prompt Prompt
 	// Route names the route; its requests are of one kind.
 	Route string
 	// MaxGap is the longest pause of the answer's stream that is on time. Zero
@@ -205,14 +205,13 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	prompt := newPrompt(q.Parts)
-	best, picked := s.pick(now, q, prompt, candidates, s.pools.classify(q.Route))
+	best, picked := s.pick(now, q, candidates)
 	best.Upstream = picked.Entry
 	best.Queues = s.load.pressure >= askPressure
 	best.Candidates = len(candidates)
 	best.InFlight = picked.inFlight
 	best.ReportAge = picked.reportAge(now)
-	best.lease = b.start(now, picked, &s.speed, prompt, best.Uncached)
+	best.lease = b.start(now, picked, &s.speed, &q.Prompt, best.Uncached)
 	return best, true
 }
 
@@ -222,18 +221,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[q.Service]
-	if s == nil || len(q.Parts) == 0 {
+	if s == nil || q.Prompt.empty() {
 		return
 	}
-	prompt := newPrompt(q.Parts)
-	work := float64(prompt.own)/s.speed.tokensPerMS() + float64(q.OutputTokens)*tokenWork
-	s.pools.observe(now, q.Route, q.MaxGap, prompt.total, work)
+	work := float64(q.Prompt.own)/s.speed.tokensPerMS() + float64(q.OutputTokens)*tokenWork
+	s.pools.observe(now, q.Route, q.MaxGap, q.Prompt.total, work)
 }
 
 // pick returns the candidate with the least cost.
-func (s *service) pick(now time.Time, q Query, prompt prompt, candidates []*upstream, interactive bool) (Choice, *upstream) {
+func (s *service) pick(now time.Time, q Query, candidates []*upstream) (Choice, *upstream) {
+	prompt, interactive := &q.Prompt, s.pools.classify(q.Route)
 	best := Choice{Interactive: interactive}
-	if len(prompt.hashes) > 0 {
+	if !prompt.empty() {
 		if s.firstPick.IsZero() {
 			s.firstPick = now
 		}
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -39,17 +39,19 @@
 func review(thing, own uint64) Query {
 	return Query{
 		Service: "model", Route: "review", MaxGap: time.Second, OutputTokens: 100,
-		Parts: []Part{{ID: thing, Tokens: 13_000}, {ID: own, Tokens: 3_000}},
+		Prompt: NewPrompt([]Part{{ID: thing, Tokens: 13_000}, {ID: own, Tokens: 3_000}}),
 	}
 }
 
 func note(own uint64) Query {
 	return Query{
 		Service: "model", Route: "note", MaxGap: 200 * time.Millisecond, OutputTokens: 170,
-		Parts: []Part{{ID: 1, Tokens: 200}, {ID: own, Tokens: 1_100}},
+		Prompt: NewPrompt([]Part{{ID: 1, Tokens: 200}, {ID: own, Tokens: 1_100}}),
 	}
 }
 
+func promptOf(q Query) *Prompt { return &q.Prompt }
+
 // place picks an upstream for a query and leaves it there.
 func place(t *testing.T, b *Balancer, now time.Time, q Query) Choice {
 	t.Helper()
@@ -135,11 +137,11 @@
 	b := newBalancer(entries)
 	place(t, b, start, review(1, 1))
 	u := b.upstreams[entries[0].ID]
-	assert.Equal(t, u.cache.missing(newPrompt(review(1, 2).Parts)), 3_000)
+	assert.Equal(t, u.cache.missing(promptOf(review(1, 2))), 3_000)
 	entries[0].Incarnation = 2
 	b.Update(start, entries, kindOf(400_000))
 	u = b.upstreams[entries[0].ID]
-	assert.Equal(t, u.cache.missing(newPrompt(review(1, 2).Parts)), 16_000)
+	assert.Equal(t, u.cache.missing(promptOf(review(1, 2))), 16_000)
 	assert.Equal(t, u.inFlight, 0)
 }
 
@@ -147,11 +149,11 @@
 func TestCacheIsBounded(t *testing.T) {
 	c := promptCache{capacity: 30_000}
 	for thing := range uint64(20) {
-		c.add(newPrompt(review(thing, thing+100).Parts))
+		c.add(promptOf(review(thing, thing+100)))
 		assert.Assert(t, c.used <= c.capacity)
 	}
-	assert.Equal(t, c.missing(newPrompt(review(0, 100).Parts)), 16_000)
-	assert.Equal(t, c.missing(newPrompt(review(19, 119).Parts)), 0)
+	assert.Equal(t, c.missing(promptOf(review(0, 100))), 16_000)
+	assert.Equal(t, c.missing(promptOf(review(19, 119))), 0)
 }
 
 // Guards against interactive streams beside long prompts. The load is a
--- a/internal/balancer/cache.go
+++ b/internal/balancer/cache.go
@@ -2,9 +2,9 @@
 
 import "container/list"
 
-// prompt is the parts of a prompt as chained hashes, so that equal hashes mean
-// equal beginnings.
-type prompt struct {
+// Prompt is the parts of a prompt as chained hashes, so that equal hashes mean
+// equal beginnings. It is made once for a request.
+type Prompt struct {
 	hashes []uint64
 	tokens []int
 	total  int
@@ -15,8 +15,10 @@
 	affinity uint64
 }
 
-func newPrompt(parts []Part) prompt {
-	var p prompt
+// NewPrompt returns the prompt that consists of parts, in order. The last part
+// is the request's own.
+func NewPrompt(parts []Part) Prompt {
+	var p Prompt
 	var h uint64
 	for i, part := range parts {
 		h = mix(h ^ part.ID + 0x9e3779b97f4a7c15)
@@ -33,6 +35,8 @@
 	return p
 }
 
+func (p *Prompt) empty() bool { return len(p.hashes) == 0 }
+
 // promptCache predicts which prompt parts an engine's memory holds: those that
 // were sent there last, up to the engine's capacity in tokens.
 type promptCache struct {
@@ -49,7 +53,7 @@
 
 // missing returns the number of tokens of a prompt that the cache lacks. A
 // part counts as held only if all parts before it are.
-func (c *promptCache) missing(p prompt) int {
+func (c *promptCache) missing(p *Prompt) int {
 	missing := p.total
 	for i, hash := range p.hashes {
 		if c.parts[hash] == nil {
@@ -61,7 +65,7 @@
 }
 
 // add records that the prompt was sent to the engine.
-func (c *promptCache) add(p prompt) {
+func (c *promptCache) add(p *Prompt) {
 	if c.capacity == 0 {
 		return
 	}
--- a/internal/balancer/fetch.go
+++ b/internal/balancer/fetch.go
@@ -53,7 +53,7 @@
 // holder returns the engine that most likely holds the shared parts of a
 // prompt, or nil if engines do not copy. interactive names the pool of the
 // request.
-func (s *service) holder(now time.Time, candidates []*upstream, p prompt, interactive bool) *upstream {
+func (s *service) holder(now time.Time, candidates []*upstream, p *Prompt, interactive bool) *upstream {
 	if s.tokenCopy == 0 {
 		return nil
 	}
--- a/internal/balancer/lease.go
+++ b/internal/balancer/lease.go
@@ -32,10 +32,10 @@
 	once     sync.Once
 }
 
-func (b *Balancer) start(now time.Time, u *upstream, speed *prefillSpeed, p prompt, uncached int) *Lease {
+func (b *Balancer) start(now time.Time, u *upstream, speed *prefillSpeed, p *Prompt, uncached int) *Lease {
 	u.inFlight++
 	l := &Lease{b: b, u: u, speed: speed, started: now, uncached: uncached}
-	if len(p.hashes) > 0 {
+	if !p.empty() {
 		l.reading = true
 		u.reading += uncached
 		u.cache.add(p)
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -48,18 +48,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[q.Service]
-	if s == nil || len(q.Parts) == 0 || s.load.pressure < askPressure {
+	if s == nil || q.Prompt.empty() || s.load.pressure < askPressure {
 		return nil
 	}
 	var out []inventory.Entry
 	tried := slices.Clone(q.Tried)
-	prompt := newPrompt(q.Parts)
 	for range askedUpstreams {
 		candidates := eligible(s.upstreams, now, tried)
 		if len(candidates) == 0 {
 			break
 		}
-		_, u := s.pick(now, q, prompt, candidates, s.pools.classify(q.Route))
+		_, u := s.pick(now, q, candidates)
 		if now.Sub(u.reportAt) > freshReport {
 			out = append(out, u.Entry)
 		}
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -59,9 +59,9 @@
 
 // cost estimates the delay until a request's first event, with the reading of
 // uncached tokens weighed by the harm to other requests.
-func (u *upstream) cost(now time.Time, s *service, p prompt, uncached int) time.Duration {
+func (u *upstream) cost(now time.Time, s *service, p *Prompt, uncached int) time.Duration {
 	weight := u.reportWeight(now)
-	if len(p.hashes) == 0 {
+	if p.empty() {
 		return u.plainCost(weight * u.othersReported())
 	}
 	others := weight*u.othersReported() + (1-weight)*s.load.running
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -59,6 +59,7 @@
 	q.ctx = ctx
 	q.boundWrites(q.deadline.Add(writeSlack))
 	defer q.boundWrites(time.Time{})
+	q.prompt = balancer.NewPrompt(q.caller.Prompt)
 	q.h.Balancer.Arrive(q.arrived, q.query())
 	for {
 		choice, ok := q.pick()
@@ -84,7 +85,7 @@
 func (q *request) query() balancer.Query {
 	return balancer.Query{
 		Service:      q.service,
-		Parts:        q.caller.Prompt,
+		Prompt:       q.prompt,
 		Route:        q.route.Name,
 		MaxGap:       q.route.MaxGap,
 		OutputTokens: q.caller.OutputTokens,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,6 +86,7 @@
 	customer domain.CustomerID
 	rank     httproute.Rank
 	body     []byte
+	prompt   balancer.Prompt
 	arrived  time.Time
 	deadline time.Time
 	ctx      context.Context
