Decide in one place where an engine copies a prompt from

Cause: pick chose the engine to copy from in its loop for all upstreams but the home, and again behind the loop for the home, with the same cache lookup a second time. Change: the loop names the source of each upstream: the holder, or the alternate for a home that is the holder itself.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -252,15 +252,21 @@
 	var picked *upstream
 	for _, u := range candidates {
 		uncached := u.cache.missing(prompt)
-		fetched := 0
-		if u != holder && holder != nil && s.worthCopying(uncached-prompt.own) {
-			fetched = uncached - prompt.own
+		from, fetched := holder, 0
+		if u == holder {
+			from = nil
+			if u == home {
+				from = alternate // it may have read the prompt before its home
+			}
 		}
-		if u == home {
-			uncached = min(uncached, prompt.own)
+		if from != nil && s.worthCopying(uncached-prompt.own) {
+			fetched = uncached - prompt.own
 		}
 		cost := u.distance
-		if u == alternate && fetched > 0 {
+		switch {
+		case u == home:
+			uncached = min(uncached, prompt.own)
+		case u == alternate && fetched > 0:
 			uncached = prompt.own
 			cost += s.copyCost(fetched)
 		}
@@ -269,19 +275,13 @@
 			cost += poolPenalty
 		}
 		if picked == nil || cost < best.Cost {
-			best.Cost, best.Uncached, best.Fetched, picked = cost, uncached, fetched, u
+			best.Cost, best.Uncached, best.Fetched, best.FetchFrom, picked = cost, uncached, fetched, "", u
+			if fetched > 0 {
+				best.FetchFrom = from.Address
+			}
 		}
 	}
 	best.Home = picked == home
-	switch {
-	case best.Fetched > 0:
-		best.FetchFrom = holder.Address
-	case picked == home && alternate != nil:
-		// The alternate may have read the prompt before its home.
-		if shared := picked.cache.missing(prompt) - prompt.own; s.worthCopying(shared) {
-			best.Fetched, best.FetchFrom = shared, alternate.Address
-		}
-	}
 	return best, picked
 }
 
