Use the balancer's types for what daemons tell each other

Cause: peers had its own Work, Report and hash beside the balancer's, and edge copied one into the other field by field; ShortHash was called by tests only, State.Known by nobody. Change: peers takes balancer.Work and balancer.Report, its observer is the balancer itself but for the total; ShortHash becomes a method of the upstream, Known is removed. Behaviour and messages are the same; the tests keep their assertions under the new names. go test ./internal/balancer ./internal/edge, go test -race ./internal/peers pass.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -295,7 +295,7 @@
 	later := start.Add(time.Second)
 	asked := b.Ask(later, review(1, 2))
 	assert.Assert(t, len(asked) > 0 && len(asked) <= askedUpstreams)
-	assert.Equal(t, b.Learned()[ShortHash(string(home.Upstream.ID))].Waiting, 50)
+	assert.Equal(t, b.Learned()[b.upstreams[home.Upstream.ID].short()].Waiting, 50)
 	assert.Equal(t, len(b.Learned()), 0)
 
 	reports := make(map[uint32]Report)
@@ -305,7 +305,7 @@
 		if id == string(home.Upstream.ID) {
 			waiting = 500
 		}
-		reports[ShortHash(id)] = Report{Load{Waiting: waiting}, later}
+		reports[b.upstreams[domain.UpstreamID(id)].short()] = Report{Load{Waiting: waiting}, later}
 	}
 	// The home has room again by a report of this daemon that is newer.
 	b.SetReports(reports)
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -79,7 +79,7 @@
 // stated takes a report that an upstream gave this daemon.
 func (b *Balancer) stated(now time.Time, u *upstream, load Load) {
 	b.reported(now, u, load)
-	b.learned[uint32(u.hash)] = Report{load, now}
+	b.learned[u.short()] = Report{load, now}
 }
 
 func (b *Balancer) reported(now time.Time, u *upstream, load Load) {
--- a/internal/balancer/share.go
+++ b/internal/balancer/share.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // totalLife is how long the work of all daemons counts after it was told.
@@ -22,8 +20,8 @@
 	At time.Time
 }
 
-// ShortHash identifies an upstream towards peers.
-func ShortHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+// short identifies the upstream towards peers.
+func (u *upstream) short() uint32 { return uint32(u.hash) }
 
 // Works returns the work that this daemon brings to each service of engines.
 func (b *Balancer) Works(now time.Time) map[string]Work {
@@ -48,7 +46,7 @@
 }
 
 // Learned returns the load reports that upstreams gave this daemon since the
-// last call, by ShortHash.
+// last call, by the hash that peers know them by.
 func (b *Balancer) Learned() map[uint32]Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -65,7 +63,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, u := range b.upstreams {
-		r, ok := reports[uint32(u.hash)]
+		r, ok := reports[u.short()]
 		if !ok || !r.At.After(u.reportAt) {
 			continue
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -270,7 +270,7 @@
 	}
 	return peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.Internal, Zone: string(s.Zone), Directory: e.deps.Daemons,
-		Observer: peerObserver{e}, Tables: tables, Rand: newRand(), Log: e.deps.Log,
+		Observer: peerObserver{e.state.balancer, e}, Tables: tables, Rand: newRand(), Log: e.deps.Log,
 	})
 }
 
--- a/internal/peers/group_test.go
+++ b/internal/peers/group_test.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/peers"
 	"github.com/auburndyke/auburndyke/internal/ports"
@@ -28,10 +29,10 @@
 // quiet has nothing to tell.
 type quiet struct{}
 
-func (quiet) Works(time.Time) map[string]peers.Work { return nil }
-func (quiet) SetTotal(string, peers.Work, int)      {}
-func (quiet) Loads() map[uint32]peers.Report        { return nil }
-func (quiet) SetLoads(map[uint32]peers.Report)      {}
+func (quiet) Works(time.Time) map[string]balancer.Work { return nil }
+func (quiet) SetTotal(string, balancer.Work, int)      {}
+func (quiet) Learned() map[uint32]balancer.Report      { return nil }
+func (quiet) SetReports(map[uint32]balancer.Report)    {}
 
 // rows is a sink that holds the table.
 type rows struct {
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburndyke/auburndyke/internal/backoff"
+	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -44,13 +45,14 @@
 // Observer takes what the peers tell and gives what they are told.
 type Observer interface {
 	// Works returns the daemon's own work by service.
-	Works(now time.Time) map[string]Work
+	Works(now time.Time) map[string]balancer.Work
 	// SetTotal takes the work of all daemons for a service.
-	SetTotal(service string, total Work, daemons int)
-	// Loads returns the loads that this daemon learned since the last call.
-	Loads() map[uint32]Report
-	// SetLoads takes the loads that peers learned.
-	SetLoads(map[uint32]Report)
+	SetTotal(service string, total balancer.Work, daemons int)
+	// Learned returns the load reports that this daemon got since the last call,
+	// by Hash of the upstream.
+	Learned() map[uint32]balancer.Report
+	// SetReports takes the load reports that peers got.
+	SetReports(map[uint32]balancer.Report)
 }
 
 // Config sets up a Node. All fields are required.
@@ -135,7 +137,7 @@
 		n.mu.Lock()
 		fresh := n.state.Receive(time.Now(), m)
 		n.mu.Unlock()
-		n.Observer.SetLoads(fresh)
+		n.Observer.SetReports(fresh)
 		for _, state := range m.Tables {
 			n.noteReader(time.Now(), state, m.Sender)
 		}
@@ -183,7 +185,7 @@
 
 func (n *Node) compose(now time.Time) (targets []string, data []byte, err error) {
 	works := n.Observer.Works(now)
-	loads := n.Observer.Loads()
+	loads := n.Observer.Learned()
 	tables := n.tableStates()
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
@@ -44,10 +45,12 @@
 // quietObserver has nothing to tell.
 type quietObserver struct{}
 
-func (quietObserver) Works(time.Time) map[string]Work { return map[string]Work{"model": {}} }
-func (quietObserver) SetTotal(string, Work, int)      {}
-func (quietObserver) Loads() map[uint32]Report        { return nil }
-func (quietObserver) SetLoads(map[uint32]Report)      {}
+func (quietObserver) Works(time.Time) map[string]balancer.Work {
+	return map[string]balancer.Work{"model": {}}
+}
+func (quietObserver) SetTotal(string, balancer.Work, int)   {}
+func (quietObserver) Learned() map[uint32]balancer.Report   { return nil }
+func (quietObserver) SetReports(map[uint32]balancer.Report) {}
 
 // fixedTable is a copy that changes by offers only.
 type fixedTable struct {
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/balancer"
 )
 
 const (
@@ -31,19 +33,6 @@
 // Hash shortens a name for messages.
 func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// Work is engine time per second, in milliseconds.
-type Work struct {
-	Interactive float64
-	Other       float64
-}
-
-// Report is the load of an upstream and when it was stated.
-type Report struct {
-	Running int
-	Waiting int
-	At      time.Time
-}
-
 type demandKey struct{ origin, service uint32 }
 
 // demand is a Demand and when its origin stated it, by this daemon's clock.
@@ -60,7 +49,7 @@
 	seq    uint16
 
 	demands map[demandKey]*demand
-	loads   map[uint32]Report
+	loads   map[uint32]balancer.Report
 	// peers maps addresses to when they were heard last.
 	peers map[string]time.Time
 }
@@ -71,7 +60,7 @@
 	return &State{
 		self: address, origin: Hash(daemon + " " + start),
 		demands: make(map[demandKey]*demand),
-		loads:   make(map[uint32]Report),
+		loads:   make(map[uint32]balancer.Report),
 		peers:   make(map[string]time.Time),
 	}
 }
@@ -87,7 +76,7 @@
 }
 
 // SetWork sets the daemon's own demand for a service.
-func (s *State) SetWork(now time.Time, service uint32, w Work) {
+func (s *State) SetWork(now time.Time, service uint32, w balancer.Work) {
 	s.seq++
 	s.demands[demandKey{s.origin, service}] = &demand{
 		Demand: Demand{
@@ -101,7 +90,7 @@
 func clamp(x float64) uint16 { return uint16(min(max(x, 0), math.MaxUint16)) }
 
 // SetLoad takes the load that an upstream stated to this daemon.
-func (s *State) SetLoad(upstream uint32, r Report) {
+func (s *State) SetLoad(upstream uint32, r balancer.Report) {
 	if old, known := s.loads[upstream]; !known || r.At.After(old.At) {
 		s.loads[upstream] = r
 	}
@@ -109,7 +98,7 @@
 
 // Receive takes a message. It returns the loads that are newer than the known
 // ones.
-func (s *State) Receive(now time.Time, m *Message) map[uint32]Report {
+func (s *State) Receive(now time.Time, m *Message) map[uint32]balancer.Report {
 	if m.Sender != "" && m.Sender != s.self {
 		s.peers[m.Sender] = now
 	}
@@ -121,9 +110,12 @@
 			s.receiveDemand(now, service.Name, d)
 		}
 	}
-	fresh := make(map[uint32]Report)
+	fresh := make(map[uint32]balancer.Report)
 	for _, l := range m.Loads {
-		r := Report{Running: int(l.Running), Waiting: int(l.Waiting), At: now.Add(-time.Duration(l.Age) * ageUnit)}
+		r := balancer.Report{
+			Load: balancer.Load{Running: int(l.Running), Waiting: int(l.Waiting)},
+			At:   now.Add(-time.Duration(l.Age) * ageUnit),
+		}
 		if old, known := s.loads[l.Upstream]; !known || r.At.Sub(old.At) > ageUnit {
 			s.loads[l.Upstream] = r
 			fresh[l.Upstream] = r
@@ -145,8 +137,8 @@
 
 // Total returns the work that all daemons bring to a service, and the number
 // of daemons that it counts.
-func (s *State) Total(now time.Time, service uint32) (Work, int) {
-	var w Work
+func (s *State) Total(now time.Time, service uint32) (balancer.Work, int) {
+	var w balancer.Work
 	n := 0
 	for key, d := range s.demands {
 		if key.service != service || now.Sub(d.stated) >= demandLife {
@@ -229,9 +221,6 @@
 	return all[:min(len(all), n)]
 }
 
-// Known returns the number of peers.
-func (s *State) Known() int { return len(s.peers) }
-
 // somePeers returns a few peers that were heard lately.
 func (s *State) somePeers(now time.Time, rng *rand.Rand) []string {
 	all := s.addresses(func(heard time.Time) bool { return now.Sub(heard) < peerLife })
--- a/internal/peers/state_test.go
+++ b/internal/peers/state_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/auburndyke/auburndyke/internal/balancer"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -40,7 +42,7 @@
 func (f *fleet) round(t *testing.T) {
 	f.now = f.now.Add(interval)
 	for i, s := range f.states {
-		s.SetWork(f.now, 7, Work{Interactive: float64(i), Other: 100})
+		s.SetWork(f.now, 7, balancer.Work{Interactive: float64(i), Other: 100})
 		targets := s.Targets(f.rng, fanOut)
 		data, err := encode(s.Compose(f.now, f.rng))
 		assert.NilError(t, err)
@@ -108,7 +110,7 @@
 	_, daemons := s.Total(f.now, 7)
 	assert.Equal(t, daemons, 2)
 	later := f.now.Add(demandLife)
-	s.SetWork(later, 7, Work{})
+	s.SetWork(later, 7, balancer.Work{})
 	_, daemons = s.Total(later, 7)
 	assert.Equal(t, daemons, 1)
 }
@@ -117,14 +119,14 @@
 // came, and against ages that shrink on their way.
 func TestLoadsKeepTheirAge(t *testing.T) {
 	a, b := NewState("a", "a:1", "1"), NewState("b", "b:1", "1")
-	a.SetLoad(1, Report{Waiting: 3, At: start})
+	a.SetLoad(1, balancer.Report{Load: balancer.Load{Waiting: 3}, At: start})
 	rng := rand.New(rand.NewPCG(1, 2))
 	now := start.Add(time.Second)
 	fresh := b.Receive(now, a.Compose(now, rng))
 	assert.Equal(t, fresh[1].Waiting, 3)
 	assert.Assert(t, !fresh[1].At.After(start.Add(ageUnit)))
 
-	b.SetLoad(1, Report{Waiting: 9, At: now})
+	b.SetLoad(1, balancer.Report{Load: balancer.Load{Waiting: 9}, At: now})
 	assert.Equal(t, len(b.Receive(now, a.Compose(now, rng))), 0)
 	assert.Equal(t, b.Compose(now, rng).Loads[0].Waiting, uint32(9))
 	later := now.Add(loadLife)
@@ -142,7 +144,7 @@
 			}})}}})
 		}
 		for i := range rapid.IntRange(0, 400).Draw(t, "loads") {
-			s.SetLoad(uint32(1<<32-1-i), Report{Running: 300, Waiting: 300, At: start})
+			s.SetLoad(uint32(1<<32-1-i), balancer.Report{Load: balancer.Load{Running: 300, Waiting: 300}, At: start})
 		}
 		_, err := encode(s.Compose(start.Add(time.Second), rand.New(rand.NewPCG(1, 2))))
 		if err != nil {
