Keep one copy of the SplitMix64 finalizer

Cause: the balancer wrote again what the subsets of routing and the stand-in engine had each for themselves. Values are the same: go test ./internal/splitmix ./internal/balancer ./internal/routing ./internal/standin/... passes.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/inventory"
+	"github.com/auburndyke/auburndyke/internal/splitmix"
 )
 
 // Part is one part of a prompt. Prompts that begin with the same parts share
@@ -330,18 +331,9 @@
 		if !keep(u) {
 			continue
 		}
-		if weight := mix(u.hash ^ key); home == nil || weight > highest {
+		if weight := splitmix.Finalize(u.hash ^ key); home == nil || weight > highest {
 			home, highest = u, weight
 		}
 	}
 	return home
 }
-
-// mix is the finalizer of SplitMix64. It spreads the sum of two hashes.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/balancer/cache.go
+++ b/internal/balancer/cache.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "container/list"
+import (
+	"container/list"
+
+	"github.com/auburndyke/auburndyke/internal/splitmix"
+)
 
 // Prompt is the parts of a prompt as chained hashes, so that equal hashes mean
 // equal beginnings. It is made once for a request.
@@ -21,7 +25,7 @@
 	var p Prompt
 	var h uint64
 	for i, part := range parts {
-		h = mix(h ^ part.ID + 0x9e3779b97f4a7c15)
+		h = splitmix.Finalize(h ^ part.ID + 0x9e3779b97f4a7c15)
 		p.hashes = append(p.hashes, h)
 		p.tokens = append(p.tokens, part.Tokens)
 		p.total += part.Tokens
--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/auburndyke/auburndyke/internal/splitmix"
 )
 
 const (
@@ -130,6 +132,6 @@
 // daemons have the same.
 func order(all []*upstream) []*upstream {
 	out := slices.Clone(all)
-	slices.SortFunc(out, func(a, b *upstream) int { return cmp.Compare(mix(a.hash), mix(b.hash)) })
+	slices.SortFunc(out, func(a, b *upstream) int { return cmp.Compare(splitmix.Finalize(a.hash), splitmix.Finalize(b.hash)) })
 	return out
 }
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/splitmix"
 )
 
 // Subset returns the upstreams that daemon self uses, in ascending order,
@@ -116,10 +117,7 @@
 
 // weight is the rank of a pair; lower is taken first.
 func (m *matching) weight(d, u int) uint64 {
-	x := m.daemonHash[d] ^ (m.upHash[u]*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019)
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return splitmix.Finalize(m.daemonHash[d] ^ (m.upHash[u]*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019))
 }
 
 // greedy takes the pairs in the order of their weight. It sorts only ranges of
--- a/internal/standin/engine/text.go
+++ b/internal/standin/engine/text.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/splitmix"
 )
 
 const (
@@ -98,13 +100,8 @@
 	return mix(xxhash.Sum64String(prompt) ^ bits.RotateLeft64(uint64(seed), 17))
 }
 
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
+// mix is one step of SplitMix64.
+func mix(x uint64) uint64 { return splitmix.Finalize(x + 0x9e3779b97f4a7c15) }
 
 // token returns token i of the answer with prompt hash h.
 func token(h uint64, i int) string {
