Take the doubling of avoidance from backoff

Cause: the balancer's health wrote again the capped doubling that backoff.Policy has, and applied it twice, for failures and refusals. Change: Policy.Bound is exported and used; one method serves both counts.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -22,7 +22,7 @@
 // consecutive failures. It is uniform between Floor and an upper bound that
 // doubles with each failure until Cap. Zero failures count as one.
 func (p Policy) Delay(failures int, rng *rand.Rand) time.Duration {
-	bound := p.bound(failures)
+	bound := p.Bound(failures)
 	spread := bound - p.Floor
 	if spread <= 0 {
 		return p.Floor
@@ -30,7 +30,8 @@
 	return p.Floor + time.Duration(rng.Int64N(int64(spread)))
 }
 
-func (p Policy) bound(failures int) time.Duration {
+// Bound returns the upper bound of Delay, for times that nobody has to spread.
+func (p Policy) Bound(failures int) time.Duration {
 	bound := 2 * p.Floor
 	for range failures - 1 {
 		if bound >= p.Cap {
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburndyke/auburndyke/internal/backoff"
+)
 
 const (
 	// failuresToAvoid is the number of failures in a row after which an
@@ -16,6 +20,10 @@
 	refusalsToAvoid = 1
 )
 
+// avoidance has half of firstAvoidance as its floor, because a bound starts at
+// twice the floor.
+var avoidance = backoff.Policy{Floor: firstAvoidance / 2, Cap: maxAvoidance}
+
 // health follows the failures of one upstream as this daemon sees them.
 type health struct {
 	failures int
@@ -29,29 +37,20 @@
 		*h = health{}
 	case Failed:
 		h.failures++
-		if h.failures >= failuresToAvoid {
-			h.until = now.Add(avoidance(h.failures - failuresToAvoid))
-		}
+		h.avoid(now, h.failures-failuresToAvoid)
 	case Refused:
 		h.refusals++
-		if h.refusals >= refusalsToAvoid {
-			h.until = now.Add(avoidance(h.refusals - refusalsToAvoid))
-		}
+		h.avoid(now, h.refusals-refusalsToAvoid)
 	case Abandoned:
 	}
 }
 
-// avoidance is how long an upstream is avoided after it has failed a number of
-// times since it was avoided first.
-func avoidance(further int) time.Duration {
-	d := firstAvoidance
-	for range further {
-		if d >= maxAvoidance {
-			return maxAvoidance
-		}
-		d *= 2
+// avoid avoids the upstream for a time that doubles with each further failure
+// behind the one that it is avoided for first. A negative number does nothing.
+func (h *health) avoid(now time.Time, further int) {
+	if further >= 0 {
+		h.until = now.Add(avoidance.Bound(further + 1))
 	}
-	return min(d, maxAvoidance)
 }
 
 func (h *health) avoided(now time.Time) bool { return now.Before(h.until) }
