Remove what nothing calls in the pool, the inventory and the answer

Cause: Pool.Forget, Answer.Complete and Registration.Warmup have no reader; the pool's defaults and the leave bound's default were spelled out where cmp.Or serves the rest.

--- a/internal/adapters/upstreamhttp/exchange.go
+++ b/internal/adapters/upstreamhttp/exchange.go
@@ -208,9 +208,6 @@
 // SetReadDeadline bounds the next reads of the body.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
-// Complete reports whether the body was read to its end.
-func (a *Answer) Complete() bool { return a.complete }
-
 // Close releases the connection: to the pool if the exchange ended in order,
 // otherwise by closing it, which cancels the work of most upstreams.
 func (a *Answer) Close() {
--- a/internal/adapters/upstreamhttp/pool.go
+++ b/internal/adapters/upstreamhttp/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"strconv"
@@ -53,21 +54,15 @@
 
 // NewPool returns an empty pool.
 func NewPool(o Options) *Pool {
-	if o.DialTimeout == 0 {
-		o.DialTimeout = defaultDialTimeout
-	}
-	if o.MaxIdle == 0 {
-		o.MaxIdle = defaultMaxIdle
-	}
 	return &Pool{
 		dialer: net.Dialer{
-			Timeout: o.DialTimeout,
+			Timeout: cmp.Or(o.DialTimeout, defaultDialTimeout),
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 			},
 			Control: setUserTimeout,
 		},
-		maxIdle: o.MaxIdle,
+		maxIdle: cmp.Or(o.MaxIdle, defaultMaxIdle),
 		idle:    make(map[string][]*conn),
 	}
 }
@@ -135,9 +130,7 @@
 
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
 	now := time.Now()
-	if keepAlive == 0 {
-		keepAlive = defaultIdleTimeout
-	}
+	keepAlive = cmp.Or(keepAlive, defaultIdleTimeout)
 	c.idleSince = now
 	c.expires = now.Add(keepAlive - keepAliveMargin)
 	if err := c.SetDeadline(time.Time{}); err != nil || keepAlive <= keepAliveMargin {
@@ -183,17 +176,6 @@
 	}
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range list {
-		_ = c.Close()
-	}
-}
-
 // Stats returns the connections opened and the requests that reused one.
 func (p *Pool) Stats() (opened, reused uint64) {
 	p.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -114,12 +114,14 @@
 
 // removalHold is how long an upstream without a registration may get work.
 func removalHold(s *Settings) time.Duration {
-	return max(cmp.Or(s.LeaveBound, defaultLeaveBound)-listSettle(s)-leaveMargin, 0)
+	return max(leaveBound(s)-listSettle(s)-leaveMargin, 0)
 }
 
+func leaveBound(s *Settings) time.Duration { return cmp.Or(s.LeaveBound, defaultLeaveBound) }
+
 // listSettle is the pause after a change of the list of upstreams.
 func listSettle(s *Settings) time.Duration {
-	return time.Duration(settleShare * float64(cmp.Or(s.LeaveBound, defaultLeaveBound)))
+	return time.Duration(settleShare * float64(leaveBound(s)))
 }
 
 // Run serves until SIGTERM or ctx ends, and then stops in order.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -20,8 +20,6 @@
 	// Incarnation is the start of the upstream's process. A higher one holds
 	// and knows nothing of a lower one.
 	Incarnation domain.Incarnation
-	// Warmup is how much longer the upstream stays slow after its start.
-	Warmup time.Duration
 }
 
 // Standing tells whether an upstream may get new work.
