Ask in one place whether the caller has left

Cause: a failed send, a broken stream and a broken body each wrote the same lines. Change: attempt.callerLeft. Behaviour is the same; go test ./internal/relay passes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -200,9 +200,7 @@
 	} else {
 		q.tried = append(q.tried, a.choice.Upstream.ID)
 	}
-	if q.r.Context().Err() != nil {
-		a.result = balancer.Abandoned
-		q.outcome.set(outcomeCallerGone, "")
+	if a.callerLeft() {
 		return gone
 	}
 	a.cause = err.Error()
@@ -213,6 +211,17 @@
 	return notRun
 }
 
+// callerLeft reports whether the caller has left, which ends the attempt and says
+// nothing about the upstream.
+func (a *attempt) callerLeft() bool {
+	if a.q.r.Context().Err() == nil {
+		return false
+	}
+	a.result = balancer.Abandoned
+	a.q.outcome.set(outcomeCallerGone, "")
+	return true
+}
+
 // refused handles an answer that says the request has not run.
 func (a *attempt) refused() result {
 	a.result = balancer.Refused
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -180,9 +180,7 @@
 // stream goes on at another upstream where the route allows it.
 func (a *attempt) streamBroken(err error) result {
 	q := a.q
-	if q.r.Context().Err() != nil {
-		a.result = balancer.Abandoned
-		q.outcome.set(outcomeCallerGone, "")
+	if a.callerLeft() {
 		return gone
 	}
 	switch {
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -59,9 +59,7 @@
 }
 
 func (a *attempt) bodyFailed(err error) result {
-	if a.q.r.Context().Err() != nil {
-		a.result = balancer.Abandoned
-		a.q.outcome.set(outcomeCallerGone, "")
+	if a.callerLeft() {
 		return gone
 	}
 	if cause := a.q.ctx.Err(); cause != nil {
