Run processes of the soak and of processrun by one package

Cause: both tests had their own build, start with a log file, signal, kill, planned stop and search for free ports below the outgoing range. Change: internal/standin/process holds them; each test keeps what it checks. Assertions are the same.

--- a/internal/processrun/check_test.go
+++ b/internal/processrun/check_test.go
@@ -92,7 +92,7 @@
 	var work sync.WaitGroup
 	codes := make([]int, len(r.fleet.daemons))
 	for i, m := range r.fleet.daemons {
-		work.Go(func() { codes[i] = m.process.stop() })
+		work.Go(func() { codes[i] = m.process.Stop(stopTime) })
 	}
 	work.Wait()
 	for i, code := range codes {
--- a/internal/processrun/fleet_test.go
+++ b/internal/processrun/fleet_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -27,6 +26,7 @@
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/policy"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/process"
 )
 
 const (
@@ -36,7 +36,6 @@
 
 	firstPort = 10000
 	portCount = 9000
-	portTries = 100
 )
 
 // size is what a run consists of.
@@ -53,8 +52,8 @@
 	dir      string
 	binary   string
 	ports    map[string]string // address in the examples -> free address
-	taken    map[string]bool   // the free ones
-	platform *process
+	free     *process.Ports
+	platform *process.Process
 	access   *platformclient.Client
 	document *policy.Document
 
@@ -66,7 +65,7 @@
 // upstream is one stand-in of an engine or a service.
 type upstream struct {
 	policy.Upstream
-	process *process
+	process *process.Process
 	// ledgers were read before each end of its process.
 	ledgers  []ledger
 	returned bool // its process was stopped for good
@@ -77,12 +76,12 @@
 	id                    string
 	index                 int
 	caller, admin, region string
-	process               *process
+	process               *process.Process
 }
 
 func startFleet(t *testing.T, s size) *fleet {
 	f := &fleet{
-		t: t, size: s, dir: t.TempDir(), ports: make(map[string]string), taken: make(map[string]bool),
+		t: t, size: s, dir: t.TempDir(), ports: make(map[string]string), free: process.NewPorts(firstPort, portCount),
 		upstreams: make(map[domain.UpstreamID]*upstream),
 	}
 	f.binary = build(t, f.dir)
@@ -104,25 +103,14 @@
 	return f
 }
 
-// free maps an address of the examples to a free one. Its port lies below the
-// range that the system gives to outgoing connections: one of those could take
-// the port while the process that owns it restarts.
-func (f *fleet) free(address string) string {
-	for range portTries {
-		if f.ports[address] != "" {
-			break
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
-		if err != nil {
-			continue
-		}
-		if at := l.Addr().String(); !f.taken[at] {
-			f.ports[address], f.taken[at] = at, true
-		}
-		assert.NilError(f.t, l.Close())
+// address maps an address of the examples to a free one.
+func (f *fleet) address(example string) string {
+	if f.ports[example] == "" {
+		port, err := f.free.Free()
+		assert.NilError(f.t, err)
+		f.ports[example] = fmt.Sprintf("127.0.0.1:%d", port)
 	}
-	assert.Assert(f.t, f.ports[address] != "", "no free port")
-	return f.ports[address]
+	return f.ports[example]
 }
 
 func (f *fleet) log(name string) string { return filepath.Join(f.dir, name+".log") }
@@ -142,7 +130,7 @@
 }
 
 func (f *fleet) startPlatform() {
-	address := f.free("127.0.0.1:20900")
+	address := f.address("127.0.0.1:20900")
 	credential := strings.TrimSpace(f.read("platform.credential"))
 	f.platform = launch(f.t, f.binary, f.log("platform"), "standin", "platform", "--address", address, "--credential", credential)
 	var err error
@@ -180,7 +168,7 @@
 			if i >= len(from) {
 				u.ID = domain.UpstreamID(fmt.Sprintf("%s-%d", u.ID, i/len(from)+1))
 			}
-			u.Address = f.free(string(u.ID))
+			u.Address = f.address(string(u.ID))
 			document.Upstreams = append(document.Upstreams, u)
 		}
 	}
@@ -214,7 +202,7 @@
 // between the daemons.
 func (f *fleet) writeSettings() {
 	ca := newAuthority(f.t, f.dir)
-	replaced := func(name string) string { return loopbackAddress.ReplaceAllStringFunc(f.read(name), f.free) }
+	replaced := func(name string) string { return loopbackAddress.ReplaceAllStringFunc(f.read(name), f.address) }
 	f.write("settings.toml", replaced("settings.toml"))
 	f.write("platform.credential", f.read("platform.credential"))
 	for i := range f.size.daemons {
@@ -233,7 +221,7 @@
 	region := regexp.MustCompile(`region = "(.*)"`).FindStringSubmatch(text)
 	return &member{
 		id: fmt.Sprintf("entry-%d", i+1), index: i, region: region[1],
-		caller: "http://" + f.free(addresses[0]), admin: "http://" + f.free(addresses[1]),
+		caller: "http://" + f.address(addresses[0]), admin: "http://" + f.address(addresses[1]),
 	}
 }
 
--- a/internal/processrun/run_test.go
+++ b/internal/processrun/run_test.go
@@ -68,7 +68,7 @@
 func (r *run) watch(ctx context.Context, m *member) {
 	for ctx.Err() == nil {
 		r.fleet.mu.Lock()
-		pid := m.process.cmd.Process.Pid
+		pid := m.process.ID()
 		r.fleet.mu.Unlock()
 		_, text := fetch(m.admin + "/metrics")
 		if found := revisionLine.FindStringSubmatch(text); found != nil {
--- a/internal/processrun/script_test.go
+++ b/internal/processrun/script_test.go
@@ -94,7 +94,7 @@
 	return func(_ context.Context, r *run) error {
 		m := r.fleet.daemons[i]
 		r.note(m, "down")
-		m.process.kill()
+		m.process.Kill()
 		time.Sleep(pause)
 		return r.restart(m)
 	}
@@ -105,7 +105,7 @@
 	return func(_ context.Context, r *run) error {
 		m := r.fleet.daemons[i]
 		r.note(m, "down")
-		if code := m.process.stop(); code != 0 {
+		if code := m.process.Stop(stopTime); code != 0 {
 			return fmt.Errorf("planned stop of %s ended with code %d", m.id, code)
 		}
 		return r.restart(m)
@@ -128,9 +128,9 @@
 	return func(_ context.Context, r *run) error {
 		m := r.fleet.daemons[i]
 		r.note(m, "down")
-		m.process.signal(syscall.SIGSTOP)
+		m.process.Signal(syscall.SIGSTOP)
 		time.Sleep(pause)
-		m.process.signal(syscall.SIGCONT)
+		m.process.Signal(syscall.SIGCONT)
 		if err := r.fleet.waitReady(m); err != nil {
 			return err
 		}
@@ -144,7 +144,7 @@
 	return func(ctx context.Context, r *run) error {
 		u := r.fleet.upstreams[id]
 		kept, err := r.fleet.readLedger(ctx, u)
-		u.process.kill()
+		u.process.Kill()
 		u.ledgers = append(u.ledgers, kept)
 		time.Sleep(pause)
 		r.fleet.startUpstream(&u.Upstream)
@@ -204,7 +204,7 @@
 	}
 	u.ledgers = append(u.ledgers, kept)
 	u.returned = true
-	if code := u.process.stop(); code != 0 {
+	if code := u.process.Stop(stopTime); code != 0 {
 		return fmt.Errorf("planned stop of %s ended with code %d", u.ID, code)
 	}
 	return nil
@@ -301,7 +301,7 @@
 // platformFaults changes fault switches of the platform.
 func platformFaults(faults map[string]any) func(context.Context, *run) error {
 	return func(ctx context.Context, r *run) error {
-		return post(ctx, "http://"+r.fleet.free("127.0.0.1:20900")+"/faults", nil, faults, nil)
+		return post(ctx, "http://"+r.fleet.address("127.0.0.1:20900")+"/faults", nil, faults, nil)
 	}
 }
 
@@ -309,9 +309,9 @@
 func pauseEngine(id domain.UpstreamID, pause time.Duration) func(context.Context, *run) error {
 	return func(_ context.Context, r *run) error {
 		p := r.fleet.upstreams[id].process
-		p.signal(syscall.SIGSTOP)
+		p.Signal(syscall.SIGSTOP)
 		time.Sleep(pause)
-		p.signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 		return nil
 	}
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -3,12 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -18,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/auburndyke/auburndyke/internal/standin/process"
 	"github.com/auburndyke/auburndyke/platform/standin"
 )
 
@@ -29,16 +27,14 @@
 	probeTime = time.Second
 	// stopBound is the settings' time between SIGTERM and the end.
 	stopBound = 8 * time.Second
-	// leaveBound is the settings' bound for new work at a leaving upstream.
-	leaveBound = 2500 * time.Millisecond
-	firstPort  = 20000
+	firstPort = 20000
 	// portBlocks and blockPorts keep runs that go on at the same time apart.
 	portBlocks = 18
 	blockPorts = 500
 )
 
-// takenPorts are the ports that this run has given away.
-var takenPorts = make(map[int]bool)
+// freePorts is apart from those of runs that go on at the same time.
+var freePorts = process.NewPorts(firstPort+os.Getpid()%portBlocks*blockPorts, blockPorts)
 
 // upstream is a replica behind a proxy.
 type upstream struct {
@@ -60,9 +56,7 @@
 	restarting sync.Mutex
 
 	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	started time.Time
+	process *process.Process
 	// calm is since when nothing happened to the daemon.
 	calm time.Time
 	// stops are the SIGTERMs to a ready process that then ended by itself.
@@ -147,9 +141,8 @@
 
 func build(t *testing.T) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "auburndyke")
-	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/auburndyke").CombinedOutput()
-	assert.NilError(t, err, string(out))
+	binary, err := process.Build(t.Context(), t.TempDir())
+	assert.NilError(t, err)
 	return binary
 }
 
@@ -240,26 +233,11 @@
 	return f.version
 }
 
-// freePort returns a port below the range of outgoing connections, which could
-// take it while its process restarts.
 func freePort(t *testing.T) int {
 	t.Helper()
-	block := firstPort + os.Getpid()%portBlocks*blockPorts
-	for range 100 {
-		port := block + rand.IntN(blockPorts)
-		if takenPorts[port] {
-			continue
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, l.Close())
-		takenPorts[port] = true
-		return port
-	}
-	t.Fatal("no free port")
-	return 0
+	port, err := freePorts.Free()
+	assert.NilError(t, err)
+	return port
 }
 
 func (f *fleet) addDaemon(i int, store string) {
@@ -277,41 +255,27 @@
 }
 
 func (d *daemon) start(f *fleet) {
-	file, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	p, err := process.Start(f.binary, d.log, "edge", "--settings", d.settings)
 	assert.NilError(f.t, err)
-	defer file.Close()
-	cmd := exec.Command(f.binary, "edge", "--settings", d.settings)
-	cmd.Stdout, cmd.Stderr = file, file
-	assert.NilError(f.t, cmd.Start())
-	exited := make(chan struct{})
-	go func() {
-		defer close(exited)
-		_ = cmd.Wait() // the exit code is read from the state
-	}()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.cmd, d.exited, d.started, d.calm = cmd, exited, time.Now(), time.Now()
+	d.process, d.calm = p, time.Now()
 }
 
-func (d *daemon) signal(s syscall.Signal) {
+// current returns the present process.
+func (d *daemon) current() *process.Process {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_ = d.cmd.Process.Signal(s) // a process that has ended takes none
+	return d.process
 }
 
+func (d *daemon) signal(s syscall.Signal) { d.current().Signal(s) }
+
 func (d *daemon) kill() {
 	d.mu.Lock()
 	d.kills = append(d.kills, time.Now())
 	d.mu.Unlock()
-	d.signal(syscall.SIGKILL)
-	<-d.ended()
-}
-
-// ended returns a channel that closes when the present process has ended.
-func (d *daemon) ended() <-chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.exited
+	d.current().Kill()
 }
 
 // disturbed notes that something happens to the daemon until the given time.
@@ -334,17 +298,13 @@
 }
 
 // run identifies the present start of the daemon.
-func (d *daemon) run() time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.started
-}
+func (d *daemon) run() time.Time { return d.current().Started }
 
 // alive reports whether the daemon's process runs. Another process at its
 // address is not taken for it.
 func (d *daemon) alive() bool {
 	select {
-	case <-d.ended():
+	case <-d.current().Exited():
 		return false
 	default:
 		return true
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -280,7 +280,7 @@
 	defer d.restarting.Unlock()
 	d.disturbed(time.Now().Add(time.Hour))
 	end()
-	<-d.ended()
+	<-d.current().Exited()
 	d.start(f)
 }
 
@@ -290,17 +290,16 @@
 	asked := time.Now()
 	d.signal(syscall.SIGTERM)
 	d.signal(syscall.SIGCONT)
-	select {
-	case <-d.ended():
-		if !serving {
-			return // nobody was served
-		}
-		d.mu.Lock()
-		d.stops = append(d.stops, plannedStop{asked, time.Now()})
-		d.mu.Unlock()
-	case <-time.After(stopBound + 2*time.Second):
+	if !d.current().Wait(stopBound + 2*time.Second) {
 		d.kill()
+		return
+	}
+	if !serving {
+		return // nobody was served
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stops = append(d.stops, plannedStop{asked, time.Now()})
 }
 
 // reload changes the settings file and tells the process.
