Run bubbles on one processor under the race detector

The address in the register dump is StackDepot::Put of the race detector, called for a timer's goroutine (time.goFunc). Go 1.26 runs all timers of a synctest bubble in one detector context, bubble.timers.raceCtx, also when several processors run timers of the bubble at the same time: time.Timer.modify runs a timer that is due at once, and maybeRunChan runs one when its channel is read. Both write the context without a lock. Ruled out: a fault of the mesh or of its test; a scratch test (trial) without our code crashes in 0.05 s with GOMAXPROCS=6 (64 goroutines, time.AfterFunc(0)), and in 16 s with tickers and no timer that starts due; with GOMAXPROCS=1 both pass. Change: virtualtime.Test starts all bubbles and keeps the process at one processor meanwhile, under the race detector only.

--- a/internal/adapters/engineclient/client_test.go
+++ b/internal/adapters/engineclient/client_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -20,6 +19,7 @@
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/engine"
 	"github.com/auburndyke/auburndyke/internal/standin/netfault"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 func TestMain(m *testing.M) {
@@ -29,7 +29,7 @@
 // inBubble runs a test against an engine in virtual time.
 func inBubble(t *testing.T, cfg engine.Config, test func(t *testing.T, e *engine.Engine, c *engineclient.Client)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		pipe := netfault.NewPipe()
 		e := engine.New(cfg)
 		e.Start(pipe)
--- a/internal/adapters/httpsend/httpsend_test.go
+++ b/internal/adapters/httpsend/httpsend_test.go
@@ -9,11 +9,12 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 func TestMain(m *testing.M) {
@@ -68,7 +69,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				tr := NewTransport(Options{Dial: c.dial})
 				tracker, err := post(t.Context(), tr)
 				assert.Assert(t, err != nil)
@@ -96,7 +97,7 @@
 // Guards against taking an earlier request's bytes on a pooled connection for
 // those of a request that was never written.
 func TestReusedConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		client, server := net.Pipe()
 		tr := NewTransport(Options{Dial: func(context.Context, string, string) (net.Conn, error) { return client, nil }})
 		go func() {
--- a/internal/adapters/peerws/memnet_test.go
+++ b/internal/adapters/peerws/memnet_test.go
@@ -7,12 +7,12 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/mesh"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 // tcpBytes is what TCP and IP add to one small frame, acknowledgement excluded.
@@ -58,6 +58,8 @@
 	defer t.net.mu.Unlock()
 	t.revision = max(t.revision, r)
 }
+func (t *memTransport) Refuses(context.Context, ports.Member) bool { return false }
+
 func (t *memTransport) SetIncarnation(domain.Incarnation) {}
 
 func (n *memNet) latency(a, b ports.Member) time.Duration {
@@ -228,7 +230,7 @@
 		time.Sleep(15 * time.Second)
 		f(fl)
 	}
-	synctest.Test(t, func(*testing.T) { body() })
+	virtualtime.Test(t, func(*testing.T) { body() })
 }
 
 // drain lets the timers of the network end; nobody reads the events any more.
--- a/internal/adapters/platformclient/client_test.go
+++ b/internal/adapters/platformclient/client_test.go
@@ -22,6 +22,7 @@
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/netfault"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 func TestMain(m *testing.M) {
@@ -32,7 +33,7 @@
 // must behave alike.
 func eachClient(t *testing.T, cfg platform.Config, test func(t *testing.T, p *platform.Platform, c ports.Platform)) {
 	t.Run("http", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			pipe := netfault.NewPipe()
 			p := platform.New(cfg)
 			p.Start(pipe)
@@ -47,7 +48,7 @@
 		})
 	})
 	t.Run("in process", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			p := platform.New(cfg)
 			test(t, p, p.Client("d1"))
 		})
@@ -170,7 +171,7 @@
 // Guards against a client that stays locked out after its credential was
 // replaced, and against one that takes a rejected write for an unknown one.
 func TestCredentialReload(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		pipe := netfault.NewPipe()
 		p := platform.New(platform.Config{Credentials: []string{"one"}})
 		p.Start(pipe)
@@ -213,7 +214,7 @@
 // Guards against reads that are not repeated, writes that are, and calls that
 // stay on silent connections.
 func TestSilentConnections(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		pipe := netfault.NewPipe()
 		p := platform.New(platform.Config{})
 		p.Start(pipe)
--- a/internal/adapters/platformclient/failover_test.go
+++ b/internal/adapters/platformclient/failover_test.go
@@ -14,12 +14,13 @@
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/netfault"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 // twoPlatforms runs a test with a client that prefers the first platform.
 // The platforms share no state, so that their counters show who was asked.
 func twoPlatforms(t *testing.T, test func(t *testing.T, first, second *platform.Platform, refuse func(), c *platformclient.Client)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		first, second := platform.New(platform.Config{}), platform.New(platform.Config{})
 		pipes := map[string]*netfault.Pipe{"first:80": netfault.NewPipe(), "second:80": netfault.NewPipe()}
 		first.Start(pipes["first:80"])
--- a/internal/exchange/runner_test.go
+++ b/internal/exchange/runner_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 // fakeEngine generates the words "0 1 2 ..." up to total, each interval, and
@@ -156,7 +157,7 @@
 		{name: "slow caller is no silence", first: &fakeEngine{}, block: 5 * time.Second, attempts: 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				first, second := tc.first, &fakeEngine{total: total, interval: 20 * time.Millisecond}
 				first.total = total
 				if first.interval == 0 {
@@ -186,7 +187,7 @@
 // TestRunnerPreemptionKeepsText guards against a preempted request that
 // starts over or repeats tokens.
 func TestRunnerPreemptionKeepsText(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		engine := &fakeEngine{total: 40, interval: 20 * time.Millisecond}
 		place := Assignment{Upstream: "a", Engine: engine}
 		emitter := &textEmitter{}
@@ -244,7 +245,7 @@
 		{"never ran", false, []error{ports.ErrRefused, ports.ErrRefused, ports.ErrRefused, ports.ErrRefused, ports.ErrNotSent}, domain.OutcomeNotRun, 5},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				service := &fakeService{errs: tc.errs}
 				response, outcome := RunCall(t.Context(), CallConfig{
 					Config: Config{Request: "r", Repeatable: tc.repeatable},
@@ -329,7 +330,7 @@
 		{"not to be repeated, but resumed", Config{}, 0, 99, &fakeEngine{breakAt: 5}, domain.OutcomeRan, "", "", 0, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				tc.engine.total, tc.engine.interval = 40, 20*time.Millisecond
 				tc.cfg.Request, tc.cfg.Resumable = "r", true
 				ctx, cancel := context.WithCancel(t.Context())
@@ -361,7 +362,7 @@
 // TestRunnerMovesFromDrainingUpstream guards against a stream that is cut off
 // when its upstream is returned.
 func TestRunnerMovesFromDrainingUpstream(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		first := &fakeEngine{total: 400, interval: 20 * time.Millisecond}
 		second := &fakeEngine{total: 400, interval: 20 * time.Millisecond}
 		emitter := &textEmitter{}
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -8,11 +8,12 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 const (
@@ -30,9 +31,24 @@
 	os.Exit(m.Run())
 }
 
+// inShard reports whether this process runs cell i. Under the race detector a
+// bubble has one processor, so .ci/run divides the cells among processes:
+// AUBURNDYKE_SHARD is "1/3" in the second of three.
+func inShard(i int) bool {
+	shard := os.Getenv("AUBURNDYKE_SHARD")
+	if shard == "" {
+		return true
+	}
+	var k, n int
+	if _, err := fmt.Sscanf(shard, "%d/%d", &k, &n); err != nil || n < 1 {
+		panic(fmt.Sprintf("AUBURNDYKE_SHARD is %q, not \"k/n\"", shard))
+	}
+	return i%n == k
+}
+
 // runCell runs one cell in virtual time.
 func runCell(t *testing.T, c cell) (ok bool) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		violations := c.run()
 		for _, v := range violations {
 			t.Error(v)
@@ -55,6 +71,9 @@
 					continue
 				}
 				applicable++
+				if !inShard(applicable) {
+					continue
+				}
 				t.Run(fmt.Sprintf("%s/%s", st.name, f.name), func(t *testing.T) {
 					t.Parallel()
 					result := failed
@@ -90,7 +109,7 @@
 func TestDrainWhileDaemonsStart(t *testing.T) {
 	for j, f := range faults() {
 		st := startStep()
-		if f.unfit(&st) != "" {
+		if f.unfit(&st) != "" || !inShard(j) {
 			continue
 		}
 		t.Run(f.name, func(t *testing.T) {
@@ -123,6 +142,9 @@
 
 func runPairs(t *testing.T, seed uint64, n int) {
 	for i, c := range pairs(seed, n) {
+		if !inShard(i) {
+			continue
+		}
 		t.Run(fmt.Sprintf("%d %s/%s+%s", i, c.step.name, c.faults[0].name, c.faults[1].name), func(t *testing.T) {
 			t.Parallel()
 			runCell(t, c)
--- a/internal/recordtest/claims_test.go
+++ b/internal/recordtest/claims_test.go
@@ -15,6 +15,7 @@
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 var booking = claims.Key{Customer: "surf", Key: "booking-1"}
@@ -132,7 +133,7 @@
 	for step := range 6 {
 		for ft := none; ft < faultsCount; ft++ {
 			t.Run(fmt.Sprintf("step %d fault %d", step, ft), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
 					f := newFleet(t, newTable())
 					f.tab.plan = nth(step, ft)
 					a, b := f.daemon("a", nil), f.daemon("b", nil)
@@ -191,7 +192,7 @@
 // claim during an outage, and against a key that stays blocked after a call
 // that was not run.
 func TestClaimVerdicts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t, newTable())
 		a := f.daemon("a", nil)
 		d := a.Begin(t.Context(), f.request(booking, "body"))
@@ -216,7 +217,7 @@
 // Guards against a key that stays blocked by a call that was refused while
 // its claim was still under way.
 func TestRefusedCallFreesItsKey(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t, newTable())
 		a, b := f.daemon("a", nil), f.daemon("b", nil)
 		ctx, disconnect := context.WithCancel(t.Context())
@@ -236,7 +237,7 @@
 // daemons, directly or through a shared batcher, while the table misbehaves.
 func TestRacingDuplicatesRunOnce(t *testing.T) {
 	for _, batched := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			f := newFleet(t, newTable())
 			f.tab.latency = 2 * time.Millisecond
 			rng := f.seed()
@@ -277,7 +278,7 @@
 // Guards against rows that are kept for ever, and against a sweep that turns
 // a call which may have run into one that may run again.
 func TestSweepKeepsWhatMayHaveRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t, newTable())
 		a, b := f.daemon("a", nil), f.daemon("b", nil)
 		for k := range 1200 {
--- a/internal/recordtest/config_test.go
+++ b/internal/recordtest/config_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -15,6 +14,7 @@
 	"github.com/auburndyke/auburndyke/internal/configlog"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 // lineMerger merges documents of "key=value" lines.
@@ -87,7 +87,7 @@
 	for step := range 6 {
 		for f := none; f < faultsCount; f++ {
 			t.Run(fmt.Sprintf("step %d fault %d", step, f), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
 					tab := newTable()
 					p := configlog.NewProposer(tab, lineMerger{}, seeder(t))
 					first, err := p.Propose(t.Context(), change("a", 0, "x=1\n"))
@@ -113,7 +113,7 @@
 func TestProposeOnceAfterCrashAtEachStep(t *testing.T) {
 	for step := range 5 {
 		for _, f := range []fault{none, lostBefore, lostAfter, late} {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				tab := newTable()
 				ctx, crash := context.WithCancel(t.Context())
 				plan := nth(step, f)
@@ -141,7 +141,7 @@
 // Guards against lost updates, gaps and double revisions when operators race
 // through several daemons while answers are lost, delayed or refused.
 func TestRacingProposals(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		tab := newTable()
 		tab.latency = 3 * time.Millisecond
 		rng := seeder(t)()
@@ -175,7 +175,7 @@
 // a change id, and against a report of "not accepted" while a commit may
 // still take effect.
 func TestProposalReports(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		tab := newTable()
 		p := configlog.NewProposer(tab, lineMerger{}, seeder(t))
 		_, err := p.Propose(t.Context(), change("a", 0, "x=1\n"))
@@ -207,7 +207,7 @@
 // Guards against content that compaction makes unreadable, and against a
 // roll-forward that rewrites history instead of adding to it.
 func TestCompactionAndRollForward(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		tab := newTable()
 		p := configlog.NewProposer(tab, lineMerger{}, seeder(t))
 		for r := range 150 {
--- a/internal/recordtest/follow_test.go
+++ b/internal/recordtest/follow_test.go
@@ -16,6 +16,7 @@
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/lease"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 // follow runs watchers until the test ends and fails when one goes back.
@@ -41,7 +42,7 @@
 func TestFollowUnderEachFaultAtEachStep(t *testing.T) {
 	for step := range 6 {
 		for f := none; f < faultsCount; f++ {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
 				tab := newTable()
 				p := configlog.NewProposer(tab, nil, seeder(t))
@@ -75,7 +76,7 @@
 // moment after an outage. Naive followers poll each second on the second.
 func TestReturnAfterOutageIsSpread(t *testing.T) {
 	const daemons = 330
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		tab := newTable()
 		var mu sync.Mutex
@@ -113,7 +114,7 @@
 // Guards against revisions that miss the table: a peer's revision is taken
 // when its digest holds, a lower or damaged one is not.
 func TestRevisionsFromPeersDuringOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		tab := newTable()
 		tab.setPlan(func(string) fault { return refused })
@@ -159,7 +160,7 @@
 func TestLeaseUnderEachFaultAtEachStep(t *testing.T) {
 	for step := range 6 {
 		for f := none; f < faultsCount; f++ {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
 				tab := newTable()
 				tab.setPlan(nth(step, f))
--- a/internal/recordtest/linear_test.go
+++ b/internal/recordtest/linear_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -14,6 +13,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/configlog"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 // recorder collects the operations of a history.
@@ -97,7 +97,7 @@
 // as a claim that is granted after a replay.
 func TestClaimsAreLinearizable(t *testing.T) {
 	var r recorder
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t, newTable())
 		rng := f.seed()
 		f.tab.latency = 2 * time.Millisecond
@@ -156,7 +156,7 @@
 // explains, such as a head that goes back.
 func TestConfigurationLogIsLinearizable(t *testing.T) {
 	var r recorder
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		tab := newTable()
 		tab.latency = 2 * time.Millisecond
 		rng := seeder(t)()
--- a/internal/recordtest/placement_test.go
+++ b/internal/recordtest/placement_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -16,6 +15,7 @@
 	"github.com/auburndyke/auburndyke/internal/lease"
 	"github.com/auburndyke/auburndyke/internal/placement"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 // lateEngine obeys each order after a delay, whether or not the sender still
@@ -85,7 +85,7 @@
 // checks tokens refuses it, another one is repaired.
 func TestLateOrderOfReplacedDirector(t *testing.T) {
 	for _, checks := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			ctx, stop := context.WithCancel(t.Context())
 			base := placement.Content{Models: []string{"m"}, Role: domain.RoleBoth}
 			engine := &lateEngine{
--- a/internal/recordtest/rate_test.go
+++ b/internal/recordtest/rate_test.go
@@ -13,6 +13,7 @@
 	"github.com/auburndyke/auburndyke/internal/claims"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 const (
@@ -32,7 +33,7 @@
 
 // measure runs rateSeconds of calls and returns the load of the table.
 func measure(t *testing.T, share float64, batchers int) (got load) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t, newTable())
 		f.tab.latency = tableLatency
 		ctx, stop := context.WithCancel(t.Context())
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/standin/engine"
 	"github.com/auburndyke/auburndyke/internal/standin/netfault"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 func TestMain(m *testing.M) {
@@ -53,7 +54,7 @@
 }
 
 func inBubble(t *testing.T, cfg engine.Config, test func(t *testing.T, e *engine.Engine, client *http.Client)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		pipe := netfault.NewPipe()
 		e := engine.New(cfg)
 		e.Start(pipe)
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -9,7 +9,6 @@
 	"reflect"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -18,6 +17,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/platform"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 func TestMain(m *testing.M) {
@@ -26,7 +26,7 @@
 
 // Guards against limits that let through more than configured.
 func TestThrottling(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := platform.New(platform.Config{WriteRate: 100, ReadRate: 1000, WeightRate: 2})
 		c := p.Client("d1")
 		p.SetWeights("w", 1)
@@ -143,7 +143,7 @@
 // Guards against a table whose concurrent commits and lost answers give
 // results that no serial order explains.
 func TestLinearizable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := platform.New(platform.Config{Latency: 4 * time.Millisecond})
 		var mu sync.Mutex
 		var operations []platform.Operation
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -16,6 +16,7 @@
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/standin/netfault"
 	"github.com/auburndyke/auburndyke/internal/standin/service"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 )
 
 func TestMain(m *testing.M) {
@@ -47,7 +48,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				pipe := netfault.NewPipe()
 				s := service.New(service.Config{Latency: 10 * time.Millisecond})
 				s.Start(pipe)
@@ -84,7 +85,7 @@
 // Guards against a stand-in that hides a double execution by default, and
 // against fault switches that work by Go method only.
 func TestDeduplicationIsOptional(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		pipe := netfault.NewPipe()
 		s := service.New(service.Config{})
 		s.Start(pipe)
--- /dev/null
+++ b/internal/standin/virtualtime/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package virtualtime
+
+const raceDetector = true
