Learn from a refused connection that a daemon's process has ended

An ended lease alone proves nothing, because a region behind a partition goes on serving, and nothing else told the two apart. Ruled out: counting fewer daemons as needed (accepts over the head of a cut-off region, see TestEndedLeasesOfCutOffRegion); waiting for the VM list (processes end while their VMs stay listed). Change: the daemon that took the order and the holder of the drain lease dial daemons whose lease has ended. A refused connection shows that no process listens there; they publish that daemon as gone. A frozen or unreachable one does not refuse. The in-memory network refuses only over a path that is not cut.

--- a/internal/adapters/peerws/transport.go
+++ b/internal/adapters/peerws/transport.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/coder/websocket"
@@ -300,6 +301,21 @@
 	return c, hello, nil
 }
 
+// Refuses implements ports.PeerTransport.
+func (t *Transport) Refuses(ctx context.Context, peer ports.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	dial := t.cfg.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	c, err := dial(ctx, "tcp", peer.Address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (t *Transport) hello() *ports.Frame {
 	self := t.cfg.Self
 	self.Incarnation = domain.Incarnation(t.incarnation.Load())
--- a/internal/adapters/peerws/transport_test.go
+++ b/internal/adapters/peerws/transport_test.go
@@ -163,3 +163,21 @@
 		assert.Assert(t, bytes.Equal(first, second))
 	})
 }
+
+// Guards against a process that counts as ended although it runs or is frozen,
+// and against one that ended and is not noticed.
+func TestRefuses(t *testing.T) {
+	tr, self := startTransport(t, "a", 0)
+	_, running := startTransport(t, "b", 0)
+	assert.Assert(t, !tr.Refuses(t.Context(), running))
+	// Nobody accepts here, as in a frozen process.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	frozen := ports.Member{Daemon: "c", Address: l.Addr().String()}
+	assert.Assert(t, !tr.Refuses(t.Context(), frozen))
+	assert.NilError(t, l.Close())
+	assert.Assert(t, tr.Refuses(t.Context(), frozen))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !tr.Refuses(ctx, self))
+}
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -92,6 +92,8 @@
 			c.mailbox.post(func() {
 				c.drive(c.controller.Handle(time.Now(), drain.FenceResult{Fence: a, Err: errNoFence}))
 			})
+		case drain.Probe:
+			c.probe(a)
 		case drain.Commit:
 			c.writeRecord(a)
 		case drain.Accepted:
@@ -114,6 +116,18 @@
 	}
 }
 
+// probe asks whether the process of a daemon has ended.
+func (c *cluster) probe(a drain.Probe) {
+	go func() {
+		result := drain.ProbeResult{Member: a.Member, Refused: c.transport.Refuses(c.ctx, a.Member)}
+		if result.Refused {
+			c.daemon.cfg.Log.Event(telemetry.MemberChanged).Str("member", string(a.Member.Daemon)).
+				Uint64("incarnation", uint64(a.Member.Incarnation)).Str("change", "ended").Str("cause", "connection refused").Msg("")
+		}
+		c.mailbox.post(func() { c.drive(c.controller.Handle(time.Now(), result)) })
+	}()
+}
+
 // stopNew excludes an upstream and counts what is still in progress. A request
 // that was placed before sees the exclusion and is placed again, or is counted.
 func (c *cluster) stopNew(a drain.StopNew) {
--- a/internal/drain/controller.go
+++ b/internal/drain/controller.go
@@ -26,8 +26,11 @@
 	// fencers is the number of daemons, chosen by hash, that tell an upstream
 	// besides the one that took the order. Several cover daemons that cannot
 	// reach it; all 330 would flood it.
-	fencers      = 3
-	refreshAfter = mesh.RefreshHours * time.Hour
+	fencers = 3
+	// probeInterval is the time between questions whether the process of a
+	// daemon has ended. A question to a silent machine takes 3 s.
+	probeInterval = 4 * time.Second
+	refreshAfter  = mesh.RefreshHours * time.Hour
 )
 
 // Config configures a Controller.
@@ -47,11 +50,14 @@
 	drains    map[domain.UpstreamID]*drain
 	vms       map[string]*listedVM
 	down      map[domain.UpstreamID]bool
-	// stopped holds the last incarnation of daemons that stopped as planned.
+	// stopped holds the last incarnation of daemons that said that they have
+	// stopped, or whose process has ended.
 	stopped map[domain.DaemonID]domain.Incarnation
-	view    *membership.View
-	holder  bool
-	actions []Action
+	// probedAt is when each silent daemon was last probed.
+	probedAt map[domain.DaemonID]time.Time
+	view     *membership.View
+	holder   bool
+	actions  []Action
 }
 
 // listedVM is what the VM list says about one VM.
@@ -66,6 +72,7 @@
 	return &Controller{
 		cfg: cfg, upstreams: map[domain.UpstreamID]Upstream{}, drains: map[domain.UpstreamID]*drain{},
 		vms: map[string]*listedVM{}, down: map[domain.UpstreamID]bool{}, stopped: map[domain.DaemonID]domain.Incarnation{},
+		probedAt: map[domain.DaemonID]time.Time{},
 	}
 }
 
@@ -90,6 +97,8 @@
 		c.view = e.View
 	case FenceResult:
 		c.onFenced(now, e)
+	case ProbeResult:
+		c.onProbed(now, e)
 	case Running:
 		c.onRunning(e)
 	case RecordsRead:
@@ -123,7 +132,8 @@
 	}
 }
 
-// noteStop remembers a daemon that says itself that it has stopped.
+// noteStop remembers a daemon that has stopped, by its own word or by that of a
+// daemon whose connection its machine refused.
 func (c *Controller) noteStop(f *ports.Fact) {
 	if f.Kind == ports.FactDaemonGone && f.Seq > 0 && f.Member != nil {
 		c.stopped[f.Member.Daemon] = max(c.stopped[f.Member.Daemon], f.Member.Incarnation)
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -221,6 +221,9 @@
 		stopped = stopped && (p.acked || (p.ended && (d.fenced || (!fences && silentStopped))))
 		idle = idle && (p.idle() || (p.ended && d.runs == 0))
 	}
+	if !stopped && !fences {
+		c.probeSilent(now, d)
+	}
 	if !d.accepted && (d.fenced || stopped) {
 		d.accepted = true
 		if d.owned {
@@ -270,8 +273,8 @@
 	return true
 }
 
-// replaced tells whether a daemon said that it has stopped, its VM has gone
-// from the list, or a later run of it is in the roster.
+// replaced tells whether a daemon has stopped by its own word or by a probe, its
+// VM has gone from the list, or a later run of it is in the roster.
 func (c *Controller) replaced(p *participant) bool {
 	if c.stopped[p.member.Daemon] >= p.member.Incarnation {
 		return true
--- a/internal/drain/event.go
+++ b/internal/drain/event.go
@@ -77,7 +77,7 @@
 
 // Event is an input of Controller: one of LeaveRequested, UndrainRequested,
 // UpstreamsChanged, VMsListed, Unreachable, FactsReceived, ViewChanged,
-// FenceResult, Running, RecordsRead, CommitResult, Role and Tick.
+// FenceResult, ProbeResult, Running, RecordsRead, CommitResult, Role and Tick.
 type Event interface{ drainEvent() }
 
 // LeaveRequested is an operator's order to drain an upstream.
@@ -116,6 +116,13 @@
 	Err   error
 }
 
+// ProbeResult is the result of Probe. Refused tells that the daemon's machine
+// refuses connections to it: its process has ended.
+type ProbeResult struct {
+	Member  ports.Member
+	Refused bool
+}
+
 // Running is an upstream's own report of requests in progress, measured
 // after the given time.
 type Running struct {
@@ -150,14 +157,15 @@
 func (FactsReceived) drainEvent()    {}
 func (ViewChanged) drainEvent()      {}
 func (FenceResult) drainEvent()      {}
+func (ProbeResult) drainEvent()      {}
 func (Running) drainEvent()          {}
 func (RecordsRead) drainEvent()      {}
 func (CommitResult) drainEvent()     {}
 func (Role) drainEvent()             {}
 func (Tick) drainEvent()             {}
 
-// Action is an output of Controller or Holder: one of Publish, Fence, Commit,
-// Accepted, Refused, PhaseChanged, Warning, StopNew, ResumeNew and MoveStreams.
+// Action is an output of Controller or Holder: one of Publish, Fence, Probe,
+// Commit, Accepted, Refused, PhaseChanged, Warning, StopNew, ResumeNew and MoveStreams.
 type Action interface{ drainAction() }
 
 // Publish asks for facts to be given to the mesh, and to the other cores of
@@ -172,6 +180,10 @@
 	Open     bool
 }
 
+// Probe asks whether the process of a daemon still listens at its address. It
+// has exactly one ProbeResult.
+type Probe struct{ Member ports.Member }
+
 // Commit asks for the conditional write of a drain record.
 type Commit struct {
 	Upstream domain.UpstreamID
@@ -207,6 +219,7 @@
 
 func (Publish) drainAction()      {}
 func (Fence) drainAction()        {}
+func (Probe) drainAction()        {}
 func (Commit) drainAction()       {}
 func (Accepted) drainAction()     {}
 func (Refused) drainAction()      {}
--- a/internal/drain/fleet_test.go
+++ b/internal/drain/fleet_test.go
@@ -47,6 +47,9 @@
 	// cut separates the node from peers and platform, but not from upstreams.
 	cut      bool
 	cutSince time.Time
+	// ended means that the process has ended: the node does nothing, and its
+	// machine refuses connections to it.
+	ended    bool
 	moved    []domain.UpstreamID
 	warnings int
 	refused  error
@@ -101,7 +104,7 @@
 	core := membership.NewCore(membership.Config{Rand: w.rng})
 	var facts []ports.Fact
 	for _, n := range left {
-		facts = append(facts, ports.Fact{Kind: ports.FactDaemonJoined, Member: &ports.Member{Daemon: n.id, Incarnation: 1, Region: n.region}})
+		facts = append(facts, ports.Fact{Kind: ports.FactDaemonJoined, Member: &ports.Member{Daemon: n.id, Incarnation: 1, Region: n.region, Address: string(n.id)}})
 	}
 	core.Handle(w.now, membership.FactsReceived{Facts: facts})
 	for _, n := range w.nodes {
@@ -118,6 +121,8 @@
 			w.learn(n, a.Facts)
 		case Fence:
 			w.fence(n, a)
+		case Probe:
+			w.probe(n, a)
 		case Accepted:
 			if target := w.targets[a.Upstream]; target.accepted.IsZero() {
 				target.accepted = w.now
@@ -163,6 +168,14 @@
 	w.act(n, n.ctl.Handle(w.now, FenceResult{Fence: a}))
 }
 
+func (w *world) probe(n *node, a Probe) {
+	for _, other := range w.nodes {
+		if string(other.id) == a.Member.Address {
+			w.act(n, n.ctl.Handle(w.now, ProbeResult{Member: a.Member, Refused: other.ended}))
+		}
+	}
+}
+
 func (w *world) count(n *node, id domain.UpstreamID) {
 	running := 0
 	for _, r := range w.targets[id].running {
@@ -187,6 +200,9 @@
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
 		w.gossip()
 		for _, n := range w.nodes {
+			if n.ended {
+				continue
+			}
 			w.act(n, n.ctl.Handle(w.now, Tick{}))
 			w.act(n, n.holder.Handle(w.now, Tick{}))
 			w.load(n)
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -151,6 +151,10 @@
 	Connect(peer Member)
 	// Disconnect closes the connection to a peer, if any.
 	Disconnect(peer domain.DaemonID)
+	// Refuses reports whether the machine of a peer refuses a new connection,
+	// which means that no process listens at the peer's address. A machine that
+	// is silent or unreachable does not refuse.
+	Refuses(ctx context.Context, peer Member) bool
 	// Send queues a frame. It never blocks: it fails with ErrPeerNotConnected,
 	// or drops the connection when its send queue is full.
 	Send(peer domain.DaemonID, frame Frame) error
--- a/internal/standin/netfault/network.go
+++ b/internal/standin/netfault/network.go
@@ -146,10 +146,10 @@
 		changed := n.changed
 		refused := n.dead[from] || n.dead[to]
 		n.mu.Unlock()
-		if refused {
-			return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
-		}
 		if !there.Cut && !back.Cut {
+			if refused {
+				return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+			}
 			return pause(ctx, there.Delay+back.Delay)
 		}
 		select {
