--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -47,7 +47,7 @@
 
 	PeerConnected = Event{"AD4001", "peer_connected", zerolog.InfoLevel, "A connection to another daemon is open."}
 	PeerLost      = Event{"AD4002", "peer_lost", zerolog.WarnLevel, "A connection to another daemon ended or went silent."}
-	MemberChanged = Event{"AD4003", "member_changed", zerolog.InfoLevel, "A daemon joined, is suspected, or is gone."}
+	MemberChanged = Event{"AD4003", "member_changed", zerolog.InfoLevel, "A daemon joined, is suspected, is gone, or has ended by the word of its machine, which refuses connections."}
 	RosterRenewal = Event{"AD4004", "roster_renewal_failed", zerolog.WarnLevel, "The daemon's roster row could not be renewed."}
 
 	PeerMessageRejected = Event{"AD4005", "peer_message_rejected", zerolog.WarnLevel, "A message to or from a peer, or its row in the directory, can't be used."}
