Take a registration as ended when a later process has its address

Ruled out: full engines. Change: of the registrations of one address, only that of the latest start counts as serving; the others are Ended, whatever order they arrive in. Test: TestAddressTakenOver.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -292,7 +292,7 @@
 	var serving, failing, unlisted []*upstream
 	for _, u := range all {
 		switch {
-		case u.Standing == inventory.Leaving || contains(tried, u.ID):
+		case u.Standing == inventory.Leaving || u.Standing == inventory.Ended || contains(tried, u.ID):
 		case u.Standing == inventory.Unlisted:
 			unlisted = append(unlisted, u)
 		case u.health.avoided(now):
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -103,7 +103,7 @@
 	entries[2].Standing = inventory.Leaving
 	b.Update(start, entries, kindOf(0))
 	assert.Equal(t, place(t, b, start, review(1, 2)).Upstream.ID, entries[1].ID)
-	entries[1].Standing = inventory.Leaving
+	entries[1].Standing = inventory.Ended
 	b.Update(start, entries, kindOf(0))
 	_, ok := b.Pick(start, review(1, 2))
 	assert.Assert(t, !ok)
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -33,6 +33,9 @@
 	Unlisted
 	// Leaving upstreams take no new work.
 	Leaving
+	// Ended upstreams have lost their address to a process that started later.
+	// Their registration lasts until the platform has missed their heartbeats.
+	Ended
 )
 
 // Entry is one upstream in the list.
@@ -131,9 +134,14 @@
 
 // Entries returns the list, ordered by ID.
 func (v *Inventory) Entries() []Entry {
+	latest := v.latestByAddress()
 	out := make([]Entry, 0, len(v.records))
 	for _, r := range v.records {
-		out = append(out, r.Entry)
+		e := r.Entry
+		if e.Incarnation < latest[e.Address] {
+			e.Standing = Ended
+		}
+		out = append(out, e)
 	}
 	slices.SortFunc(out, func(a, b Entry) int {
 		if a.ID < b.ID {
@@ -143,3 +151,13 @@
 	})
 	return out
 }
+
+// latestByAddress returns the latest incarnation that registered each address.
+// An address belongs to one process at a time.
+func (v *Inventory) latestByAddress() map[string]domain.Incarnation {
+	latest := make(map[string]domain.Incarnation, len(v.records))
+	for _, r := range v.records {
+		latest[r.Address] = max(latest[r.Address], r.Incarnation)
+	}
+	return latest
+}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -14,7 +14,7 @@
 var start = time.Unix(1_800_000_000, 0)
 
 func registration(id string, incarnation int) Registration {
-	return Registration{ID: domain.UpstreamID(id), Service: "app", Address: "10.0.0.1:1", Incarnation: domain.Incarnation(incarnation)}
+	return Registration{ID: domain.UpstreamID(id), Service: "app", Address: "host-" + id, Incarnation: domain.Incarnation(incarnation)}
 }
 
 func standing(v *Inventory, id string) (Standing, bool) {
@@ -85,3 +85,30 @@
 	v.Expire(start.Add(hold))
 	assert.Equal(t, len(v.Entries()), 2)
 }
+
+// Guards against work for a process that crashed and whose address a later one
+// has, in whatever order the two registrations arrive. The registration of the
+// first lasts for some heartbeats.
+func TestAddressTakenOver(t *testing.T) {
+	for _, order := range [][]int{{0, 1}, {1, 0}} {
+		v := New(hold)
+		both := []Registration{registration("before", 1), registration("after", 2)}
+		both[1].Address = both[0].Address
+		both[1].Service = "other"
+		for _, i := range order {
+			v.Register(both[i])
+		}
+		got, _ := standing(v, "before")
+		assert.Equal(t, got, Ended)
+		got, _ = standing(v, "after")
+		assert.Equal(t, got, Serving)
+
+		// Neither the hold nor a late heartbeat brings it back.
+		v.Remove(start, "before")
+		got, _ = standing(v, "before")
+		assert.Equal(t, got, Ended)
+		v.Register(both[0])
+		got, _ = standing(v, "before")
+		assert.Equal(t, got, Ended)
+	}
+}
