Read the list at once when another upstream answers at an address

Cause: registrations of engines that started again were written at 11.6 s, but read at 12.9 s, because a list settles for 1.3 s after a change; until then requests for their predecessors are answered 421, from each daemon again and again. Change: a 421 tells the balancer that the upstream is absent, which avoids it for 10 s or until its registration changes, and makes the follower ask the platform now, at most every 250 ms, also when another daemon covers the list. Tests: TestMisdirected passed without ever meeting a 421 (it depended on the order of hashes); it does now, and checks that one is met once. TestHurryEndsPauses, TestHurryIsBounded, TestAbsentUpstreamIsAvoided.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -471,3 +471,14 @@
 		})
 	}
 }
+
+// Guards against requests for a process whose address another one has, and
+// against one that is shut out for good because its registration stays.
+func TestAbsentUpstreamIsAvoided(t *testing.T) {
+	entries := engines(2)
+	b := newBalancer(entries)
+	first := place(t, b, start, review(1, 2))
+	first.Lease().Done(start, Absent)
+	assert.Assert(t, place(t, b, start.Add(absence-1), review(1, 2)).Upstream.ID != first.Upstream.ID)
+	assert.Equal(t, place(t, b, start.Add(absence), review(1, 2)).Upstream.ID, first.Upstream.ID)
+}
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -14,6 +14,10 @@
 	// with each further failure up to maxAvoidance.
 	firstAvoidance = 500 * time.Millisecond
 	maxAvoidance   = 4 * time.Second
+	// absence is how long an upstream is avoided whose address another process
+	// has. Its registration goes after some heartbeats, unless the platform is
+	// down meanwhile.
+	absence = 10 * time.Second
 	// refusalsToAvoid is the number of refusals in a row after which an
 	// upstream is avoided. A refusal costs nothing, but one that says so at once
 	// looks idle and draws all requests.
@@ -41,6 +45,8 @@
 	case Refused:
 		h.refusals++
 		h.avoid(now, h.refusals-refusalsToAvoid)
+	case Absent:
+		h.until = now.Add(absence)
 	case Abandoned:
 	}
 }
--- a/internal/balancer/lease.go
+++ b/internal/balancer/lease.go
@@ -16,6 +16,8 @@
 	// Failed means that the upstream broke off, sent an error or was not
 	// reached.
 	Failed
+	// Absent means that another process answered at the upstream's address.
+	Absent
 	// Abandoned means that the caller left or the time was over; it says
 	// nothing about the upstream.
 	Abandoned
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -162,6 +162,7 @@
 	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{
 		Settle: listSettle(s), Covered: covered(tableUpstreams), Rand: newRand(),
 	})
+	e.handler.ListOutdated = upstreams.Hurry
 	node = e.newPeers(map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
 	addLoop(&g, configuration.Run)
 	addLoop(&g, upstreams.Run)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -31,6 +31,10 @@
 	restedWait = 20 * time.Millisecond
 	// answerTime is how long an answer may take beyond the wait.
 	answerTime = time.Second
+	// hurryInterval is the least time between two calls that Hurry brings about:
+	// processes that take over addresses do so within seconds of each other, and
+	// calls to the platform are limited.
+	hurryInterval = 250 * time.Millisecond
 	// failureFloor and failureCap bound the pause after a failure.
 	failureFloor = 100 * time.Millisecond
 	failureCap   = 2 * time.Second
@@ -65,6 +69,10 @@
 	covered func(time.Time) time.Duration
 	rng     *rand.Rand
 
+	// hurry ends a pause.
+	hurry chan struct{}
+	// calledAt is when the last call to the platform ended.
+	calledAt time.Time
 	// changed tells that the last step brought changes.
 	changed  bool
 	failures int
@@ -99,11 +107,42 @@
 
 // New returns a Follower.
 func New(source Source, sink Sink, o Options) *Follower {
-	f := &Follower{source: source, sink: sink, settle: o.Settle, covered: o.Covered, rng: o.Rand}
+	f := &Follower{source: source, sink: sink, settle: o.Settle, covered: o.Covered, rng: o.Rand, hurry: make(chan struct{}, 1)}
 	f.SetWait(cmp.Or(o.Wait, defaultWait))
 	return f
 }
 
+// Hurry asks the platform for changes now instead of after a pause or a rest,
+// because something showed that the copy is out of date.
+func (f *Follower) Hurry() {
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits until d has passed or Hurry asks for a call. It reports whether
+// Hurry did; ctx may have ended as well.
+func (f *Follower) pause(ctx context.Context, d time.Duration) (hurried bool) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-f.hurry:
+		backoff.Sleep(ctx, hurryInterval-time.Since(f.calledAt))
+		return true
+	}
+}
+
+// drainHurry forgets what was asked for before the last call ended.
+func (f *Follower) drainHurry() {
+	select {
+	case <-f.hurry:
+	default:
+	}
+}
+
 // SetWait changes how long one call waits for a change.
 func (f *Follower) SetWait(d time.Duration) { f.wait.Store(int64(d)) }
 
@@ -120,14 +159,15 @@
 			continue
 		}
 		err := f.step(ctx)
-		f.rested = false
+		f.rested, f.calledAt = false, time.Now()
 		if ctx.Err() != nil {
 			break
 		}
 		if err == nil {
 			f.reached()
-			if f.changed && !backoff.Sleep(ctx, f.settle) {
-				break
+			f.drainHurry()
+			if f.changed {
+				f.pause(ctx, f.settle)
 			}
 			continue
 		}
@@ -149,8 +189,7 @@
 		return false
 	}
 	f.rested = true
-	backoff.Sleep(ctx, left)
-	return true
+	return !f.pause(ctx, left)
 }
 
 func (f *Follower) step(ctx context.Context) error {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -70,6 +70,12 @@
 }
 
 func start(t *testing.T, o follow.Options) (*standin.Store, *copyOf) {
+	t.Helper()
+	store, sink, _ := startFollower(t, o)
+	return store, sink
+}
+
+func startFollower(t *testing.T, o follow.Options) (*standin.Store, *copyOf, *follow.Follower) {
 	t.Helper()
 	store := standin.NewStore()
 	server := httptest.NewServer(store)
@@ -85,7 +91,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return store, sink
+	return store, sink, f
 }
 
 // inForce is the bound within which a change must arrive: a fifth of the
@@ -331,3 +337,40 @@
 	assert.Equal(t, version, ports.Version(1))
 	assert.Equal(t, r.pages, 6)
 }
+
+// Guards against a copy that stays out of date for a whole pause, or for as long
+// as another daemon covers it, after an upstream has shown that it is.
+func TestHurryEndsPauses(t *testing.T) {
+	for name, o := range map[string]follow.Options{
+		"pause after a change": {Settle: time.Hour},
+		"rest":                 {Covered: func(time.Time) time.Duration { return time.Hour }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store, sink, f := startFollower(t, o)
+			store.Put("servers", "a", []byte("1"))
+			for end := time.Now().Add(inForce); sink.get("a") != "1"; time.Sleep(5 * time.Millisecond) {
+				f.Hurry() // the first reading may come before the row
+				assert.Assert(t, time.Now().Before(end))
+			}
+			store.Put("servers", "a", []byte("2"))
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, sink.get("a"), "1")
+			f.Hurry()
+			sink.waitFor(t, "a", "2", inForce+250*time.Millisecond)
+		})
+	}
+}
+
+// Guards against a call to the platform for each sign of an old copy.
+func TestHurryIsBounded(t *testing.T) {
+	store, sink, f := startFollower(t, follow.Options{Covered: func(time.Time) time.Duration { return time.Hour }})
+	store.Put("servers", "a", []byte("1"))
+	f.Hurry()
+	sink.waitFor(t, "a", "1", inForce)
+	before := store.Calls("/rows-feed")
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		f.Hurry()
+	}
+	calls := store.Calls("/rows-feed") - before
+	assert.Assert(t, calls >= 1 && calls <= 5, "%d calls in a second", calls)
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -226,6 +226,13 @@
 func (a *attempt) refused() result {
 	a.result = balancer.Refused
 	a.cause = "refused"
+	if a.verdict.Absent {
+		a.result = balancer.Absent
+		a.cause = "another upstream is at the address"
+		if a.q.h.ListOutdated != nil {
+			a.q.h.ListOutdated()
+		}
+	}
 	a.drain()
 	a.q.logAttempt(a)
 	return notRun
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -44,6 +44,9 @@
 type Verdict struct {
 	// NotRun means that the upstream states it has not run the request.
 	NotRun bool
+	// Absent means that another upstream answered at the address. NotRun is set
+	// as well.
+	Absent bool
 	// Genuine means that the answer is marked as the upstream's own.
 	Genuine bool
 	// Load is set when HasLoad is.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,7 +32,7 @@
 	returnMargin = 20 * time.Millisecond
 )
 
-// Options sets up a Handler. All fields are required.
+// Options sets up a Handler. All fields but ListOutdated are required.
 type Options struct {
 	Protocol Protocol
 	Balancer *balancer.Balancer
@@ -40,6 +40,9 @@
 	Retries  *Retries
 	Log      *telemetry.Log
 	Metrics  *Metrics
+	// ListOutdated is told when an answer shows that the list of upstreams is
+	// out of date. It must not block. Nil means that nobody wants to know.
+	ListOutdated func()
 }
 
 // Handler is the HTTP handler towards callers.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
 	"github.com/auburndyke/auburndyke/internal/inventory"
 	"github.com/auburndyke/auburndyke/internal/relay"
@@ -412,19 +413,34 @@
 	assert.Assert(t, time.Since(started) < 800*time.Millisecond)
 }
 
-// Guards against requests at an address that another replica has taken over.
+// Guards against requests that fail at an address which another replica has
+// taken over, and against going there again and again.
 func TestMisdirected(t *testing.T) {
 	s := startSite(t, 2)
-	registration, err := platform.DecodeReplica("gone", s.replicas[0].Registration("app", "here", "ready"))
-	assert.NilError(t, err)
 	other, err := platform.DecodeReplica(s.replicas[1].ID, s.replicas[1].Registration("app", "here", "ready"))
 	assert.NilError(t, err)
-	s.balancer.Update(time.Now(), []inventory.Entry{{Registration: registration}, {Registration: other}}, func(string) balancer.Engine { return balancer.Engine{} })
+	list := func(gone string) domain.UpstreamID {
+		registration, err := platform.DecodeReplica(gone, s.replicas[0].Registration("app", "here", "ready"))
+		assert.NilError(t, err)
+		s.balancer.Update(time.Now(), []inventory.Entry{{Registration: registration}, {Registration: other}}, func(string) balancer.Engine { return balancer.Engine{} })
+		choice, ok := s.balancer.Pick(time.Now(), balancer.Query{Service: "app"})
+		assert.Assert(t, ok)
+		choice.Lease().Done(time.Now(), balancer.Abandoned)
+		return choice.Upstream.ID
+	}
+	// The order of equal upstreams is that of hashes; the first one must be gone.
+	gone := 0
+	for list(fmt.Sprintf("gone-%d", gone)) == other.ID {
+		gone++
+	}
+	outdated := 0
+	s.handler.ListOutdated = func() { outdated++ }
 	for i := range 4 {
 		got := s.do(s.request(http.MethodPost, "/once/", fmt.Sprintf("r%d", i), "x"))
 		assert.Equal(t, got.status, http.StatusOK)
 	}
 	assert.Equal(t, len(s.replicas[0].Runs()), 0)
+	assert.Equal(t, outdated, 1, "requests at the address of another upstream")
 }
 
 // Guards against requests that run without a configuration, or during a stop.
