--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -41,6 +41,11 @@
 }
 
 func start(t *testing.T) *site {
+	t.Helper()
+	return startWith(t, time.Second)
+}
+
+func startWith(t *testing.T, leaveBound time.Duration) *site {
 	t.Helper()
 	s := &site{t: t, store: standin.NewStore(), done: make(chan error, 1)}
 	server := httptest.NewServer(s.store)
@@ -52,7 +57,7 @@
 	s.settings.Store(&edge.Settings{
 		Daemon: "edge-1", Zone: "a", Region: "r", Platform: server.Listener.Addr().String(),
 		Callers: freeAddress(t), Readiness: freeAddress(t), Internal: freeAddress(t),
-		StopBound: 3 * time.Second, LeaveBound: time.Second, RetryRatio: 0.2, RetrySlack: 56,
+		StopBound: 3 * time.Second, LeaveBound: leaveBound, RetryRatio: 0.2, RetrySlack: 56,
 	})
 	store := platform.NewStore(s.settings.Load().Platform)
 	e := edge.New(s.settings.Load(), edge.Deps{
