Hold the budget of repeats in every span, and lose no parts of it

(2) The window of 10 slots of a second covers 9 to 10 s: two bursts 9.05 s apart each got the whole budget (385 repeats of 203 in 10 s), which breaks the bound that the fleet must keep. Change: repeats are counted over 11 slots, requests over 10. The limit is a real number, rounded by a random part that each daemon draws at its start, so that the sum over daemons is the budget. Ruled out: sharing what is left between daemons; crashes need it at once, before any message arrives. Tests: TestBudgetHoldsInEachSpan (fails with 10 slots), TestBudgetRounding.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -95,7 +95,7 @@
 		Protocol: d.Protocol,
 		Balancer: b,
 		Pool:     pool,
-		Retries:  relay.NewRetries(s.RetryRatio, relay.Floor(s.RetrySlack, unknownFleet)),
+		Retries:  relay.NewRetries(s.RetryRatio, relay.Floor(s.RetrySlack, unknownFleet), rand.Float64()),
 		Log:      d.Log,
 		Metrics:  relay.NewMetrics(d.Metrics),
 	})
--- a/internal/exchange/budget.go
+++ b/internal/exchange/budget.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -15,8 +16,12 @@
 	DefaultRetryFloor = 3
 	// budgetSlot is the width of one slot of the sliding window.
 	budgetSlot = time.Second
-	// budgetSlots is the length of the sliding window in slots.
-	budgetSlots = 10
+	// requestSlots is the length of the sliding window for requests, in slots.
+	// The current slot is incomplete, so it covers 9 to 10 s.
+	requestSlots = 10
+	// retrySlots is that for retries. It covers 10 to 11 s, so that no span of
+	// 10 s has more retries than the budget, wherever the slots begin.
+	retrySlots = requestSlots + 1
 
 	retryBits   = 20
 	requestBits = 24
@@ -31,24 +36,32 @@
 // all daemons retrying together add at most that share to the fleet's load.
 // It is safe for concurrent use and takes no lock.
 type Budget struct {
-	ratio float64
-	floor atomic.Int64
+	ratio    float64
+	rounding float64
+	floor    atomic.Uint64 // bits of a float64
 	// Each slot packs epoch, requests and retries, so that one
 	// compare-and-swap moves a slot to a new epoch together with its counts.
-	slots [budgetSlots]atomic.Uint64
+	slots [retrySlots]atomic.Uint64
 }
 
 // NewBudget returns a budget of ratio retries per request and floor retries
-// per window. A negative floor means no floor.
-func NewBudget(ratio float64, floor int) *Budget {
-	b := &Budget{ratio: ratio}
+// per window. A negative floor means no floor. rounding, from 0 to below 1, is
+// added before a part of a retry is cut off: daemons that draw it at random use
+// what they share in full, and on average not more.
+func NewBudget(ratio, floor, rounding float64) *Budget {
+	b := &Budget{ratio: ratio, rounding: rounding}
 	b.SetFloor(floor)
 	return b
 }
 
 // SetFloor changes the retries per window that need no traffic. A negative
 // floor means none.
-func (b *Budget) SetFloor(floor int) { b.floor.Store(int64(max(floor, 0))) }
+func (b *Budget) SetFloor(floor float64) { b.floor.Store(math.Float64bits(max(floor, 0))) }
+
+// limit is the number of retries that a window with the given requests allows.
+func (b *Budget) limit(requests int) int {
+	return int(math.Float64frombits(b.floor.Load()) + b.ratio*float64(requests) + b.rounding)
+}
 
 // Deposit counts one request.
 func (b *Budget) Deposit(now time.Time) {
@@ -62,7 +75,7 @@
 	// cannot exceed the budget together.
 	b.add(now, 0, 1)
 	requests, retries := b.window(now)
-	if float64(retries) <= float64(b.floor.Load())+b.ratio*float64(requests) {
+	if retries <= b.limit(requests) {
 		return true
 	}
 	b.add(now, 0, -1)
@@ -72,12 +85,12 @@
 // Remaining returns the number of retries that the budget allows now.
 func (b *Budget) Remaining(now time.Time) int {
 	requests, retries := b.window(now)
-	return int(b.floor.Load()) + int(b.ratio*float64(requests)) - retries
+	return b.limit(requests) - retries
 }
 
 func (b *Budget) add(now time.Time, requests, retries int) {
 	epoch := budgetEpoch(now)
-	slot := &b.slots[epoch%budgetSlots]
+	slot := &b.slots[epoch%retrySlots]
 	for {
 		old := slot.Load()
 		slotEpoch, q, r := unpackSlot(old)
@@ -96,8 +109,11 @@
 	epoch := budgetEpoch(now)
 	for i := range b.slots {
 		slotEpoch, q, r := unpackSlot(b.slots[i].Load())
-		if (epoch-slotEpoch)&epochMask < budgetSlots {
+		age := (epoch - slotEpoch) & epochMask
+		if age < requestSlots {
 			requests += q
+		}
+		if age < retrySlots {
 			retries += r
 		}
 	}
--- a/internal/exchange/budget_test.go
+++ b/internal/exchange/budget_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,10 +15,10 @@
 // TestBudgetBoundsRetries guards against a retry storm: concurrent requests
 // must not draw more than their share together, also when slots are reused.
 func TestBudgetBoundsRetries(t *testing.T) {
-	b := NewBudget(0.2, 3)
+	b := NewBudget(0.2, 3, 0)
 	now := time.Unix(1_000_000, 0)
 	for round := range 3 {
-		now = now.Add(budgetSlots * budgetSlot * time.Duration(round+1))
+		now = now.Add(requestSlots * budgetSlot * time.Duration(round+1))
 		for i := range 1000 {
 			b.Deposit(now.Add(time.Duration(i) * 9 * time.Millisecond))
 		}
@@ -44,6 +45,59 @@
 	assert.Equal(t, b.Remaining(now.Add(time.Minute)), 3)
 }
 
+// Guards against two bursts of retries within 10 s that each use the budget in
+// full because the first has left the window by then.
+func TestBudgetHoldsInEachSpan(t *testing.T) {
+	const (
+		perSecond = 100
+		span      = 10 * time.Second
+		floor     = 3
+		limit     = 0.2*perSecond*10 + floor
+	)
+	for _, phase := range []time.Duration{0, 50 * time.Millisecond, 500 * time.Millisecond, 950 * time.Millisecond} {
+		b := NewBudget(0.2, floor, 0)
+		first := time.Unix(1_000_000, 0)
+		var retries []time.Duration
+		for at := time.Duration(0); at < 40*time.Second; at += 10 * time.Millisecond {
+			b.Deposit(first.Add(at))
+			// Engines crash every 9.05 s, and all that can retry does so.
+			for at >= span+phase && (at-span-phase)%(9050*time.Millisecond) < 20*time.Millisecond && b.Withdraw(first.Add(at)) {
+				retries = append(retries, at)
+			}
+		}
+		assert.Assert(t, len(retries) > int(limit))
+		for i, from := range retries {
+			n := 0
+			for _, at := range retries[i:] {
+				if at-from < span {
+					n++
+				}
+			}
+			assert.Assert(t, n <= int(limit), "%d retries within 10 s from %v, phase %v", n, from, phase)
+		}
+	}
+}
+
+// Guards against daemons that lose a part of a retry each, or together allow
+// more than they share: 91 daemons with 8.55 retries each have 778.
+func TestBudgetRounding(t *testing.T) {
+	const daemons, floor = 91, 1.95
+	now := time.Unix(1_000_000, 0)
+	rng := rand.New(rand.NewPCG(1, 2))
+	granted := 0
+	for range daemons {
+		b := NewBudget(0.2, floor, rng.Float64())
+		for range 33 {
+			b.Deposit(now)
+		}
+		for b.Withdraw(now) {
+			granted++
+		}
+	}
+	// The standard deviation of the sum is below 5.
+	assert.Assert(t, granted >= 763 && granted <= 793, "%d", granted)
+}
+
 // BenchmarkEvent measures the state machine per token event.
 func BenchmarkEvent(b *testing.B) {
 	now := time.Unix(1_000_000, 0)
--- a/internal/exchange/property_test.go
+++ b/internal/exchange/property_test.go
@@ -392,7 +392,7 @@
 		}
 		w := &world{
 			t:          t,
-			e:          New(cfg, NewBudget(DefaultRetryRatio, rapid.IntRange(0, 10).Draw(t, "floor"))),
+			e:          New(cfg, NewBudget(DefaultRetryRatio, float64(rapid.IntRange(0, 10).Draw(t, "floor")), 0)),
 			now:        start,
 			total:      rapid.IntRange(0, 12).Draw(t, "total"),
 			repeatable: repeatable,
--- a/internal/exchange/runner_test.go
+++ b/internal/exchange/runner_test.go
@@ -170,7 +170,7 @@
 					Config:  Config{Request: "r", Repeatable: true, Resumable: true, HedgeDelay: tc.hedge},
 					Emitter: emitter,
 					Picker:  &listPicker{{Upstream: "b", Engine: second, Release: release}},
-					Budget:  NewBudget(DefaultRetryRatio, DefaultRetryFloor),
+					Budget:  NewBudget(DefaultRetryRatio, DefaultRetryFloor, 0),
 				}).Run(t.Context(), Assignment{Upstream: "a", Engine: first, Release: release})
 				synctest.Wait()
 				assert.Assert(t, outcome.Complete, "%+v", outcome)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,7 @@
 		log:     options.Log,
 		metrics: options.Metrics,
 		router:  routing.NewRouter(nil),
-		budget:  exchange.NewBudget(exchange.DefaultRetryRatio, exchange.DefaultRetryFloor),
+		budget:  exchange.NewBudget(exchange.DefaultRetryRatio, exchange.DefaultRetryFloor, 0),
 		pools:   make(map[string]*pool),
 	}
 	g.seeds.Store(options.Seed)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -73,7 +73,7 @@
 		Protocol: platform.Protocol{},
 		Balancer: s.balancer,
 		Pool:     upstreamhttp.NewPool(upstreamhttp.Options{}),
-		Retries:  relay.NewRetries(0.2, 5),
+		Retries:  relay.NewRetries(0.2, 5, 0),
 		Log:      telemetry.NopLog(),
 		Metrics:  relay.NewMetrics(telemetry.NewMetrics()),
 	})
@@ -513,7 +513,7 @@
 // Guards against daemons whose parts of the slack add up to more than it.
 func TestSlackIsShared(t *testing.T) {
 	for _, daemons := range []int{0, 1, 8, 91, 330} {
-		assert.Assert(t, relay.Floor(222, daemons)*daemons <= 222, "%d daemons", daemons)
+		assert.Assert(t, relay.Floor(222, daemons)*float64(daemons) <= 222, "%d daemons", daemons)
 	}
 	assert.Assert(t, relay.Floor(56, 8) > 0)
 }
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -14,16 +14,19 @@
 // a budget that all daemons keep together.
 type Retries struct {
 	ratio float64
-	floor int
+	floor float64
+	// rounding is that of all budgets.
+	rounding float64
 
 	mu      sync.Mutex
 	budgets map[string]*exchange.Budget
 }
 
 // NewRetries returns budgets of ratio repeats per request and floor repeats
-// per window for each service.
-func NewRetries(ratio float64, floor int) *Retries {
-	return &Retries{ratio: ratio, floor: floor, budgets: make(map[string]*exchange.Budget)}
+// per window for each service. rounding is a random number from 0 to below 1, by
+// which parts of a repeat are rounded.
+func NewRetries(ratio, floor, rounding float64) *Retries {
+	return &Retries{ratio: ratio, floor: floor, rounding: rounding, budgets: make(map[string]*exchange.Budget)}
 }
 
 func (r *Retries) budget(service string) *exchange.Budget {
@@ -31,7 +34,7 @@
 	defer r.mu.Unlock()
 	b := r.budgets[service]
 	if b == nil {
-		b = exchange.NewBudget(r.ratio, r.floor)
+		b = exchange.NewBudget(r.ratio, r.floor, r.rounding)
 		r.budgets[service] = b
 	}
 	return b
@@ -48,7 +51,7 @@
 }
 
 // SetFloor changes the repeats per window that need no traffic.
-func (r *Retries) SetFloor(floor int) {
+func (r *Retries) SetFloor(floor float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if floor == r.floor {
@@ -62,8 +65,8 @@
 
 // Floor returns a daemon's part of the slack that all daemons of a fleet share,
 // in repeats per window. A margin stays for daemons that are not known.
-func Floor(slack float64, daemons int) int {
-	return int(slack * slackShare / float64(max(daemons, 1)))
+func Floor(slack float64, daemons int) float64 {
+	return slack * slackShare / float64(max(daemons, 1))
 }
 
 // Deposit counts a request for a service.
--- a/internal/replay/daemon.go
+++ b/internal/replay/daemon.go
@@ -39,7 +39,7 @@
 		region:  region,
 		queue:   admission.NewQueue(r.policy.Tiers),
 		lengths: &estimate.Lengths{},
-		budget:  exchange.NewBudget(exchange.DefaultRetryRatio, exchange.DefaultRetryFloor),
+		budget:  exchange.NewBudget(exchange.DefaultRetryRatio, exchange.DefaultRetryFloor, 0),
 		rng:     newRand(r.seed, string(r.name)+"/"+id),
 	}
 	if r.name != PolicyOracle {
