Share the slack of repeats among the daemons of the directory

Cause: read in review. Change: the number is that of the directory if it is more. Test: TestSilentPeersStillCount (1 instead of 3 before). Limit: rows of the directory are never removed, so parts become smaller over months of replaced VMs; daemons then keep the share of their own requests.

--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -46,7 +46,9 @@
 type Observer interface {
 	// Works returns the daemon's own work by service.
 	Works(now time.Time) map[string]balancer.Work
-	// SetTotal takes the work of all daemons for a service.
+	// SetTotal takes the work of all daemons for a service, and the number of
+	// daemons: those heard or those of the directory, whichever is more, so that
+	// a daemon that hears nobody does not take itself for the only one.
 	SetTotal(service string, total balancer.Work, daemons int)
 	// Learned returns the load reports that this daemon got since the last call,
 	// by Hash of the upstream.
@@ -76,6 +78,8 @@
 	state *State
 	lags  map[string]lag
 	group group
+	// listed is the number of daemons in the directory when it was read last.
+	listed int
 	// cover holds the daemon that reads a table for this one, by table.
 	cover map[string]cover
 	// changed wakes the sender when a copy has changed.
@@ -197,7 +201,7 @@
 	}
 	for service := range works {
 		total, daemons := n.state.Total(now, Hash(service))
-		n.Observer.SetTotal(service, total, daemons)
+		n.Observer.SetTotal(service, total, max(daemons, n.listed))
 	}
 	targets = n.state.Targets(n.Rand, fanOut)
 	if len(targets) == 0 {
@@ -248,12 +252,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var zone []string
+	n.listed = 0
 	for _, row := range rows {
 		var m member
 		if err := cbor.Unmarshal(row.Value, &m); err != nil {
 			n.Log.Event(telemetry.PeerMessageRejected).Err(err).Str("row", row.Key).Send()
 			continue
 		}
+		n.listed++
 		n.state.AddPeer(m.Address, now)
 		if m.Zone == n.Zone {
 			zone = append(zone, m.Address)
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -133,3 +133,31 @@
 	router.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/peers/tables/other", nil))
 	assert.Equal(t, w.Code, http.StatusNotFound)
 }
+
+// countingObserver notes how many daemons it was told of.
+type countingObserver struct {
+	quietObserver
+	daemons int
+}
+
+func (o *countingObserver) SetTotal(_ string, _ balancer.Work, daemons int) { o.daemons = daemons }
+
+// Guards against daemons that each take the whole slack of the fleet's budget
+// of repeats because their datagrams reach nobody.
+func TestSilentPeersStillCount(t *testing.T) {
+	d := &directory{rows: make(map[string][]byte)}
+	o := new(countingObserver)
+	var nodes []*Node
+	for _, name := range []string{"d-1", "d-2", "d-3"} {
+		n := New(Config{
+			Daemon: name, Address: "127.0.0.1:1" + name[2:], Directory: d, Observer: o,
+			Rand: rand.New(rand.NewPCG(1, 2)), Log: telemetry.NopLog(),
+		})
+		announced := false
+		assert.NilError(t, n.visitDirectory(t.Context(), &announced))
+		nodes = append(nodes, n)
+	}
+	_, _, err := nodes[2].compose(time.Now())
+	assert.NilError(t, err)
+	assert.Equal(t, o.daemons, 3)
+}
