--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -36,6 +36,8 @@
 	listed bool
 	// announced is set once the log tells that the daemon is ready.
 	announced bool
+	// ended holds the upstreams whose end was logged.
+	ended map[domain.UpstreamID]domain.Incarnation
 	// changed is called when a table has changed. Nil means nobody asks.
 	changed func()
 	// expire is armed for the next entry of the list that ends.
@@ -112,7 +114,9 @@
 // updateBalancer hands the list to the balancer. The caller holds mu.
 func (s *state) updateBalancer() {
 	table := s.handler.Table()
-	s.balancer.Update(time.Now(), s.inventory.Entries(), func(service string) balancer.Engine {
+	entries := s.inventory.Entries()
+	s.logEnded(entries)
+	s.balancer.Update(time.Now(), entries, func(service string) balancer.Engine {
 		if table == nil {
 			return balancer.Engine{}
 		}
@@ -129,6 +133,23 @@
 	s.armExpiry()
 }
 
+// logEnded writes a line for each upstream that has lost its address since the
+// last list. The caller holds mu.
+func (s *state) logEnded(entries []inventory.Entry) {
+	ended := make(map[domain.UpstreamID]domain.Incarnation)
+	for _, e := range entries {
+		if e.Standing != inventory.Ended {
+			continue
+		}
+		ended[e.ID] = e.Incarnation
+		if before, known := s.ended[e.ID]; !known || before != e.Incarnation {
+			s.log.Event(telemetry.UpstreamEnded).Str("upstream", string(e.ID)).Str("service", e.Service).
+				Str("address", e.Address).Uint64("incarnation", uint64(e.Incarnation)).Send()
+		}
+	}
+	s.ended = ended
+}
+
 // armExpiry sets the timer for the next removed entry that ends.
 func (s *state) armExpiry() {
 	if s.expire != nil {
