--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -76,7 +76,7 @@
 	RegistrationRejected = Event{"AD8009", "registration_rejected", zerolog.WarnLevel, "A registration can't be read and names no upstream to use."}
 	TableReaderChanged   = Event{"AD8010", "table_reader_changed", zerolog.InfoLevel, "Another daemon of the group reads a table for this one, or, without a reader, this one reads it again."}
 
-	UpstreamEnded        = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
+	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
 
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
 )
