Read changes without a long pause for 3 s after a sign of an old list

And read in review: the later start at an address is stated by the clock of a VM; one that was set back would have kept a live upstream from all work. Change: pauses last 250 ms for 3 s after a 421. A registration ends an earlier one at its address only if both its start and its version in the table are later.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -238,6 +238,7 @@
 			Uint64("row_version", uint64(row.Version)).Send()
 		return r, false
 	}
+	r.Written = row.Version
 	return r, true
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -35,6 +35,10 @@
 	// processes that take over addresses do so within seconds of each other, and
 	// calls to the platform are limited.
 	hurryInterval = 250 * time.Millisecond
+	// hurryLife is how long changes are read without a pause after Hurry: the
+	// platform takes about that long to notice that a process has ended, and
+	// processes that ended together start again within it.
+	hurryLife = 3 * time.Second
 	// failureFloor and failureCap bound the pause after a failure.
 	failureFloor = 100 * time.Millisecond
 	failureCap   = 2 * time.Second
@@ -71,6 +75,9 @@
 
 	// hurry ends a pause.
 	hurry chan struct{}
+	// hurriedAt is when Hurry was called last, in nanoseconds since started.
+	hurriedAt atomic.Int64
+	started   time.Time
 	// calledAt is when the last call to the platform ended.
 	calledAt time.Time
 	// changed tells that the last step brought changes.
@@ -107,20 +114,31 @@
 
 // New returns a Follower.
 func New(source Source, sink Sink, o Options) *Follower {
-	f := &Follower{source: source, sink: sink, settle: o.Settle, covered: o.Covered, rng: o.Rand, hurry: make(chan struct{}, 1)}
+	f := &Follower{source: source, sink: sink, settle: o.Settle, covered: o.Covered, rng: o.Rand, hurry: make(chan struct{}, 1), started: time.Now()}
+	f.hurriedAt.Store(int64(-hurryLife))
 	f.SetWait(cmp.Or(o.Wait, defaultWait))
 	return f
 }
 
 // Hurry asks the platform for changes now instead of after a pause or a rest,
-// because something showed that the copy is out of date.
+// because something showed that the copy is out of date. Pauses are short for
+// some time after it.
 func (f *Follower) Hurry() {
+	f.hurriedAt.Store(int64(time.Since(f.started)))
 	select {
 	case f.hurry <- struct{}{}:
 	default:
 	}
 }
 
+// settleTime is the pause after a change.
+func (f *Follower) settleTime() time.Duration {
+	if time.Since(f.started)-time.Duration(f.hurriedAt.Load()) < hurryLife {
+		return min(f.settle, hurryInterval)
+	}
+	return f.settle
+}
+
 // pause waits until d has passed or Hurry asks for a call. It reports whether
 // Hurry did; ctx may have ended as well.
 func (f *Follower) pause(ctx context.Context, d time.Duration) (hurried bool) {
@@ -167,7 +185,7 @@
 			f.reached()
 			f.drainHurry()
 			if f.changed {
-				f.pause(ctx, f.settle)
+				f.pause(ctx, f.settleTime())
 			}
 			continue
 		}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -374,3 +374,17 @@
 	calls := store.Calls("/rows-feed") - before
 	assert.Assert(t, calls >= 1 && calls <= 5, "%d calls in a second", calls)
 }
+
+// Guards against later changes that wait for a whole pause although something
+// showed that the copy is out of date shortly before the first one was read.
+func TestPausesAreShortAfterHurry(t *testing.T) {
+	store, sink, f := startFollower(t, follow.Options{Settle: time.Hour})
+	time.Sleep(100 * time.Millisecond) // the first reading has ended
+	f.Hurry()
+	time.Sleep(100 * time.Millisecond)
+	for i := range 3 {
+		key := fmt.Sprintf("a-%d", i)
+		store.Put("servers", key, []byte("1"))
+		sink.waitFor(t, key, "1", inForce+250*time.Millisecond)
+	}
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
 // Registration is what an upstream says about itself.
@@ -20,6 +21,9 @@
 	// Incarnation is the start of the upstream's process. A higher one holds
 	// and knows nothing of a lower one.
 	Incarnation domain.Incarnation
+	// Written is the version of the platform's table at which the registration
+	// was written.
+	Written ports.Version
 }
 
 // Standing tells whether an upstream may get new work.
@@ -134,11 +138,11 @@
 
 // Entries returns the list, ordered by ID.
 func (v *Inventory) Entries() []Entry {
-	latest := v.latestByAddress()
+	last := v.successors()
 	out := make([]Entry, 0, len(v.records))
 	for _, r := range v.records {
 		e := r.Entry
-		if e.Incarnation < latest[e.Address] {
+		if last[e.Address].succeeds(e.Registration) {
 			e.Standing = Ended
 		}
 		out = append(out, e)
@@ -152,12 +156,20 @@
 	return out
 }
 
-// latestByAddress returns the latest incarnation that registered each address.
-// An address belongs to one process at a time.
-func (v *Inventory) latestByAddress() map[string]domain.Incarnation {
-	latest := make(map[string]domain.Incarnation, len(v.records))
+// successors returns the registration of the process that started last at each
+// address. An address belongs to one process at a time.
+func (v *Inventory) successors() map[string]Registration {
+	last := make(map[string]Registration, len(v.records))
 	for _, r := range v.records {
-		latest[r.Address] = max(latest[r.Address], r.Incarnation)
+		if known, ok := last[r.Address]; !ok || r.Incarnation > known.Incarnation {
+			last[r.Address] = r.Registration
+		}
 	}
-	return latest
+	return last
+}
+
+// succeeds reports whether a process has the address of an earlier one. Both the
+// start, which the clock of a VM states, and the order of writing must say so.
+func (r Registration) succeeds(earlier Registration) bool {
+	return r.Incarnation > earlier.Incarnation && r.Written > earlier.Written
 }
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -95,6 +95,7 @@
 		both := []Registration{registration("before", 1), registration("after", 2)}
 		both[1].Address = both[0].Address
 		both[1].Service = "other"
+		both[0].Written, both[1].Written = 10, 20
 		for _, i := range order {
 			v.Register(both[i])
 		}
@@ -112,3 +113,18 @@
 		assert.Equal(t, got, Ended)
 	}
 }
+
+// Guards against a live process that gets no work because the clock of its VM
+// was set back between two starts.
+func TestAddressWithClocksThatDisagree(t *testing.T) {
+	v := New(hold)
+	before, after := registration("before", 2), registration("after", 1)
+	after.Address = before.Address
+	before.Written, after.Written = 10, 20
+	v.Register(before)
+	v.Register(after)
+	for _, id := range []string{"before", "after"} {
+		got, _ := standing(v, id)
+		assert.Equal(t, got, Serving, id)
+	}
+}
