Tell callers to come back when registrations are back

Callers were told to come back after 300 ms, came, were refused again and had no retry left. Registrations are back within about two seconds.

Ruled out: a daemon that is ready too early (no other daemon was better off).

Change: while a service has no upstream at all, Retry-After is 2 s, at most a third of the time that is left. Refusals by upstreams that are there keep 300 ms.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -39,10 +39,12 @@
 	stoppingRetry = 50 * time.Millisecond
 	// upstreamRetry is when an upstream has room most likely.
 	upstreamRetry = 300 * time.Millisecond
-	// shedRetry is the part of the time that is left after which a caller comes
-	// back whose answer would have come too late. Callers honour up to a third,
-	// and the later they come, the more likely the burst is over.
-	shedRetry = 1.0 / 3
+	// registrationRetry is when upstreams whose registrations lapsed while the
+	// platform was away are registered again.
+	registrationRetry = 2 * time.Second
+	// latestRetry is the part of the time that is left after which a caller comes
+	// back at the latest. Callers honour no more, and need time for the answer.
+	latestRetry = 1.0 / 3
 )
 
 // outcome collects what the final log line says.
@@ -80,7 +82,21 @@
 // shed refuses a request whose answer would end after its time.
 func (q *request) shed(f balancer.Forecast) {
 	q.logShed(f)
-	q.refuse(http.StatusServiceUnavailable, reasonTooLate, time.Duration(shedRetry*float64(q.remaining())))
+	// The later the caller comes back, the more likely the burst is over.
+	q.refuse(http.StatusServiceUnavailable, reasonTooLate, q.latestRetry())
+}
+
+func (q *request) latestRetry() time.Duration {
+	return time.Duration(latestRetry * float64(q.remaining()))
+}
+
+// noUpstreamRetry is when a caller is told to come back for whom no upstream was
+// found: later if there is none than if those that are there refused.
+func (q *request) noUpstreamRetry() time.Duration {
+	if len(q.tried) > 0 {
+		return upstreamRetry
+	}
+	return min(registrationRetry, q.latestRetry())
 }
 
 // answer writes an answer of the daemon's own.
@@ -123,7 +139,7 @@
 	case q.mayHaveRun:
 		q.answer(http.StatusBadGateway, reason)
 	default:
-		q.refuse(http.StatusServiceUnavailable, reason, upstreamRetry)
+		q.refuse(http.StatusServiceUnavailable, reason, q.noUpstreamRetry())
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -179,7 +180,11 @@
 	s.list()
 	none := s.do(s.request(http.MethodPost, "/once/", "r3", "x"))
 	assert.Equal(t, none.status, http.StatusServiceUnavailable)
-	assert.Assert(t, none.header.Get("Retry-After") != "")
+	// Registrations that lapsed are back within seconds, so that a caller who
+	// came back at once would be refused again.
+	after, err := strconv.ParseFloat(none.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 0.5 && after < 0.7, "a third of the route's 2 s: %v", after)
 	assert.Equal(t, s.ran(), 0)
 }
 
