Start from the copies of seeds while the platform is away

Cause: a daemon that started during an outage of the store knew neither configuration nor upstreams, nor any peer, since the directory of daemons is in the store as well.

Ruled out: a late reading after the store's return (0.1 to 0.3 s).

A daemon that knows nothing of a table 0.4 s after its start reads the seeds' copies, takes the newest, serves with it and goes on asking the store. Copies bring the addresses of peers with them.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -130,7 +131,7 @@
 	limitMemory(s)
 	e.deps.Log.Event(telemetry.DaemonStarting).
 		Str("zone", string(s.Zone)).Str("callers", s.Callers).
-		Str("readiness", s.Readiness).Str("internal", s.Internal).
+		Str("readiness", s.Readiness).Str("internal", s.Internal).Strs("seeds", s.Seeds).
 		Str("platform", s.Platform).Send()
 	front, err := net.Listen("tcp", s.Callers)
 	if err != nil {
@@ -170,8 +171,10 @@
 		e.state.changed = node.Changed
 		addLoop(&g, node.Run)
 	}
-	if err := e.addInternal(&g, s.Internal, node); err != nil {
-		return err
+	for _, address := range []string{s.Internal, s.Control} {
+		if err := e.addInternal(&g, address, node); err != nil {
+			return err
+		}
 	}
 	addLoop(&g, e.sweep)
 	addLoop(&g, e.watchSettings)
@@ -273,10 +276,16 @@
 	}
 	return peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.Internal, Zone: string(s.Zone), Directory: e.deps.Daemons,
-		Observer: peerObserver{e.state.balancer, e}, Tables: tables, Rand: newRand(), Log: e.deps.Log,
+		Observer: peerObserver{e.state.balancer, e}, Tables: tables, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
 
+// otherSeeds returns the seeds without the daemon itself.
+func (e *Edge) otherSeeds() []string {
+	s := e.settings.Load()
+	return slices.DeleteFunc(slices.Clone(s.Seeds), func(seed string) bool { return seed == s.Control })
+}
+
 // limitMemory sets the goal of the garbage collector.
 func limitMemory(s *Settings) {
 	if s.MemoryBytes > 0 {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -47,18 +47,26 @@
 
 func startWith(t *testing.T, leaveBound time.Duration) *site {
 	t.Helper()
-	s := &site{t: t, store: standin.NewStore(), done: make(chan error, 1)}
+	return startOn(t, standin.NewStore(), func(s *edge.Settings) { s.LeaveBound = leaveBound })
+}
+
+// startOn starts a daemon before a store, with settings as set leaves them.
+func startOn(t *testing.T, of *standin.Store, set func(*edge.Settings)) *site {
+	t.Helper()
+	s := &site{t: t, store: of, done: make(chan error, 1)}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	replica, err := standin.StartReplica("replica-0")
 	assert.NilError(t, err)
 	t.Cleanup(replica.Close)
 	s.replica = replica
-	s.settings.Store(&edge.Settings{
+	settings := &edge.Settings{
 		Daemon: "edge-1", Zone: "a", Region: "r", Platform: server.Listener.Addr().String(),
-		Callers: freeAddress(t), Readiness: freeAddress(t), Internal: freeAddress(t),
-		StopBound: 3 * time.Second, LeaveBound: leaveBound, RetryRatio: 0.2, RetrySlack: 56,
-	})
+		Callers: freeAddress(t), Readiness: freeAddress(t), Internal: freeAddress(t), Control: freeAddress(t),
+		StopBound: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 56,
+	}
+	set(settings)
+	s.settings.Store(settings)
 	store := platform.NewStore(s.settings.Load().Platform)
 	e := edge.New(s.settings.Load(), edge.Deps{
 		Protocol: platform.Protocol{},
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -20,6 +20,11 @@
 	// Internal is the address for metrics and peers, by TCP and UDP. Empty
 	// means that the daemon serves no metrics and works alone.
 	Internal string
+	// Control is a further address at which peers read copies, the one that
+	// Seeds of other daemons name. Empty means none.
+	Control string
+	// Seeds are Control addresses of some daemons. They may be old or down.
+	Seeds []string
 	// Platform is the address of the platform's store.
 	Platform string
 	// MemoryBytes and Descriptors are the limits of the process. Zero means
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -57,7 +57,7 @@
 	SetReports(map[uint32]balancer.Report)
 }
 
-// Config sets up a Node. All fields are required.
+// Config sets up a Node. All fields but Seeds are required.
 type Config struct {
 	Daemon    string
 	Address   string // IP:port to receive at
@@ -65,6 +65,9 @@
 	Observer  Observer
 	// Zone is where the daemon runs. Daemons of one zone form groups.
 	Zone string
+	// Seeds are addresses of daemons that may know the tables while the platform
+	// is away, for the first copies of a daemon that starts. They may be down.
+	Seeds []string
 	// Tables are the copies that daemons help each other to keep, by name.
 	Tables map[string]Table
 	Rand   *rand.Rand
@@ -84,8 +87,9 @@
 	cover map[string]cover
 	// changed wakes the sender when a copy has changed.
 	changed chan struct{}
-	// readRand spreads readings of the directory. Rand belongs to the sender.
-	readRand *rand.Rand
+	// readRand spreads readings of the directory, bootRand questions to seeds.
+	// Rand belongs to the sender.
+	readRand, bootRand *rand.Rand
 }
 
 // New returns a Node that knows no peer.
@@ -94,6 +98,7 @@
 		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag),
 		cover: make(map[string]cover), changed: make(chan struct{}, 1),
 		readRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
+		bootRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
 	}
 }
 
@@ -116,6 +121,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
 	go n.keepDirectory(ctx)
+	go n.bootstrap(ctx)
 	go n.sendAll(ctx, socket)
 	return n.receiveAll(ctx, socket)
 }
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -25,6 +25,8 @@
 	fetchTimeout = time.Second
 	// maxCopyBytes bounds a peer's copy.
 	maxCopyBytes = 16 << 20
+	// maxToldPeers bounds the peers that go with a copy.
+	maxToldPeers = 16
 	// TablePath is where daemons read each other's copies.
 	TablePath = "/peers/tables/:name"
 )
@@ -62,6 +64,9 @@
 	Rows    []copyRow `cbor:"3,keyasint"`
 	// Partial tells that Rows holds only what changed after the asked version.
 	Partial bool `cbor:"4,keyasint,omitempty"`
+	// Peers are addresses at which daemons receive messages, for one that can't
+	// read the directory.
+	Peers []string `cbor:"5,keyasint,omitempty"`
 }
 
 type copyRow struct {
@@ -155,6 +160,7 @@
 	if err := cbor.Unmarshal(data, &c); err != nil {
 		return false, eris.Wrap(err, "decoding a peer's copy")
 	}
+	n.addPeers(c.Peers)
 	rows := make([]ports.Row, 0, len(c.Rows))
 	for _, r := range c.Rows {
 		rows = append(rows, ports.Row{Key: r.Key, Value: r.Value, Version: ports.Version(r.Version), Deleted: r.Removed})
@@ -166,6 +172,24 @@
 	return n.Tables[name].Offer(follow.NewSnapshot(rows, versions)), nil
 }
 
+func (n *Node) addPeers(addresses []string) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range addresses {
+		n.state.AddPeer(address, now)
+	}
+}
+
+// knownPeers returns this daemon's address and those of peers heard lately.
+func (n *Node) knownPeers() []string {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	heard := n.state.addresses(func(at time.Time) bool { return now.Sub(at) < peerLife })
+	return append([]string{n.Address}, heard[:min(len(heard), maxToldPeers)]...)
+}
+
 // ServeTable answers a peer that reads a copy.
 func (n *Node) ServeTable(c echo.Context) error {
 	table := n.Tables[c.Param("name")]
@@ -181,7 +205,7 @@
 		s := table.Snapshot()
 		rows, versions = s.Rows(), s.Versions
 	}
-	out := tableCopy{AsOf: uint64(versions.AsOf), Changed: uint64(versions.Changed), Partial: partial}
+	out := tableCopy{AsOf: uint64(versions.AsOf), Changed: uint64(versions.Changed), Partial: partial, Peers: n.knownPeers()}
 	for _, r := range rows {
 		out.Rows = append(out.Rows, copyRow{Key: r.Key, Value: r.Value, Version: uint64(r.Version), Removed: r.Deleted})
 	}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -53,6 +53,7 @@
 	PeerMessageRejected = Event{"AD4005", "peer_message_rejected", zerolog.WarnLevel, "A message to or from a peer, or its row in the directory, can't be used."}
 	PeerDirectoryFailed = Event{"AD4006", "peer_directory_failed", zerolog.WarnLevel, "The directory of daemons can't be reached; known peers stay in use."}
 
+	SeedCopyRead = Event{"AD4008", "seed_copy_read", zerolog.InfoLevel, "The platform has not answered since the start; a seed's copy of the table was read."}
 	PeerCopyRead = Event{"AD4007", "peer_copy_read", zerolog.InfoLevel, "A change did not come from the platform in time; a peer's copy of the table was read."}
 
 	DrainStep    = Event{"AD5001", "drain_step", zerolog.InfoLevel, "An upstream moved to another drain phase; reason says why."}
@@ -88,7 +89,7 @@
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
-	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead,
+	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
