Bound the memory of request bodies in progress

Cause: each daemon held any number of bodies of up to 4 MB until their requests ended. On the smallest VM (112 MB) about 25 of the largest bodies that the operators allow end the process. Found by reading.

Change: bodies take from a fifth of the process's memory. A request whose body finds no room is refused with 503 no_memory before it was sent; chunked bodies take what they read. The bound follows the settings at a reload.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,10 @@
 	// memoryShare of the process's limit is the goal of the garbage collector.
 	// The rest covers stacks, buffers of the kernel and the binary.
 	memoryShare = 0.6
+	// bodyShare of the process's limit is for request bodies, which are held until
+	// their requests end. On the smallest VM that is five of the largest bodies
+	// that the operators allow.
+	bodyShare = 0.2
 	// leaveMargin is taken off LeaveBound for requests on their way.
 	leaveMargin = 300 * time.Millisecond
 	// defaultLeaveBound replaces a LeaveBound of zero.
@@ -128,7 +132,7 @@
 // Run serves until SIGTERM or ctx ends, and then stops in order.
 func (e *Edge) Run(ctx context.Context) error {
 	s := e.settings.Load()
-	limitMemory(s)
+	e.limitMemory(s)
 	e.deps.Log.Event(telemetry.DaemonStarting).
 		Str("zone", string(s.Zone)).Str("callers", s.Callers).
 		Str("readiness", s.Readiness).Str("internal", s.Internal).Strs("seeds", s.Seeds).
@@ -286,10 +290,11 @@
 	return slices.DeleteFunc(slices.Clone(s.Seeds), func(seed string) bool { return seed == s.Control })
 }
 
-// limitMemory sets the goal of the garbage collector.
-func limitMemory(s *Settings) {
+// limitMemory sets the goal of the garbage collector and the bound of bodies.
+func (e *Edge) limitMemory(s *Settings) {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+		e.handler.SetBodyMemory(int64(float64(s.MemoryBytes) * bodyShare))
 	}
 }
 
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -43,7 +43,7 @@
 	}
 	changed := !reflect.DeepEqual(next, e.settings.Load())
 	if changed {
-		limitMemory(next)
+		e.limitMemory(next)
 		e.handler.Retries.SetRatio(next.RetryRatio)
 		e.state.setRemovalHold(removalHold(next))
 		e.settings.Store(next)
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -17,6 +17,7 @@
 	reasonHeaderTooLarge  = "header_too_large"
 	reasonBodyTooLarge    = "body_too_large"
 	reasonBodyBroken      = "body_broken"
+	reasonNoMemory        = "no_memory"
 	reasonNoUpstream      = "no_upstream"
 	reasonMayHaveRun      = "may_have_run"
 	reasonAttempts        = "attempts_used"
@@ -146,6 +147,7 @@
 // finish writes the final log line and ends the connection of an answer that
 // broke off.
 func (q *request) finish() {
+	q.h.bodies.give(q.bodyReserved)
 	q.logFinish()
 	q.h.Metrics.finished(q)
 	if q.outcome.aborted {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -55,6 +54,7 @@
 	// longer.
 	end    atomic.Pointer[time.Time]
 	active atomic.Int64
+	bodies bodyMemory
 }
 
 // New returns a Handler that refuses requests until SetTable is called.
@@ -73,6 +73,10 @@
 // the given time.
 func (h *Handler) EndAt(end time.Time) { h.end.Store(&end) }
 
+// SetBodyMemory bounds the bytes of the request bodies that are held at one time.
+// Zero means no bound.
+func (h *Handler) SetBodyMemory(bytes int64) { h.bodies.limit.Store(bytes) }
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
@@ -89,10 +93,12 @@
 	customer domain.CustomerID
 	rank     httproute.Rank
 	body     []byte
-	prompt   balancer.Prompt
-	arrived  time.Time
-	deadline time.Time
-	ctx      context.Context
+	// bodyReserved is the memory that is reserved for the body.
+	bodyReserved int64
+	prompt       balancer.Prompt
+	arrived      time.Time
+	deadline     time.Time
+	ctx          context.Context
 
 	// silentAt is when an answer that has not begun counts as lost.
 	silentAt time.Time
@@ -195,15 +201,17 @@
 	control := http.NewResponseController(q.w)
 	// Connections that do not support deadlines are those of tests.
 	_ = control.SetReadDeadline(q.arrived.Add(bodyTimeout))
-	body, err := readAll(q.r.Body, q.r.ContentLength, limit)
+	var err error
+	q.body, q.bodyReserved, err = q.h.bodies.read(q.r.Body, q.r.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	switch {
 	case errors.Is(err, errTooLarge):
 		return q.reject(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
+	case errors.Is(err, errNoMemory):
+		return q.refuse(http.StatusServiceUnavailable, reasonNoMemory, upstreamRetry)
 	case err != nil:
 		return q.reject(http.StatusBadRequest, reasonBodyBroken)
 	}
-	q.body = body
 	return true
 }
 
@@ -218,21 +226,5 @@
 	return size
 }
 
-var errTooLarge = errors.New("body exceeds the limit")
-
-// readAll reads a body of at most limit bytes. length is -1 if unknown.
-func readAll(body io.Reader, length, limit int64) ([]byte, error) {
-	if length > 0 {
-		buf := make([]byte, length)
-		_, err := io.ReadFull(body, buf)
-		return buf, err
-	}
-	buf, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err == nil && int64(len(buf)) > limit {
-		err = errTooLarge
-	}
-	return buf, err
-}
-
 // remaining is the time until the request's deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -515,6 +515,32 @@
 	assert.Equal(t, s.ran(), 0)
 }
 
+// Guards against bodies that together take more memory than the process has, and
+// against memory that stays taken when their requests have ended.
+func TestBodyMemoryIsBounded(t *testing.T) {
+	s := startSite(t, 1)
+	s.handler.SetBodyMemory(10 << 10)
+	s.set(standin.Behaviour{Work: 300 * time.Millisecond})
+	body := strings.Repeat("x", 8<<10)
+	first := make(chan reply)
+	go func() { first <- s.do(s.request(http.MethodPost, "/once/", "r1", body)) }()
+	for end := time.Now().Add(time.Second); s.replicas[0].Arrivals() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	got := s.do(s.request(http.MethodPost, "/once/", "r2", body))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.body, "no_memory\n")
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	chunked := s.request(http.MethodPost, "/once/", "r3", body)
+	chunked.ContentLength, chunked.GetBody = -1, nil
+	assert.Equal(t, s.do(chunked).status, http.StatusServiceUnavailable)
+	assert.Equal(t, (<-first).status, http.StatusOK)
+	assert.Equal(t, s.ran(), 1)
+	for i := range 3 {
+		assert.Equal(t, s.do(s.request(http.MethodPost, "/once/", fmt.Sprintf("again-%d", i), body)).status, http.StatusOK)
+	}
+}
+
 // Guards against daemons whose parts of the slack add up to more than it.
 func TestSlackIsShared(t *testing.T) {
 	for _, daemons := range []int{0, 1, 8, 91, 330} {
