Close connections whose headers take longer than configured

Cause: header_timeout_ms of the operator's limits was not read; the server's own limit of 5 s held instead, so that callers kept connections open with unfinished headers for longer than allowed. Found by reading.

Ruled out: http.Server.ReadHeaderTimeout (fixed at its start) and its ConnState hook (a connection becomes active only when the header has been read; a first version by that hook never closed anything).

The idle limit uses the same timer; the map of timers behind one lock is gone.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -46,7 +46,8 @@
 	settleShare = 0.33
 	// sweepInterval is how often expired connections are closed.
 	sweepInterval = 2 * time.Second
-	// headerTimeout bounds the reading of a request's header.
+	// headerTimeout bounds the reading of a request's header while the
+	// configuration states less strict limits or none.
 	headerTimeout = 5 * time.Second
 	// idleTimeout ends idle connections of callers while the configuration
 	// states no limit.
@@ -144,6 +145,7 @@
 	if s.Descriptors > 0 {
 		front = netutil.LimitListener(front, max(int(connectionShare*float64(s.Descriptors)), 1))
 	}
+	front = callerListener{front, e.connectionLimits}
 	ready, err := net.Listen("tcp", s.Readiness)
 	if err != nil {
 		_ = front.Close() // never served
@@ -206,21 +208,25 @@
 func closeNow(s *http.Server) { _ = s.Close() } // the process ends
 
 func (e *Edge) frontServer() *http.Server {
-	idle := newIdleCloser(func() time.Duration {
-		if table := e.handler.Table(); table != nil {
-			return table.Limits.IdleTimeout
-		}
-		return 0
-	})
 	return &http.Server{
-		Handler:           e.handler,
-		ConnState:         idle.observe,
+		Handler:           endHeaderLimit(e.handler),
+		ConnState:         observeState,
+		ConnContext:       rememberConnection,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
+// connectionLimits are those of the configuration in force.
+func (e *Edge) connectionLimits() connectionLimits {
+	table := e.handler.Table()
+	if table == nil {
+		return connectionLimits{}
+	}
+	return connectionLimits{idle: table.Limits.IdleTimeout, header: table.Limits.HeaderTimeout}
+}
+
 // probes answers the balancer's readiness probes.
 func (e *Edge) probes() http.Handler {
 	router := echo.New()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -85,7 +85,7 @@
 }
 
 func (s *site) configure(version int, prefix string) {
-	s.store.Put("op", "config", fmt.Appendf(nil, `{"version":%d,"limits":{"idle_timeout_ms":200},"services":[{"name":"app"}],"routes":[
+	s.store.Put("op", "config", fmt.Appendf(nil, `{"version":%d,"limits":{"idle_timeout_ms":200,"header_timeout_ms":300},"services":[{"name":"app"}],"routes":[
 		{"name":"r","host":"h.example","prefix":%q,"type":"idempotent","service":"app","attempts":1,"timeout_ms":1000}]}`, version, prefix))
 }
 
--- a/internal/httproute/config.go
+++ b/internal/httproute/config.go
@@ -94,6 +94,8 @@
 	HeaderBytes int
 	BodyBytes   int64
 	IdleTimeout time.Duration
+	// HeaderTimeout bounds the time in which a request's header arrives.
+	HeaderTimeout time.Duration
 }
 
 // Customer owns API keys.
