Play restarts at an address, herds and outages with starts in the soak

Change: these faults; daemons have control addresses and seeds as on the platform; AUBURNDYKE_SOAK_DAEMONS sets the size, and upstreams and clients grow with it.

Clock steps stay out: the daemon decides by the steady clock only, and a process's clock cannot be changed from outside it here.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -23,8 +23,10 @@
 func (f *fleet) runsByID() map[string][]standin.Run {
 	out := make(map[string][]standin.Run)
 	for _, u := range f.upstreams {
-		for _, r := range u.replica.Runs() {
-			out[r.ID] = append(out[r.ID], r)
+		for _, replica := range u.replicas {
+			for _, r := range replica.Runs() {
+				out[r.ID] = append(out[r.ID], r)
+			}
 		}
 	}
 	return out
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -18,8 +18,11 @@
 	// answer must come. The sheets allow half a second; the rest covers a busy
 	// machine.
 	answerSlack = time.Second
-	clients     = 12
+	minClients  = 12
 	pause       = 15 * time.Millisecond
+	// One caller in leaving leaves after patience.
+	leaving  = 25
+	patience = 60 * time.Millisecond
 )
 
 // exchange is one request and what its caller saw.
@@ -45,19 +48,26 @@
 	mu     sync.Mutex
 	all    []*exchange
 	prefix string
+	// patient callers never leave before their answer.
+	patient bool
 }
 
-func startLoad(f *fleet, prefix string) *load {
-	l := &load{fleet: f, prefix: prefix}
+// startLoad starts the callers. Patient ones stay until they have an answer.
+func startLoad(f *fleet, prefix string, patient bool) *load {
+	l := &load{fleet: f, prefix: prefix, patient: patient}
 	routes := []string{"/once/", "/again/", "/events/", "/resume/"}
-	for i := range clients {
+	for i := range max(minClients, len(f.daemons)) {
 		l.wait.Go(func() {
 			// Each client keeps its connection to one daemon until it breaks.
 			d := f.daemons[i%len(f.daemons)]
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 			defer client.CloseIdleConnections()
 			for n := i; !l.stop.Load(); n++ {
-				l.add(l.send(client, d, routes[n%len(routes)]))
+				wait := routeTimeout + answerSlack
+				if n%leaving == 0 && !l.patient {
+					wait = patience
+				}
+				l.add(l.sendFor(wait, client, d, routes[n%len(routes)]))
 				time.Sleep(pause)
 			}
 		})
@@ -79,11 +89,16 @@
 
 // send makes one request and reads its answer to the end.
 func (l *load) send(client *http.Client, d *daemon, route string) *exchange {
+	return l.sendFor(routeTimeout+answerSlack, client, d, route)
+}
+
+// sendFor is send by a caller who leaves after a time.
+func (l *load) sendFor(wait time.Duration, client *http.Client, d *daemon, route string) *exchange {
 	e := &exchange{
 		id: fmt.Sprintf("%s-%d", l.prefix, l.next.Add(1)), route: route, daemon: d, run: d.run(), sent: time.Now(),
 	}
 	defer func() { e.ended = time.Now() }()
-	ctx, cancel := context.WithTimeout(context.Background(), routeTimeout+answerSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	method := http.MethodPost
 	if route == "/again/" || strings.HasPrefix(route, "/version-") {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,6 +21,11 @@
 )
 
 const (
+	// A fleet has an upstream for each daemonsPerUpstream daemons, at least
+	// minUpstreams.
+	minUpstreams       = 5
+	daemonsPerUpstream = 10
+
 	apiKey    = "soak-key"
 	host      = "soak.example"
 	readyTime = 15 * time.Second
@@ -29,18 +35,42 @@
 	stopBound = 8 * time.Second
 	firstPort = 20000
 	// portBlocks and blockPorts keep runs that go on at the same time apart.
-	portBlocks = 18
-	blockPorts = 500
+	portBlocks = 8
+	blockPorts = 1500
 )
 
 // freePorts is apart from those of runs that go on at the same time.
 var freePorts = process.NewPorts(firstPort+os.Getpid()%portBlocks*blockPorts, blockPorts)
 
-// upstream is a replica behind a proxy.
+// upstream is an address behind a proxy at which one replica after the other
+// runs.
 type upstream struct {
-	replica *standin.Replica
 	proxy   *proxy
 	service string
+
+	mu sync.Mutex
+	// replicas are all that ran at the address; the last one runs.
+	replicas []*standin.Replica
+}
+
+// replica returns the one that runs.
+func (u *upstream) replica() *standin.Replica {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.replicas[len(u.replicas)-1]
+}
+
+// crash ends the replica and starts another one, with another id, at its address.
+// It returns the id of the one that ended.
+func (u *upstream) crash(f *fleet) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	old := u.replicas[len(u.replicas)-1]
+	next, err := old.Restart(fmt.Sprintf("%s.%d", u.replicas[0].ID, len(u.replicas)))
+	assert.NilError(f.t, err)
+	next.Set(u.usual())
+	u.replicas = append(u.replicas, next)
+	return old.ID
 }
 
 // daemon is one process behind a proxy to the store.
@@ -49,6 +79,7 @@
 	store    *proxy
 	callers  string
 	ready    string
+	control  string
 	settings string
 	log      string
 
@@ -111,10 +142,16 @@
 	daemons   []*daemon
 	upstreams []*upstream
 
+	// seeds are control addresses of the first daemons.
+	seeds []string
+
 	mu      sync.Mutex
 	version int
 }
 
+// maxSeeds is the number of seeds that the platform names.
+const maxSeeds = 3
+
 // settingsText is what the platform's settings file says for a daemon.
 const settingsText = `
 node = %q
@@ -122,11 +159,13 @@
 zone = "a"
 region = "r"
 port_range = [%d,%d]
+seeds = ["%s"]
 [zones]
 a = "r"
 [listen]
 front = %q
 ready_addr = %q
+control = %q
 [limits]
 memory_mb = 112
 fds = 4100
@@ -155,16 +194,21 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	for i := range 5 {
+	for i := range max(minUpstreams, daemons/daemonsPerUpstream) {
 		service := "model"
-		if i >= 3 {
+		if i%5 >= 3 {
 			service = "app"
 		}
 		f.addUpstream(fmt.Sprintf("replica-%d", i), service)
 	}
 	f.configure()
-	for i := range daemons {
-		f.addDaemon(i, server.Listener.Addr().String())
+	controls := make([]string, daemons)
+	for i := range controls {
+		controls[i] = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	}
+	f.seeds = controls[:min(len(controls), maxSeeds)]
+	for i, control := range controls {
+		f.addDaemon(i, server.Listener.Addr().String(), control)
 	}
 	for _, d := range f.daemons {
 		f.awaitReady(d)
@@ -175,9 +219,9 @@
 func (f *fleet) addUpstream(id, service string) {
 	r, err := standin.StartReplica(id)
 	assert.NilError(f.t, err)
-	f.t.Cleanup(r.Close)
-	u := &upstream{replica: r, proxy: startProxy(f.t, r.Address()), service: service}
-	u.replica.Set(u.usual())
+	u := &upstream{replicas: []*standin.Replica{r}, proxy: startProxy(f.t, r.Address()), service: service}
+	r.Set(u.usual())
+	f.t.Cleanup(func() { u.replica().Close() })
 	f.upstreams = append(f.upstreams, u)
 	f.register(u, "ready")
 }
@@ -193,12 +237,13 @@
 // register writes the upstream's row, with the address of its proxy.
 func (f *fleet) register(u *upstream, state string) {
 	var row map[string]any
-	err := json.Unmarshal(u.replica.Registration(u.service, "a", state), &row)
+	r := u.replica()
+	err := json.Unmarshal(r.Registration(u.service, "a", state), &row)
 	assert.NilError(f.t, err)
 	row["addr"] = u.proxy.address()
 	data, err := json.Marshal(row)
 	assert.NilError(f.t, err)
-	f.store.Put("servers", u.replica.ID, data)
+	f.store.Put("servers", r.ID, data)
 }
 
 // configure writes the next version of the configuration. Each version adds a
@@ -240,14 +285,14 @@
 	return port
 }
 
-func (f *fleet) addDaemon(i int, store string) {
+func (f *fleet) addDaemon(i int, store, control string) {
 	d := &daemon{
 		name: fmt.Sprintf("edge-%d", i), store: startProxy(f.t, store),
-		callers: fmt.Sprintf("127.0.0.1:%d", freePort(f.t)), ready: fmt.Sprintf("127.0.0.1:%d", freePort(f.t)),
+		callers: fmt.Sprintf("127.0.0.1:%d", freePort(f.t)), ready: fmt.Sprintf("127.0.0.1:%d", freePort(f.t)), control: control,
 		settings: filepath.Join(f.dir, fmt.Sprintf("edge-%d.toml", i)), log: filepath.Join(f.dir, fmt.Sprintf("edge-%d.log", i)),
 	}
 	inner := freePort(f.t)
-	text := fmt.Sprintf(settingsText, d.name, inner, inner+1, d.callers, d.ready, "first", d.store.address())
+	text := fmt.Sprintf(settingsText, d.name, inner, inner+1, strings.Join(f.seeds, `", "`), d.callers, d.ready, d.control, "first", d.store.address())
 	assert.NilError(f.t, os.WriteFile(d.settings, []byte(text), 0o600))
 	f.daemons = append(f.daemons, d)
 	d.start(f)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,8 @@
 	// recoverTime is how long a run is quiet before all requests must succeed.
 	recoverTime = 5 * time.Second
 	quietTime   = 1500 * time.Millisecond
+	// lapseTime is how long the registration of a crashed upstream stays.
+	lapseTime = 1500 * time.Millisecond
 	// fleetSize is above the size from which one daemon reads the store for
 	// others.
 	fleetSize = 5
@@ -36,9 +38,20 @@
 	541474892, 137364967, 555569505,
 }
 
+// daemons is the size of the fleet.
+func daemons(t *testing.T) int {
+	text := os.Getenv("AUBURNDYKE_SOAK_DAEMONS")
+	if text == "" {
+		return fleetSize
+	}
+	n, err := strconv.Atoi(text)
+	assert.NilError(t, err)
+	return n
+}
+
 // Guards against broken promises under random faults of processes, connections,
 // upstreams and the store. AUBURNDYKE_SOAK=N runs N fresh seeds;
-// AUBURNDYKE_SOAK_SEED=S runs one seed.
+// AUBURNDYKE_SOAK_SEED=S runs one seed; AUBURNDYKE_SOAK_DAEMONS=N takes N daemons.
 func TestSoak(t *testing.T) {
 	seeds := append([]uint64{1}, regressions...)
 	if text := os.Getenv("AUBURNDYKE_SOAK_SEED"); text != "" {
@@ -63,8 +76,8 @@
 
 func soak(t *testing.T, binary string, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	f := startFleet(t, binary, fleetSize)
-	run := startLoad(f, "a")
+	f := startFleet(t, binary, daemons(t))
+	run := startLoad(f, "a", false)
 	watch := &versions{fleet: f, load: run, highest: make(map[string]int), written: map[int]time.Time{1: time.Now()}}
 	var problems []problem
 	client := &http.Client{}
@@ -86,7 +99,7 @@
 	problems = append(problems, watch.look(client)...)
 	problems = append(problems, f.check(run.end())...)
 
-	quiet := startLoad(f, "q")
+	quiet := startLoad(f, "q", true)
 	time.Sleep(quietTime)
 	after := quiet.end()
 	all := append(run.all, after...)
@@ -137,8 +150,11 @@
 		u.proxy.set(passing)
 		u.proxy.refusing.Store(false)
 		u.proxy.reset()
-		u.replica.Set(u.usual())
+		u.replica().Set(u.usual())
 		f.register(u, "ready")
+		for _, old := range u.replicas[:len(u.replicas)-1] {
+			f.store.Drop("servers", old.ID)
+		}
 	}
 }
 
@@ -153,7 +169,7 @@
 			one.disturbed(time.Now().Add(lasts))
 		}
 	}
-	switch rng.IntN(14) {
+	switch rng.IntN(18) {
 	case 0:
 		return d.name + " is killed", func() { d.restart(f, d.kill) }
 	case 1:
@@ -194,35 +210,73 @@
 		f.configure()
 		return fmt.Sprintf("version %d is written", next), func() {}
 	case 9:
-		return fmt.Sprintf("connections to %s fail for %s, mode %d", u.replica.ID, lasts, mode), func() {
+		return fmt.Sprintf("connections to %s fail for %s, mode %d", u.replica().ID, lasts, mode), func() {
 			u.proxy.set(mode)
 			time.Sleep(lasts)
 			u.proxy.set(passing)
 			u.proxy.reset()
 		}
 	case 10:
-		return "connections to " + u.replica.ID + " are reset", u.proxy.reset
+		return "connections to " + u.replica().ID + " are reset", u.proxy.reset
 	case 11:
-		return fmt.Sprintf("%s leaves for %s", u.replica.ID, lasts), func() {
+		return fmt.Sprintf("%s leaves for %s", u.replica().ID, lasts), func() {
 			if lasts%2 == 0 {
 				f.register(u, "draining")
 				time.Sleep(lasts / 2)
 			}
-			f.store.Drop("servers", u.replica.ID)
+			f.store.Drop("servers", u.replica().ID)
 			time.Sleep(lasts)
 			f.register(u, "ready")
 		}
+	case 12, 13:
+		lag := time.Duration(rng.IntN(500)) * time.Millisecond
+		return fmt.Sprintf("%s crashes, another one at its address registers after %s", u.replica().ID, lag), func() {
+			old := u.crash(f)
+			time.Sleep(lag)
+			f.register(u, "ready")
+			time.Sleep(lapseTime)
+			f.store.Drop("servers", old)
+		}
+	case 14:
+		herd := pick(rng, f.daemons, 2+rng.IntN(len(f.daemons)-1))
+		return fmt.Sprintf("%d daemons are killed at once", len(herd)), func() { restartAll(f, herd) }
+	case 15:
+		return fmt.Sprintf("%s is killed while the store is silent for %s", d.name, lasts), func() {
+			disturb(f.daemons...)
+			f.store.SetFault(standin.Silent)
+			d.restart(f, d.kill)
+			time.Sleep(lasts)
+			f.store.SetFault(standin.Healthy)
+		}
 	default:
 		b := u.usual()
 		name := misbehave(rng, &b)
-		return fmt.Sprintf("%s %s for %s", u.replica.ID, name, lasts), func() {
-			u.replica.Set(b)
+		return fmt.Sprintf("%s %s for %s", u.replica().ID, name, lasts), func() {
+			u.replica().Set(b)
 			time.Sleep(lasts)
-			u.replica.Set(u.usual())
+			u.replica().Set(u.usual())
 		}
 	}
 }
 
+// pick returns n random daemons.
+func pick(rng *rand.Rand, all []*daemon, n int) []*daemon {
+	out := make([]*daemon, 0, n)
+	for _, i := range rng.Perm(len(all))[:n] {
+		out = append(out, all[i])
+	}
+	return out
+}
+
+// restartAll kills daemons at once and starts them again.
+func restartAll(f *fleet, all []*daemon) {
+	var wait sync.WaitGroup
+	for _, d := range all {
+		wait.Go(func() { d.restart(f, d.kill) })
+	}
+	wait.Wait()
+}
+
 // misbehave changes a behaviour and names the change.
 func misbehave(rng *rand.Rand, b *standin.Behaviour) string {
 	stream := b.Events > 0
