Classify a daemon's first request by its route's pauses

Change: the first route that a daemon sees is interactive if it allows the shortest pauses of the configuration.

TestFirstRequestIsClassified fails before the change.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -156,6 +156,7 @@
 		s.tokenCopy = kind.TokenCopy
 		s.eventTokens = kind.EventTokens
 		s.pools.expected = kind.ShortestGap > 0 && float64(kind.ShortestGap) <= interactiveGap*float64(kind.LongestGap)
+		s.pools.shortestGap = kind.ShortestGap
 		s.upstreams = append(s.upstreams, u)
 	}
 	for name, s := range b.services {
--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -63,6 +63,8 @@
 	// expected tells that the configuration has routes with both short and long
 	// allowed pauses.
 	expected bool
+	// shortestGap is the shortest pause that the configuration's routes allow.
+	shortestGap time.Duration
 	// total is the work of all daemons, told at totalAt.
 	total   Work
 	totalAt time.Time
@@ -122,7 +124,12 @@
 	return r != nil && p.isInteractive(r)
 }
 
+// isInteractive compares a route with the others that were seen. The first route
+// has none to be compared with, so that its pauses alone decide.
 func (p *pools) isInteractive(r *routeStats) bool {
+	if len(p.routes) == 1 {
+		return p.expected && r.gap <= p.shortestGap
+	}
 	var longest time.Duration
 	for _, other := range p.routes {
 		longest = max(longest, other.gap)
--- a/internal/balancer/start_test.go
+++ b/internal/balancer/start_test.go
@@ -56,6 +56,19 @@
 	assert.Assert(t, beside*4 < all, "%d of %d chats share an engine with long prompts", beside, all)
 }
 
+// Guards against a daemon whose first request is a chat and that takes it for a
+// long prompt, because it has seen no other, and against the reverse.
+func TestFirstRequestIsClassified(t *testing.T) {
+	for name, c := range map[string]struct {
+		first Query
+		chat  bool
+	}{"note": {note(1), true}, "review": {review(1, 2), false}} {
+		choice := place(t, startFleet(1, engines(20))[0], start, c.first)
+		assert.Equal(t, choice.Interactive, c.chat, name)
+	}
+	assert.Assert(t, !place(t, newBalancer(engines(20)), start, note(1)).Interactive, "no route allows longer pauses")
+}
+
 // Guards against engines that are kept free for chats where no route allows only
 // short pauses, and against a pool that stays although no chat comes.
 func TestNoPoolWithoutChats(t *testing.T) {
