Read from seeds only while the platform is away, and bound whole copies

Change: a follower tells whether the platform is away: not reached, silent for 0.8 s, or giving no page for 5 s; being throttled alone does not count.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -93,6 +93,11 @@
 	known bool
 	// contactAt is when the platform answered last.
 	contactAt time.Time
+	// heardAt is when it said anything, be it that it is asked too often, and
+	// pageAt when it gave a part of the table.
+	heardAt, pageAt time.Time
+	// unreached tells that the last call did not reach it.
+	unreached bool
 	// callWait is how long the last call waits for a change.
 	callWait time.Duration
 }
@@ -170,6 +175,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	f.mu.Lock()
 	f.contactAt = time.Now()
+	f.heardAt, f.pageAt = f.contactAt, f.contactAt
 	f.mu.Unlock()
 	pause := backoff.Policy{Floor: failureFloor, Cap: failureCap}
 	for ctx.Err() == nil {
@@ -261,7 +267,7 @@
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.waitTime()+answerTime)
 	defer cancel()
-	rows, version, err := ReadAll(ctx, f.source, f.rng)
+	rows, version, err := ReadAll(ctx, noted{f.source, f}, f.rng)
 	if err != nil {
 		return err
 	}
@@ -279,7 +285,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	before := f.contactAt
-	f.contactAt = now
+	f.contactAt, f.heardAt, f.pageAt, f.unreached = now, now, now, false
 	f.mu.Unlock()
 	if f.failures > 0 {
 		f.sink.Regained(now.Sub(before))
@@ -289,6 +295,9 @@
 
 func (f *Follower) missed(err error) {
 	f.failures++
+	f.mu.Lock()
+	f.unreached = !errors.Is(err, ports.ErrThrottled)
+	f.mu.Unlock()
 	if f.failures == 1 {
 		f.mu.Lock()
 		since := f.contactAt
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -78,6 +78,13 @@
 func startFollower(t *testing.T, o follow.Options) (*standin.Store, *copyOf, *follow.Follower) {
 	t.Helper()
 	store := standin.NewStore()
+	sink, f := follows(t, store, o)
+	return store, sink, f
+}
+
+// follows starts a follower of a store.
+func follows(t *testing.T, store *standin.Store, o follow.Options) (*copyOf, *follow.Follower) {
+	t.Helper()
 	server := httptest.NewServer(store)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -91,7 +98,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return store, sink, f
+	return sink, f
 }
 
 // inForce is the bound within which a change must arrive: a fifth of the
@@ -388,3 +395,33 @@
 		sink.waitFor(t, key, "1", inForce+250*time.Millisecond)
 	}
 }
+
+// Guards against daemons that read from each other although the platform only
+// asks them to wait, and against one that waits for a platform that is away.
+func TestAway(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault standin.Fault
+		// soon and later are whether the platform counts as away after 0.5 s and
+		// after 3 s.
+		soon, later bool
+	}{
+		"healthy":   {standin.Healthy, false, false},
+		"busy":      {standin.Busy, true, true},
+		"reset":     {standin.Reset, true, true},
+		"throttled": {standin.Throttled, false, false},
+		"silent":    {standin.Silent, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore()
+			store.Put("servers", "x", []byte("1"))
+			store.SetFault(c.fault)
+			_, f := follows(t, store, follow.Options{})
+			time.Sleep(500 * time.Millisecond)
+			assert.Equal(t, f.Away(time.Now()), c.soon)
+			time.Sleep(2500 * time.Millisecond)
+			assert.Equal(t, f.Away(time.Now()), c.later)
+			store.SetFault(standin.Healthy)
+		})
+	}
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -87,6 +87,8 @@
 	cover map[string]cover
 	// changed wakes the sender when a copy has changed.
 	changed chan struct{}
+	// copies holds an entry for each whole copy that is being sent.
+	copies chan struct{}
 	// readRand spreads readings of the directory, bootRand questions to seeds.
 	// Rand belongs to the sender.
 	readRand, bootRand *rand.Rand
@@ -97,6 +99,7 @@
 	return &Node{
 		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag),
 		cover: make(map[string]cover), changed: make(chan struct{}, 1),
+		copies:   make(chan struct{}, maxCopies),
 		readRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
 		bootRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
 	}
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -82,6 +82,7 @@
 
 func (*fixedTable) OfferChanges(ports.Version, []ports.Row, follow.Versions) bool { return false }
 func (*fixedTable) Reads(time.Time) bool                                          { return false }
+func (*fixedTable) Away(time.Time) bool                                           { return false }
 func (*fixedTable) SetWait(time.Duration)                                         {}
 
 // startNode runs a node whose copies are served at the address of its
@@ -161,3 +162,39 @@
 	assert.NilError(t, err)
 	assert.Equal(t, o.daemons, 3)
 }
+
+// slowTable is a copy that takes its time to be read.
+type slowTable struct {
+	fixedTable
+	asked   chan struct{}
+	release chan struct{}
+}
+
+func (t *slowTable) Snapshot() follow.Snapshot {
+	t.asked <- struct{}{}
+	<-t.release
+	return t.fixedTable.Snapshot()
+}
+
+// Guards against a seed that sends whole copies to all daemons that start at the
+// same time, which fills its memory and its link.
+func TestWholeCopiesAreBounded(t *testing.T) {
+	table := &slowTable{asked: make(chan struct{}, 2*maxCopies), release: make(chan struct{})}
+	n := New(Config{Tables: map[string]Table{"configuration": table}, Rand: rand.New(rand.NewPCG(1, 2)), Log: telemetry.NopLog()})
+	router := echo.New()
+	router.GET(TablePath, n.ServeTable)
+	ask := func() int {
+		answer := httptest.NewRecorder()
+		router.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/peers/tables/configuration?after=0", nil))
+		return answer.Code
+	}
+	var first sync.WaitGroup
+	for range maxCopies {
+		first.Go(func() { assert.Check(t, ask() == http.StatusOK) })
+		<-table.asked
+	}
+	assert.Equal(t, ask(), http.StatusServiceUnavailable)
+	close(table.release)
+	first.Wait()
+	assert.Equal(t, ask(), http.StatusOK)
+}
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -25,6 +25,10 @@
 	fetchTimeout = time.Second
 	// maxCopyBytes bounds a peer's copy.
 	maxCopyBytes = 16 << 20
+	// maxCopies is the number of whole copies that are sent at the same time. One
+	// takes a second of the slowest link (10 Mbit/s) and some megabytes of memory
+	// at 3,000 upstreams.
+	maxCopies = 2
 	// maxToldPeers bounds the peers that go with a copy.
 	maxToldPeers = 16
 	// TablePath is where daemons read each other's copies.
@@ -45,6 +49,9 @@
 	OfferChanges(after ports.Version, rows []ports.Row, v follow.Versions) bool
 	// Reads reports whether the copy comes from the platform itself.
 	Reads(now time.Time) bool
+	// Away reports whether the platform has told nothing of the table and does
+	// not seem to.
+	Away(now time.Time) bool
 	// SetWait changes how long a call to the platform waits for a change.
 	SetWait(time.Duration)
 }
@@ -202,6 +209,12 @@
 	}
 	rows, versions, partial := table.Since(ports.Version(after))
 	if !partial {
+		select {
+		case n.copies <- struct{}{}:
+			defer func() { <-n.copies }()
+		default:
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
 		s := table.Snapshot()
 		rows, versions = s.Rows(), s.Versions
 	}
