--- a/internal/balancer/forecast.go
+++ b/internal/balancer/forecast.go
@@ -18,9 +18,10 @@
 	// tierLife is how long a rank without requests counts among those that are
 	// served.
 	tierLife = 5 * time.Second
-	// forecastMargin is how far the forecast must exceed the time that is left.
-	// The stated length of an answer is often too long.
-	forecastMargin = 1.5
+	// forecastMargin is how often the time that is left must fit into the forecast.
+	// The stated length of an answer is often too long, and engines become faster
+	// within seconds when a burst ends.
+	forecastMargin = 2.0
 )
 
 // Forecast is when an answer is likely to end, and what that follows from.
