Remove the rows of daemons that are gone from the directory

Cause: rows of the daemons' directory were never removed. Each daemon that ever was counts in the shares of the budget of repeats, so that they shrink over months, and every daemon sends datagrams to dead addresses.

Ruled out: a time of writing in the row (clocks differ and jump; a renewal of each row would cost writes).

Change: a daemon notes when it heard each daemon of the directory. A row whose daemon was silent for two hours is removed on the condition that nobody has written it since, by about one daemon a visit. A daemon whose row is missing writes it again, so that regions that lost each other come back.

--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -8,13 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
-	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/balancer"
-	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -23,25 +20,8 @@
 	// of peers that get one: 2.8 KB/s at full messages.
 	interval = 500 * time.Millisecond
 	fanOut   = 2
-	// directoryInterval is how often the directory is read again. A daemon that
-	// lost all its peers finds them by it.
-	directoryInterval = time.Minute
-	// directoryStart is the pause before the second reading, which finds the
-	// daemons that started at the same moment.
-	directoryStart = 3 * time.Second
-	// directoryRetry is the pause after the directory could not be reached.
-	directoryRetry = 2 * time.Second
-	// directoryTimeout bounds one call to the directory.
-	directoryTimeout = 2 * time.Second
 )
 
-// Directory is a table of the platform with one row for each daemon.
-type Directory interface {
-	follow.Reader
-	// Put writes one row, whatever it held.
-	Put(ctx context.Context, key string, value []byte) error
-}
-
 // Observer takes what the peers tell and gives what they are told.
 type Observer interface {
 	// Works returns the daemon's own work by service.
@@ -83,6 +63,9 @@
 	group group
 	// listed is the number of daemons in the directory when it was read last.
 	listed int
+	// seen holds when the daemons of the directory were heard last, or listed
+	// first, by address.
+	seen map[string]time.Time
 	// cover holds the daemon that reads a table for this one, by table.
 	cover map[string]cover
 	// changed wakes the sender when a copy has changed.
@@ -105,12 +88,6 @@
 	}
 }
 
-// member is a row of the directory.
-type member struct {
-	Address string `cbor:"1,keyasint"`
-	Zone    string `cbor:"2,keyasint,omitempty"`
-}
-
 // Run exchanges messages until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	address, err := net.ResolveUDPAddr("udp", n.Address)
@@ -149,6 +126,9 @@
 		}
 		n.mu.Lock()
 		fresh := n.state.Receive(time.Now(), m)
+		if _, listed := n.seen[m.Sender]; listed {
+			n.seen[m.Sender] = time.Now()
+		}
 		n.mu.Unlock()
 		n.Observer.SetReports(fresh)
 		for _, state := range m.Tables {
@@ -221,59 +201,3 @@
 	data, err = encode(m)
 	return targets, data, err
 }
-
-// keepDirectory announces the daemon and reads who else is there.
-func (n *Node) keepDirectory(ctx context.Context) {
-	announced := false
-	next := directoryStart
-	for {
-		wait := next
-		if err := n.visitDirectory(ctx, &announced); err != nil {
-			n.Log.Event(telemetry.PeerDirectoryFailed).Err(err).Send()
-			wait = directoryRetry
-		} else {
-			next = directoryInterval
-		}
-		if !backoff.Sleep(ctx, wait/2+time.Duration(n.readRand.Int64N(int64(wait)))) {
-			return
-		}
-	}
-}
-
-func (n *Node) visitDirectory(ctx context.Context, announced *bool) error {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
-	defer cancel()
-	if !*announced {
-		value, err := cbor.Marshal(member{n.Address, n.Zone})
-		if err != nil {
-			return err
-		}
-		if err := n.Directory.Put(ctx, n.Daemon, value); err != nil {
-			return err
-		}
-		*announced = true
-	}
-	rows, _, err := follow.ReadAll(ctx, n.Directory, n.readRand)
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var zone []string
-	n.listed = 0
-	for _, row := range rows {
-		var m member
-		if err := cbor.Unmarshal(row.Value, &m); err != nil {
-			n.Log.Event(telemetry.PeerMessageRejected).Err(err).Str("row", row.Key).Send()
-			continue
-		}
-		n.listed++
-		n.state.AddPeer(m.Address, now)
-		if m.Zone == n.Zone {
-			zone = append(zone, m.Address)
-		}
-	}
-	n.group = newGroup(n.Address, zone)
-	return nil
-}
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -32,6 +32,13 @@
 	return nil
 }
 
+func (d *directory) Remove(_ context.Context, row ports.Row) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.rows, row.Key)
+	return nil
+}
+
 func (d *directory) ReadPage(context.Context, string) (follow.Page, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -53,8 +53,9 @@
 	PeerMessageRejected = Event{"AD4005", "peer_message_rejected", zerolog.WarnLevel, "A message to or from a peer, or its row in the directory, can't be used."}
 	PeerDirectoryFailed = Event{"AD4006", "peer_directory_failed", zerolog.WarnLevel, "The directory of daemons can't be reached; known peers stay in use."}
 
-	SeedCopyRead = Event{"AD4008", "seed_copy_read", zerolog.InfoLevel, "The platform has not answered since the start; a seed's copy of the table was read."}
-	PeerCopyRead = Event{"AD4007", "peer_copy_read", zerolog.InfoLevel, "A change did not come from the platform in time; a peer's copy of the table was read."}
+	PeerRowRemoved = Event{"AD4009", "peer_row_removed", zerolog.InfoLevel, "The directory row of a daemon that has been silent for long was removed."}
+	SeedCopyRead   = Event{"AD4008", "seed_copy_read", zerolog.InfoLevel, "The platform has not answered since the start; a seed's copy of the table was read."}
+	PeerCopyRead   = Event{"AD4007", "peer_copy_read", zerolog.InfoLevel, "A change did not come from the platform in time; a peer's copy of the table was read."}
 
 	DrainStep    = Event{"AD5001", "drain_step", zerolog.InfoLevel, "An upstream moved to another drain phase; reason says why."}
 	DrainWarning = Event{"AD5002", "drain_warning", zerolog.WarnLevel, "A drain needs attention, for example the last upstream of a class."}
@@ -89,7 +90,7 @@
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
-	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead,
+	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
