Give large fleets of the soak as many more faults

Cause: with 150 daemons the check asked each of them in turn and took 2.4 s, so that a run had two faults.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,9 @@
 	// recoverTime is how long a run is quiet before all requests must succeed.
 	recoverTime = 5 * time.Second
 	quietTime   = 1500 * time.Millisecond
+	// daemonsPerFault is the number of daemons for which one more fault comes at a
+	// time.
+	daemonsPerFault = 20
 	// lapseTime is how long the registration of a crashed upstream stays.
 	lapseTime = 1500 * time.Millisecond
 	// fleetSize is above the size from which one daemon reads the store for
@@ -84,9 +87,11 @@
 	started := time.Now()
 	var faults sync.WaitGroup
 	for time.Since(started) < faultTime {
-		name, fault := draw(rng, f, watch)
-		t.Logf("%5d ms %s", time.Since(started).Milliseconds(), name)
-		faults.Go(fault)
+		for range max(1, len(f.daemons)/daemonsPerFault) {
+			name, fault := draw(rng, f, watch)
+			t.Logf("%5d ms %s", time.Since(started).Milliseconds(), name)
+			faults.Go(fault)
+		}
 		time.Sleep(time.Duration(100+rng.IntN(500)) * time.Millisecond)
 		problems = append(problems, watch.look(client)...)
 	}
