--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -15,8 +15,9 @@
 // sent meanwhile are added.
 //
 // The load that this answers is one that differs between upstreams, prompts
-// that share parts, and streams with short pauses beside long prompts. It does
-// not limit the total load: holding requests back while engines are busy was
-// tried and measured worse, because reading prompts is what engines lack time
-// for (see docs/decisions/0014-placement-on-the-platform.md).
+// that share parts, and streams with short pauses beside long prompts. Requests
+// are not held back while engines are busy: that was tried and measured worse,
+// because reading prompts is what engines lack time for (see
+// docs/decisions/0014-placement-on-the-platform.md). What can't end in its time at
+// full engines is refused before it is sent (see forecast.go).
 package balancer
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -2,8 +2,9 @@
 // answers back, both unchanged.
 //
 // One request goes through these steps: find the route and the customer, read
-// the body, pick an upstream (package balancer), send (package upstreamhttp),
-// and relay the answer or the events of a stream. A failure before anything
+// the body, refuse what can't end in its time, pick an upstream (package
+// balancer), send (package upstreamhttp), and relay the answer or the events of a
+// stream. A failure before anything
 // was relayed leads to another attempt where the route allows it. A stream of
 // a resumable route goes on at another upstream behind its last event.
 //
