Accept an attempt refused because its cancellation came first

Its request was hedged (AD2006), the other attempt answered it in full, and the daemon cancelled attempt .0. On the busy machine the cancellation reached the engine before the attempt; the engine remembers it and refuses the attempt, which ran nothing. The check knew the losing attempt only as cancelled.

Ruled out: work that a drain interrupted (no part of the attempt ran, and the request is complete).

Change: the losing attempt of a hedged request that is complete may also be refused if it never started. A refused attempt of any other request still fails the check. TestCancelOvertakesItsAttempt plays the order of events.

--- a/internal/dev/cluster_test.go
+++ b/internal/dev/cluster_test.go
@@ -143,9 +143,11 @@
 }
 
 // lostRace reports whether the log shows a hedged request that was answered in
-// full by its other attempt.
-func lostRace(lines string, state engine.State) bool {
-	return state == engine.StateCancelled &&
+// full by its other attempt. The losing one was cancelled, or refused without
+// having run because the cancellation came to the engine before it.
+func lostRace(lines string, a engine.Entry) bool {
+	lost := a.State == engine.StateCancelled || a.State == engine.StateRefused && a.Started.IsZero()
+	return lost &&
 		strings.Contains(lines, `"event":"AD2006"`) &&
 		strings.Contains(lines, `"result":"complete"`)
 }
@@ -198,7 +200,7 @@
 		}
 		// The attempt that loses the race of a hedged request is cancelled by its
 		// daemon; the request itself must be complete.
-		if lines := logs.of(a.Attempt.Request()); a.State != engine.StateFinished && !lostRace(lines, a.State) {
+		if lines := logs.of(a.Attempt.Request()); a.State != engine.StateFinished && !lostRace(lines, a) {
 			t.Errorf("attempt %s is %s although the upstream is releasable\n%s", a.Attempt, a.State, lines)
 		}
 	}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -156,6 +156,26 @@
 	})
 }
 
+// Guards against an attempt that runs although its cancellation came first. A
+// caller whose hedged request was answered elsewhere cancels the other attempt,
+// which may still be on its way.
+func TestCancelOvertakesItsAttempt(t *testing.T) {
+	inBubble(t, engine.Config{Slots: 1}, func(t *testing.T, e *engine.Engine, client *http.Client) {
+		next := fmt.Sprintf("r%d.0", requests.Load()+1)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodDelete, "http://e/v1/streams/"+next, nil)
+		assert.NilError(t, err)
+		resp, err := client.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		submit(t, client, prompt("a", 0, 10))()
+		attempt := e.Ledger().Attempts[0]
+		assert.Equal(t, string(attempt.Attempt), next)
+		assert.Equal(t, attempt.State, engine.StateRefused)
+		assert.Assert(t, attempt.Started.IsZero())
+		assert.Equal(t, attempt.Generated, 0)
+	})
+}
+
 // Guards against tokens computed for a caller that will not come back.
 func TestOrphanIsAbandoned(t *testing.T) {
 	inBubble(t, engine.Config{OrphanTime: time.Second}, func(t *testing.T, e *engine.Engine, client *http.Client) {
