Bound what is known of routes

Cause: the balancer keeps figures by the name of each route that ever had a request, so that they grow with every revision that renames routes. Found by reading.

Change: a thousand routes; beyond that all are forgotten and learned again within a few requests.

--- a/internal/balancer/forecast.go
+++ b/internal/balancer/forecast.go
@@ -100,6 +100,9 @@
 	}
 	w := f.waits[route]
 	if w == nil {
+		if len(f.waits) >= maxRoutes {
+			clear(f.waits)
+		}
 		w = &fadingSum{}
 		f.waits[route] = w
 	}
--- a/internal/balancer/pools.go
+++ b/internal/balancer/pools.go
@@ -28,6 +28,9 @@
 	poolPenalty = 400 * time.Millisecond
 	// minPoolSize is the smallest number of upstreams that is split.
 	minPoolSize = 4
+	// maxRoutes bounds the routes of which something is known. Revisions of the
+	// configuration bring new names; what is learned again takes a few requests.
+	maxRoutes = 1000
 	// assumedShare is the share of interactive work that is assumed before the
 	// work of all daemons is known. Chats bring a quarter to a third of the work
 	// where they run beside long prompts.
@@ -95,6 +98,9 @@
 	}
 	r := p.routes[route]
 	if r == nil {
+		if len(p.routes) >= maxRoutes {
+			clear(p.routes)
+		}
 		r = &routeStats{}
 		p.routes[route] = r
 	}
--- a/internal/balancer/start_test.go
+++ b/internal/balancer/start_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -56,6 +57,20 @@
 	assert.Assert(t, beside*4 < all, "%d of %d chats share an engine with long prompts", beside, all)
 }
 
+// Guards against memory that grows with each name that a route ever had.
+func TestRoutesAreBounded(t *testing.T) {
+	b := newBalancer(engines(4))
+	s := b.services["model"]
+	for i := range 3 * maxRoutes {
+		q := note(uint64(i))
+		q.Route = fmt.Sprintf("note-%d", i)
+		lease := place(t, b, start, q).Lease()
+		lease.FirstEvent(start)
+		lease.Done(start, OK)
+	}
+	assert.Assert(t, len(s.pools.routes) <= maxRoutes && len(s.forecast.waits) <= maxRoutes)
+}
+
 // Guards against a daemon whose first request is a chat and that takes it for a
 // long prompt, because it has seen no other, and against the reverse.
 func TestFirstRequestIsClassified(t *testing.T) {
