Use one filter of peers heard lately and one count in pool tests

Change: State.heardLately and besideReading serve both. Behaviour, bounds and assertions are the same.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -200,15 +200,21 @@
 			notesAt[c.Upstream.ID]++
 		}
 	}
-	beside, notes := 0, 0
+	beside, notes := besideReading(notesAt, tokensAt, 20_000)
+	assert.Assert(t, notes > 100)
+	assert.Assert(t, float64(beside) < 0.05*float64(notes), "%d of %d notes run where long prompts are read", beside, notes)
+}
+
+// besideReading counts the notes at engines that read more than some tokens, and
+// all notes.
+func besideReading(notesAt, tokensAt map[domain.UpstreamID]int, above int) (beside, all int) {
 	for id, n := range notesAt {
-		notes += n
-		if tokensAt[id] > 20_000 {
+		all += n
+		if tokensAt[id] > above {
 			beside += n
 		}
 	}
-	assert.Assert(t, notes > 100)
-	assert.Assert(t, float64(beside) < 0.05*float64(notes), "%d of %d notes run where long prompts are read", beside, notes)
+	return beside, all
 }
 
 // Guards against daemons that form different pools of one fleet.
--- a/internal/balancer/start_test.go
+++ b/internal/balancer/start_test.go
@@ -46,13 +46,7 @@
 		c := place(t, b, now, note(uint64(i+1000)))
 		chats[c.Upstream.ID]++
 	}
-	beside, all := 0, 0
-	for id, n := range chats {
-		all += n
-		if read[id] > 0 {
-			beside += n
-		}
-	}
+	beside, all := besideReading(chats, read, 0)
 	assert.Assert(t, all > 100)
 	assert.Assert(t, beside*4 < all, "%d of %d chats share an engine with long prompts", beside, all)
 }
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -223,11 +223,16 @@
 
 // somePeers returns a few peers that were heard lately.
 func (s *State) somePeers(now time.Time, rng *rand.Rand) []string {
-	all := s.addresses(func(heard time.Time) bool { return now.Sub(heard) < peerLife })
+	all := s.heardLately(now)
 	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(len(all), maxPeers)]
 }
 
+// heardLately returns the peers that were heard lately, in a fixed order.
+func (s *State) heardLately(now time.Time) []string {
+	return s.addresses(func(heard time.Time) bool { return now.Sub(heard) < peerLife })
+}
+
 // addresses returns the peers that keep accepts, in a fixed order.
 func (s *State) addresses(keep func(heard time.Time) bool) []string {
 	var out []string
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -190,10 +190,9 @@
 
 // knownPeers returns this daemon's address and those of peers heard lately.
 func (n *Node) knownPeers() []string {
-	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	heard := n.state.addresses(func(at time.Time) bool { return now.Sub(at) < peerLife })
+	heard := n.state.heardLately(time.Now())
 	return append([]string{n.Address}, heard[:min(len(heard), maxToldPeers)]...)
 }
 
