Repeat calls that were open during an outage of the platform

Cause: after a silent outage each follower of a table waited for its own timeout. A reading of the whole table had the bound of a long poll, 6 s, and nobody told the other calls that the platform was back.

Ruled out: a shorter fixed bound for all calls. It would cut pages on slow links, and it leaves long polls open for up to 6 s.

Change: - follow.Contact: a response on any table, or a peer's word, ends the calls of a daemon that were open before it; they are repeated, spread so that the fleet stays within half of the platform's rate of reads. Messages carry the return for 4 s; it is sent at once to three peers and the own group. Other messages are encoded as before. - A page is bounded by the time that responses take (0.8 to 3 s) and by its progress, apart from the bound of a long poll. - After a failure the follower asks for changes since its copy's version, and reads the whole table only if the history is gone. - A daemon whose platform does not respond takes a peer's newer copy after 0.1 s; others wait 0.5 s beyond the time for which they collect changes. A copy that a peer had to provide ends the own call. - Registrations that lapsed during an outage count for 2.2 s after it. - Gauges: age, version and open call of each table.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -165,14 +165,22 @@
 			return node.DelegatedFor(table, now)
 		}
 	}
+	returnSpread := func() time.Duration {
+		if node == nil {
+			return 0
+		}
+		return node.ReturnSpread()
+	}
+	contact := follow.NewContact()
 	configuration := follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{
-		Delegated: delegatedFor(tableConfiguration), Rand: newRand(),
+		Delegated: delegatedFor(tableConfiguration), Contact: contact, ReturnSpread: returnSpread, Rand: newRand(),
 	})
 	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{
-		CoalesceDelay: settleInterval(s), Delegated: delegatedFor(tableUpstreams), Rand: newRand(),
+		CoalesceDelay: settleInterval(s), Delegated: delegatedFor(tableUpstreams),
+		Contact: contact, ReturnSpread: returnSpread, Rand: newRand(),
 	})
 	e.handler.OnListOutdated = upstreams.Refresh
-	node = e.newPeerNode(map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
+	node = e.newPeerNode(contact, map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
 	addLoop(&g, configuration.Run)
 	addLoop(&g, upstreams.Run)
 	if node != nil {
@@ -184,7 +192,8 @@
 			return err
 		}
 	}
-	addLoop(&g, e.sweep)
+	followers := map[string]*follow.Follower{tableConfiguration: configuration, tableUpstreams: upstreams}
+	addLoop(&g, func(ctx context.Context) error { return e.sweep(ctx, followers) })
 	addLoop(&g, e.watchSettings)
 	addLoop(&g, func(group context.Context) error { return e.awaitShutdown(group, ctx) })
 	return g.Run()
@@ -263,8 +272,9 @@
 	return nil
 }
 
-// sweep closes expired connections to upstreams and updates the connection metrics.
-func (e *Edge) sweep(ctx context.Context) error {
+// sweep closes expired connections to upstreams and updates the metrics of connections
+// and of the platform's tables.
+func (e *Edge) sweep(ctx context.Context, followers map[string]*follow.Follower) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -276,20 +286,26 @@
 			opened, reused := e.pool.Stats()
 			e.deps.Metrics.Gauge("auburndyke_upstream_connections_opened").Update(float64(opened))
 			e.deps.Metrics.Gauge("auburndyke_upstream_connections_reused").Update(float64(reused))
+			for table, f := range followers {
+				e.deps.Metrics.Gauge("auburndyke_table_age_seconds", "table", table).Update(f.Age(now).Seconds())
+				e.deps.Metrics.Gauge("auburndyke_table_call_open_seconds", "table", table).Update(f.OpenFor(now).Seconds())
+				e.deps.Metrics.Gauge("auburndyke_table_version", "table", table).Update(float64(f.Versions().AsOf))
+			}
 		}
 	}
 }
 
 // newPeerNode returns the node that exchanges messages with the other daemons, or
 // nil if the daemon has no peers.
-func (e *Edge) newPeerNode(tables map[string]peers.Table) *peers.Node {
+func (e *Edge) newPeerNode(contact *follow.Contact, tables map[string]peers.Table) *peers.Node {
 	s := e.settings.Load()
 	if e.deps.Daemons == nil || s.InternalAddress == "" {
 		return nil
 	}
 	return peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
-		Local: peerObserver{e.state.balancer, e}, Tables: tables, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
+		Local: peerObserver{e.state.balancer, e}, Tables: tables, Contact: contact, PlatformReadRate: s.PlatformReadRate,
+		Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
 
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -28,6 +28,9 @@
 	Seeds []string
 	// PlatformAddress is the address of the platform's store.
 	PlatformAddress string
+	// PlatformReadRate is the number of reads a second that the store allows all
+	// daemons together. Zero means unknown.
+	PlatformReadRate float64
 	// MemoryBytes and FileDescriptors are the limits of the process. Zero means
 	// unknown.
 	MemoryBytes     int64
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -13,6 +14,11 @@
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
+// lapseGrace is how long after an outage of the platform upstreams without a
+// registration may get requests. Those that run register again within about two
+// seconds.
+const lapseGrace = 2200 * time.Millisecond
+
 // Decoders decode the rows of the platform's tables.
 type Decoders struct {
 	// IsConfig reports whether a row holds the configuration.
@@ -32,6 +38,8 @@
 
 	mu        sync.Mutex
 	inventory *inventory.Inventory
+	// upstreamsLost is set while the list of upstreams can't be read.
+	upstreamsLost bool
 	// upstreamsRead is set once the list of upstreams has been read.
 	upstreamsRead bool
 	// readyLogged is set once the log says that the daemon is ready.
@@ -202,6 +210,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keepLapsed(now)
 	s.inventory.Replace(now, all)
 	s.upstreamsRead = true
 	s.updateBalancer()
@@ -213,6 +222,7 @@
 func (s upstreamSink) Apply(now time.Time, rows []ports.Row, _ ports.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keepLapsed(now)
 	for _, row := range rows {
 		if r, ok := s.decode(row); ok {
 			s.inventory.Register(r)
@@ -229,6 +239,15 @@
 	s.notifyChange()
 }
 
+// keepLapsed keeps upstreams whose registrations have lapsed during an outage of the
+// platform until those that run have registered again. now is the time of the first
+// read after the outage. The caller holds mu.
+func (s upstreamSink) keepLapsed(now time.Time) {
+	if s.upstreamsLost {
+		s.inventory.KeepRemovedUntil(now.Add(lapseGrace))
+	}
+}
+
 // decode returns the registration in a row, if it holds one.
 func (s upstreamSink) decode(row ports.Row) (inventory.Registration, bool) {
 	if row.Deleted {
@@ -244,9 +263,22 @@
 	return r, true
 }
 
-func (s upstreamSink) Lost(err error, since time.Time) { s.logLost("upstreams", err, since) }
+func (s upstreamSink) Lost(err error, since time.Time) {
+	// No registration lapses because a daemon calls too often.
+	s.setUpstreamsLost(!errors.Is(err, ports.ErrThrottled))
+	s.logLost("upstreams", err, since)
+}
+
+func (s upstreamSink) Regained(after time.Duration) {
+	s.setUpstreamsLost(false)
+	s.logRegained("upstreams", after)
+}
 
-func (s upstreamSink) Regained(after time.Duration) { s.logRegained("upstreams", after) }
+func (s *state) setUpstreamsLost(lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.upstreamsLost = lost
+}
 
 func (s *state) logLost(table string, err error, since time.Time) {
 	s.log.Event(telemetry.PlatformLost).Err(err).Str("table", table).
--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -174,7 +174,7 @@
 func (f *Follower) ReadsPlatform(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.incremental && now.Sub(f.lastSuccessAt) < f.callWait+responseMargin
+	return f.incremental && !f.failing && now.Sub(f.lastSuccessAt) < f.callWait+responseMargin
 }
 
 // Offer replaces the copy by another daemon's if that one has a change that this
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,10 +26,10 @@
 	// defaultWait is how long one call waits for a change. A lost response goes
 	// unnoticed for that long.
 	defaultWait = 5 * time.Second
-	// postDelegationWait is how long the first call after a delegation waits for a
-	// change. It is short so that the follower soon learns whether it reaches the
-	// platform.
-	postDelegationWait = 20 * time.Millisecond
+	// probeWait is how long the first call after a delegation, a failure or a
+	// repeated call waits for a change. It is short so that the follower soon
+	// learns whether it reaches the platform.
+	probeWait = 20 * time.Millisecond
 	// responseMargin is how long a response may take beyond the wait.
 	responseMargin = time.Second
 	// minRefreshInterval is the least time between two calls caused by Refresh:
@@ -40,9 +40,11 @@
 	// minRefreshInterval: the platform takes about that long to notice that a
 	// process has ended, and processes that ended together restart within it.
 	refreshWindow = 3 * time.Second
-	// failureFloor and failureCap bound the delay after a failure.
+	// failureFloor and failureCap bound the delay after a failure. The cap is half
+	// of the time within which upstreams that lapsed during an outage register
+	// again.
 	failureFloor = 100 * time.Millisecond
-	failureCap   = 2 * time.Second
+	failureCap   = time.Second
 )
 
 // Source is a table of the platform.
@@ -75,7 +77,11 @@
 	wait          atomic.Int64 // time.Duration
 	coalesceDelay time.Duration
 	delegated     func(time.Time) time.Duration
+	contact       *Contact
+	returnSpread  func() time.Duration
 	rng           *rand.Rand
+	// timeout bounds calls that are answered at once. It is used by Run only.
+	timeout callTimeout
 
 	// refresh ends a pause early.
 	refresh chan struct{}
@@ -87,9 +93,9 @@
 	// changed is set if the last step returned changes.
 	changed  bool
 	failures int
-	// wasDelegated is set if the read was delegated to another daemon since the
-	// last call.
-	wasDelegated bool
+	// probe is set if the next call must not wait for a change: the read was
+	// delegated since the last call, or that call failed or was repeated.
+	probe bool
 
 	// mu guards the fields below and is held during Replace and Apply of the sink.
 	mu   sync.Mutex
@@ -97,6 +103,10 @@
 	// incremental is set while the next call may ask only for changes after the
 	// copy's version; otherwise the whole table must be read.
 	incremental bool
+	// failing is set if the last call failed.
+	failing bool
+	// open is the call that is in progress, or nil.
+	open *call
 	// lastSuccessAt is when a call to the platform last succeeded, or when Run
 	// started.
 	lastSuccessAt time.Time
@@ -120,13 +130,26 @@
 	// Delegated returns for how long another daemon reads the table and passes on
 	// its changes. The follower makes no calls meanwhile. Nil means never.
 	Delegated func(now time.Time) time.Duration
+	// Contact is shared by all that calls the platform in a daemon. Default a
+	// Contact of the follower's own.
+	Contact *Contact
+	// ReturnSpread returns the span over which the daemons spread the calls that
+	// they repeat when the platform returns. Nil means that they don't.
+	ReturnSpread func() time.Duration
 	// Rand adds jitter to the delays after failures. Required.
 	Rand *rand.Rand
 }
 
 // New returns a Follower of source, which Run starts.
 func New(source Source, sink Sink, o Options) *Follower {
-	f := &Follower{source: source, sink: sink, coalesceDelay: o.CoalesceDelay, delegated: o.Delegated, rng: o.Rand, refresh: make(chan struct{}, 1), started: time.Now()}
+	f := &Follower{
+		source: source, sink: sink, coalesceDelay: o.CoalesceDelay, delegated: o.Delegated,
+		contact: o.Contact, returnSpread: o.ReturnSpread, rng: o.Rand,
+		refresh: make(chan struct{}, 1), started: time.Now(),
+	}
+	if f.contact == nil {
+		f.contact = NewContact()
+	}
 	f.refreshedAt.Store(int64(-refreshWindow))
 	f.SetWait(cmp.Or(o.Wait, defaultWait))
 	return f
@@ -173,6 +196,10 @@
 	}
 }
 
+// CoalesceDelay returns how long after a change further ones are collected before
+// they are read.
+func (f *Follower) CoalesceDelay() time.Duration { return f.coalesceDelay }
+
 // SetWait changes how long one call waits for a change.
 func (f *Follower) SetWait(d time.Duration) { f.wait.Store(int64(d)) }
 
@@ -189,27 +216,54 @@
 		if f.waitWhileDelegated(ctx) {
 			continue
 		}
+		returned := f.contact.Returned()
 		err := f.step(ctx)
-		f.wasDelegated, f.lastCallAt = false, time.Now()
+		f.probe, f.lastCallAt = false, time.Now()
 		if ctx.Err() != nil {
 			break
 		}
-		if err == nil {
+		switch {
+		case err == nil:
 			f.recordSuccess()
 			f.discardRefresh()
 			if f.changed {
 				f.pause(ctx, f.coalescePause())
 			}
-			continue
-		}
-		f.recordFailure(err)
-		if !backoff.Sleep(ctx, retry.Delay(f.failures, f.rng)) {
-			break
+		case errors.Is(err, errCallRepeated):
+			f.probe = true
+		default:
+			f.recordFailure(err)
+			f.pauseUntilReturn(ctx, returned, retry.Delay(f.failures, f.rng))
 		}
 	}
 	return nil
 }
 
+// pauseUntilReturn waits until d has passed or ctx has ended, or until the platform
+// returns.
+func (f *Follower) pauseUntilReturn(ctx context.Context, returned <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-returned:
+		backoff.Sleep(ctx, f.returnDelay())
+	}
+}
+
+// returnDelay returns when a call is repeated after the platform's return.
+func (f *Follower) returnDelay() time.Duration {
+	if f.returnSpread == nil {
+		return 0
+	}
+	spread := f.returnSpread()
+	if spread <= 0 {
+		return 0
+	}
+	return time.Duration(f.rng.Int64N(int64(spread)))
+}
+
 // waitWhileDelegated waits while another daemon reads the table for this one. It
 // returns false if a call is due: the read is not delegated, the whole table must
 // be read, or a refresh was requested.
@@ -221,7 +275,7 @@
 	if left <= 0 {
 		return false
 	}
-	f.wasDelegated = true
+	f.probe = true
 	return !f.pause(ctx, left)
 }
 
@@ -229,17 +283,8 @@
 	if !f.isIncremental() {
 		return f.readTable(ctx)
 	}
-	wait := f.waitTime()
-	if f.wasDelegated {
-		wait = postDelegationWait
-	}
-	f.mu.Lock()
-	f.callWait = wait
-	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
-	defer cancel()
 	after := f.Versions().AsOf
-	rows, version, err := f.source.Changes(ctx, after, wait)
+	rows, version, err := f.readChanges(ctx, after)
 	if errors.Is(err, ErrHistoryGone) {
 		f.setIncremental(false)
 		return nil
@@ -261,6 +306,85 @@
 	return nil
 }
 
+// readChanges calls the platform for the changes after a version.
+func (f *Follower) readChanges(ctx context.Context, after ports.Version) (rows []ports.Row, version ports.Version, err error) {
+	wait := f.waitTime()
+	response := wait + responseMargin
+	if f.probe || f.failures > 0 {
+		wait = probeWait
+		response = wait + f.timeout.value()
+	}
+	f.mu.Lock()
+	f.callWait = wait
+	f.mu.Unlock()
+	err = f.do(ctx, response, func(ctx context.Context) (err error) {
+		rows, version, err = f.source.Changes(ctx, after, wait)
+		return err
+	})
+	return rows, version, err
+}
+
+// do makes one call to the platform. response is how long the response may take to
+// begin. The call ends when the platform returns after an outage, since it may
+// have been open during it.
+func (f *Follower) do(ctx context.Context, response time.Duration, send func(context.Context) error) error {
+	delay := f.returnDelay()
+	returned := f.contact.Returned()
+	ctx, c := newCall(ctx, response, f.timeout.value())
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-returned:
+			if backoff.Sleep(ctx, delay) {
+				c.repeat()
+			}
+		}
+	}()
+	f.setOpen(c)
+	err := c.end(ctx, send(ctx))
+	f.setOpen(nil)
+	f.recordContact(err)
+	if errors.Is(err, errCallTimeout) {
+		f.timeout.exceeded()
+	}
+	return err
+}
+
+func (f *Follower) setOpen(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open = c
+}
+
+// RepeatCall ends the call to the platform that is in progress, unless its response
+// has begun, and calls again at once. It is used when another daemon has read a
+// change that the call should have returned.
+func (f *Follower) RepeatCall() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open != nil {
+		f.open.repeat()
+	}
+}
+
+// OpenFor returns how long the call in progress has waited for its response, or
+// zero if there is none.
+func (f *Follower) OpenFor(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open == nil || f.open.responding.Load() {
+		return 0
+	}
+	return now.Sub(f.open.started)
+}
+
+// Age returns the time since a call to the platform last succeeded.
+func (f *Follower) Age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.lastSuccessAt)
+}
+
 func (f *Follower) setIncremental(incremental bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -273,10 +397,24 @@
 	return f.incremental
 }
 
+// ReadPage reads a page of the source as one call.
+func (r pageReader) ReadPage(ctx context.Context, from string) (page Page, err error) {
+	started := time.Now()
+	err = r.f.do(ctx, r.f.timeout.value(), func(ctx context.Context) (err error) {
+		page, err = r.f.source.ReadPage(ctx, from)
+		return err
+	})
+	if err == nil {
+		r.f.timeout.observe(time.Since(started))
+	}
+	return page, err
+}
+
+// pageReader is the Reader of a Follower's source.
+type pageReader struct{ f *Follower }
+
 func (f *Follower) readTable(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.waitTime()+responseMargin)
-	defer cancel()
-	rows, version, err := ReadAll(ctx, contactRecorder{f.source, f}, f.rng)
+	rows, version, err := ReadAll(ctx, pageReader{f}, f.rng)
 	if err != nil {
 		return err
 	}
@@ -290,11 +428,31 @@
 	return nil
 }
 
+// recordContact records whether the platform responded to a call.
+func (f *Follower) recordContact(err error) {
+	now := time.Now()
+	f.mu.Lock()
+	if err == nil {
+		f.lastPageAt = now
+	}
+	responded := err == nil || errors.Is(err, ports.ErrThrottled) || errors.Is(err, ErrHistoryGone)
+	if responded {
+		f.lastResponseAt = now
+	}
+	f.mu.Unlock()
+	switch {
+	case responded:
+		f.contact.Responded(now)
+	case !errors.Is(err, errCallRepeated):
+		f.contact.Failed()
+	}
+}
+
 func (f *Follower) recordSuccess() {
 	now := time.Now()
 	f.mu.Lock()
 	before := f.lastSuccessAt
-	f.lastSuccessAt, f.lastResponseAt, f.lastPageAt, f.unreachable = now, now, now, false
+	f.lastSuccessAt, f.lastResponseAt, f.lastPageAt, f.unreachable, f.failing = now, now, now, false, false
 	f.mu.Unlock()
 	if f.failures > 0 {
 		f.sink.Regained(now.Sub(before))
@@ -302,18 +460,16 @@
 	f.failures = 0
 }
 
+// recordFailure records a failed call. The copy keeps its version: the platform
+// returns the changes since then, or reports that its history does not reach back.
 func (f *Follower) recordFailure(err error) {
 	f.failures++
 	f.mu.Lock()
 	f.unreachable = !errors.Is(err, ports.ErrThrottled)
+	f.failing = true
+	since := f.lastSuccessAt
 	f.mu.Unlock()
 	if f.failures == 1 {
-		f.mu.Lock()
-		since := f.lastSuccessAt
-		f.mu.Unlock()
 		f.sink.Lost(err, since)
 	}
-	// The next call reads the whole table: rows may have expired and been written
-	// again.
-	f.setIncremental(false)
 }
--- a/internal/follow/unavailable.go
+++ b/internal/follow/unavailable.go
@@ -1,12 +1,6 @@
 package follow
 
-import (
-	"context"
-	"errors"
-	"time"
-
-	"github.com/auburndyke/auburndyke/internal/ports"
-)
+import "time"
 
 const (
 	// silenceTimeout is how long the platform may send no response before it
@@ -31,24 +25,3 @@
 	}
 	return f.unreachable || now.Sub(f.lastResponseAt) >= silenceTimeout || now.Sub(f.lastPageAt) >= throttleTimeout
 }
-
-// contactRecorder is a Reader that records in a Follower when the platform
-// responded.
-type contactRecorder struct {
-	Reader
-	f *Follower
-}
-
-func (r contactRecorder) ReadPage(ctx context.Context, from string) (Page, error) {
-	page, err := r.Reader.ReadPage(ctx, from)
-	now := time.Now()
-	r.f.mu.Lock()
-	defer r.f.mu.Unlock()
-	if err == nil {
-		r.f.lastPageAt = now
-	}
-	if err == nil || errors.Is(err, ports.ErrThrottled) {
-		r.f.lastResponseAt = now
-	}
-	return page, err
-}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -52,11 +52,23 @@
 type record struct {
 	Entry
 	removedAt time.Time
+	// keepUntil is the earliest time at which a removed record expires.
+	keepUntil time.Time
+}
+
+// expiresAt returns when a removed record expires.
+func (r *record) expiresAt(removalGrace time.Duration) time.Time {
+	at := r.removedAt.Add(removalGrace)
+	if at.Before(r.keepUntil) {
+		return r.keepUntil
+	}
+	return at
 }
 
 // Inventory is the list of upstreams. It is not safe for concurrent use.
 type Inventory struct {
 	removalGrace time.Duration
+	keepUntil    time.Time
 	records      map[domain.UpstreamID]*record
 }
 
@@ -69,6 +81,10 @@
 // SetRemovalGrace changes how long a removed upstream stays Unlisted.
 func (v *Inventory) SetRemovalGrace(d time.Duration) { v.removalGrace = d }
 
+// KeepRemovedUntil makes upstreams that are removed from now on stay Unlisted at
+// least until t.
+func (v *Inventory) KeepRemovedUntil(t time.Time) { v.keepUntil = t }
+
 // Register adds or replaces a registration. It ignores a registration of an earlier
 // incarnation than the known one.
 func (v *Inventory) Register(r Registration) {
@@ -90,7 +106,7 @@
 	if r == nil || !r.removedAt.IsZero() {
 		return
 	}
-	r.removedAt = now
+	r.removedAt, r.keepUntil = now, v.keepUntil
 	if r.State == Serving {
 		r.State = Unlisted
 	}
@@ -116,7 +132,7 @@
 func (v *Inventory) Expire(now time.Time) bool {
 	changed := false
 	for id, r := range v.records {
-		if !r.removedAt.IsZero() && now.Sub(r.removedAt) >= v.removalGrace {
+		if !r.removedAt.IsZero() && !now.Before(r.expiresAt(v.removalGrace)) {
 			delete(v.records, id)
 			changed = true
 		}
@@ -132,7 +148,7 @@
 		if r.removedAt.IsZero() {
 			continue
 		}
-		if at := r.removedAt.Add(v.removalGrace); next.IsZero() || at.Before(next) {
+		if at := r.expiresAt(v.removalGrace); next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -128,3 +128,23 @@
 		assert.Equal(t, got, Serving, id)
 	}
 }
+
+// Guards against sound upstreams that get no requests after an outage of the platform:
+// their registrations lapsed meanwhile and take two seconds to come back.
+func TestLapsedUpstreamsAreKeptLonger(t *testing.T) {
+	v := New(grace)
+	v.Register(registration("a", 1))
+	v.Register(registration("b", 1))
+	v.Remove(start.Add(-time.Second), "b") // removed before the outage
+	v.KeepRemovedUntil(start.Add(grace + time.Second))
+	v.Remove(start, "a")
+	assert.Assert(t, v.Expire(start.Add(grace)))
+	_, known := stateOf(v, "b")
+	assert.Assert(t, !known)
+	_, known = stateOf(v, "a")
+	assert.Assert(t, known)
+	at, pending := v.NextExpiry()
+	assert.Assert(t, pending)
+	assert.Equal(t, at, start.Add(grace+time.Second))
+	assert.Assert(t, v.Expire(at), "an upstream that has not registered again is gone")
+}
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -53,19 +53,42 @@
 	announced := false
 	next := secondReadDelay
 	for {
+		returned := n.Contact.Returned()
+		err := n.syncDirectory(ctx, &announced)
+		if ctx.Err() != nil {
+			return
+		}
 		wait := next
-		if err := n.syncDirectory(ctx, &announced); err != nil {
+		if err != nil {
+			n.Contact.Failed()
 			n.Log.Event(telemetry.PeerDirectoryFailed).Err(err).Send()
 			wait = directoryRetry
 		} else {
-			next = directoryInterval
+			n.Contact.Responded(time.Now())
+			next, returned = directoryInterval, nil
 		}
-		if !backoff.Sleep(ctx, wait/2+time.Duration(n.directoryRand.Int64N(int64(wait)))) {
+		timer := time.NewTimer(wait/2 + time.Duration(n.directoryRand.Int64N(int64(wait))))
+		select {
+		case <-timer.C:
+		case <-returned: // nil unless the directory could not be read
+			timer.Stop()
+			backoff.Sleep(ctx, n.returnDelay())
+		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
 	}
 }
 
+// returnDelay returns when the directory is read again after the platform's return.
+func (n *Node) returnDelay() time.Duration {
+	spread := n.ReturnSpread()
+	if spread <= 0 {
+		return 0
+	}
+	return time.Duration(n.directoryRand.Int64N(int64(spread)))
+}
+
 func (n *Node) syncDirectory(ctx context.Context, announced *bool) error {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -138,10 +138,15 @@
 // platform before it is fetched from the peer. It is zero for the group reader.
 // The caller holds mu.
 func (n *Node) fetchDelay(now time.Time, state TableState, sender string) time.Duration {
-	if c := n.delegations[state.Name]; c.reader == sender && now.Before(c.expires) {
+	c := n.delegations[state.Name]
+	if c.reader == sender && now.Before(c.expires) {
 		return 0
 	}
-	return platformGrace
+	table := n.Tables[state.Name]
+	if !now.Before(c.expires) && !table.ReadsPlatform(now) {
+		return failingGrace
+	}
+	return table.CoalesceDelay() + platformGrace
 }
 
 // blockDelegation ends the delegation of a table after a failed read of its
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -100,6 +100,26 @@
 	Services []ServiceWork
 	Loads    []LoadReport
 	Tables   []TableState
+	// Return says that the platform returned recently. Nil means that it did not.
+	Return *PlatformReturn
+}
+
+// PlatformReturn says that the platform responds again after an outage.
+type PlatformReturn struct {
+	_ struct{} `cbor:",toarray"`
+	// Age is the time since then in units of ageUnit.
+	Age uint8
+}
+
+// plainMessage is the encoding of a Message without Return. Daemons of versions
+// that do not know Return can read it.
+type plainMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Sender   string
+	Peers    []string
+	Services []ServiceWork
+	Loads    []LoadReport
+	Tables   []TableState
 }
 
 // maxMessageBytes keeps a message within one Ethernet frame.
@@ -109,7 +129,7 @@
 // drops the older half of the load reports.
 func encode(m *Message) ([]byte, error) {
 	for {
-		data, err := cbor.Marshal(m)
+		data, err := marshal(m)
 		if err != nil {
 			return nil, eris.Wrap(err, "encoding a peer message")
 		}
@@ -123,7 +143,19 @@
 	}
 }
 
+func marshal(m *Message) ([]byte, error) {
+	if m.Return != nil {
+		return cbor.Marshal(m)
+	}
+	return cbor.Marshal(&plainMessage{Sender: m.Sender, Peers: m.Peers, Services: m.Services, Loads: m.Loads, Tables: m.Tables})
+}
+
+// decode decodes a message with or without Return.
 func decode(data []byte) (*Message, error) {
+	var p plainMessage
+	if err := cbor.Unmarshal(data, &p); err == nil {
+		return &Message{Sender: p.Sender, Peers: p.Peers, Services: p.Services, Loads: p.Loads, Tables: p.Tables}, nil
+	}
 	var m Message
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return nil, eris.Wrap(err, "decoding a peer message")
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -41,7 +42,8 @@
 	MergeReports(map[uint32]balancer.LoadReport)
 }
 
-// Config sets up a Node. All fields but Seeds are required.
+// Config sets up a Node. All fields but Seeds, Contact and PlatformReadRate are
+// required.
 type Config struct {
 	Daemon    string
 	Address   string // IP:port at which the daemon receives datagrams
@@ -52,6 +54,12 @@
 	// Seeds are addresses of daemons from which a starting daemon may get its
 	// first copies of the tables during an outage. They may be down.
 	Seeds []string
+	// Contact records whether the platform responds. Nil means that peers are not
+	// told of its return.
+	Contact Contact
+	// PlatformReadRate is the number of reads a second that all daemons together
+	// may make. Zero means unknown.
+	PlatformReadRate float64
 	// Tables are the copies that daemons help each other to keep current, by
 	// table name.
 	Tables map[string]Table
@@ -85,6 +93,9 @@
 
 // New returns a Node without peers.
 func New(c Config) *Node {
+	if c.Contact == nil {
+		c.Contact = follow.NewContact()
+	}
 	return &Node{
 		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag),
 		delegations: make(map[string]delegation), changed: make(chan struct{}, 1),
@@ -136,6 +147,7 @@
 			n.lastHeard[m.Sender] = time.Now()
 		}
 		n.mu.Unlock()
+		n.mergeReturn(time.Now(), m)
 		n.Local.MergeReports(fresh)
 		for _, state := range m.Tables {
 			n.acceptReader(time.Now(), state, m.Sender)
@@ -147,10 +159,14 @@
 func (n *Node) sendLoop(ctx context.Context, socket *net.UDPConn) {
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
+	returned := n.Contact.Returned()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-returned:
+			returned = n.Contact.Returned()
+			n.announceReturn(time.Now(), socket)
 		case now := <-ticker.C:
 			n.sendGossip(now, socket)
 			n.announceToGroup(now, socket)
@@ -204,7 +220,7 @@
 		return nil, nil, nil
 	}
 	m := n.state.Compose(now, n.Rand)
-	m.Tables = tables
+	m.Tables, m.Return = tables, n.platformReturn(now)
 	data, err = encode(m)
 	return targets, data, err
 }
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -90,8 +90,10 @@
 func (*fixedTable) OfferChanges(ports.Version, []ports.Row, follow.Versions) bool { return false }
 func (*fixedTable) ReadsPlatform(time.Time) bool                                  { return false }
 
-func (*fixedTable) Unavailable(time.Time) bool { return false }
-func (*fixedTable) SetWait(time.Duration)      {}
+func (*fixedTable) Unavailable(time.Time) bool   { return false }
+func (*fixedTable) SetWait(time.Duration)        {}
+func (*fixedTable) CoalesceDelay() time.Duration { return 0 }
+func (*fixedTable) RepeatCall()                  {}
 
 // startNode runs a node and serves its copies over HTTP at the address at which
 // it receives datagrams.
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -18,9 +18,11 @@
 
 const (
 	// platformGrace is how long a daemon waits for a change to come from the
-	// platform after a peer has announced it. It has to be above the settle time
-	// of the list of upstreams.
-	platformGrace = 2 * time.Second
+	// platform after a peer has announced it, beyond the time for which the daemon
+	// collects changes of the table.
+	platformGrace = 500 * time.Millisecond
+	// failingGrace is the same while the platform does not respond to the daemon.
+	failingGrace = 100 * time.Millisecond
 	// fetchTimeout is the timeout of a read of a peer's copy.
 	fetchTimeout = time.Second
 	// maxCopyBytes limits the size of a peer's copy.
@@ -55,6 +57,12 @@
 	// Unavailable reports whether there is no copy yet and the platform appears
 	// to be unavailable.
 	Unavailable(now time.Time) bool
+	// CoalesceDelay is how long after a change the daemon collects further ones
+	// before it reads them.
+	CoalesceDelay() time.Duration
+	// RepeatCall ends a call to the platform that has not responded, and makes it
+	// again.
+	RepeatCall()
 	// SetWait sets how long a call to the platform waits for a change.
 	SetWait(time.Duration)
 }
@@ -140,9 +148,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lags[name] = lag{}
-	if err != nil && n.delegations[name].reader == l.peer {
+	delegation := n.delegations[name]
+	if err != nil && delegation.reader == l.peer {
 		n.blockDelegation(time.Now(), name)
 	}
+	if adopted && !time.Now().Before(delegation.expires) {
+		// The daemon's own call should have returned the change.
+		n.Tables[name].RepeatCall()
+	}
 }
 
 func (n *Node) fetchCopy(ctx context.Context, name, peer string) (bool, error) {
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -78,6 +78,8 @@
 	RegistrationRejected = Event{"AD8009", "registration_rejected", zerolog.WarnLevel, "A registration can't be read and names no upstream to use."}
 	TableReaderChanged   = Event{"AD8010", "table_reader_changed", zerolog.InfoLevel, "Another daemon of the group reads a table for this one, or, without a reader, this one reads it again."}
 
+	PlatformReturned = Event{"AD8012", "platform_returned", zerolog.InfoLevel, "A peer reports that the platform responds again; calls that are still open are repeated."}
+
 	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
 
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
@@ -95,7 +97,7 @@
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
-	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned,
 }
 
 // Log writes numbered events as JSON lines.
