Bound the bytes that an upstream may send

Cause: the header of an answer was read without a bound, also those of up to five informational answers and three answers to other requests; a skipped body was bounded by time only. A body without a length was relayed at link speed until the deadline, and comments or blank lines counted as events, so that a stream without events kept its place until the caller's time was over.

Change: - upstreamhttp: 32 KB for a header with all informational answers before it, 256 KB for a skipped answer; the connection is closed at the bound. - relay: responses that are read in full before they are relayed share a tenth of the process's memory; beyond it they are relayed as they arrive. A response without a length is relayed freely up to 1 MB; what is longer shares a quarter of the VM's link, up to 64 MB. - Comments and blank lines are relayed, but do not extend the deadline of the next event; more than 16 KB of them end the attempt. - Event AD8013 and a counter name the bound. The attempt counts as one that may have run. - Headers of the store and of peers: 32 KB.

Ruled out: a total bound on responses without a length that is near today's sizes, because it would cut sound ones.

The p99 of sound callers against a run without the endless upstreams is not measured.

--- a/internal/adapters/upstreamhttp/exchange.go
+++ b/internal/adapters/upstreamhttp/exchange.go
@@ -119,7 +119,7 @@
 	} else {
 		a.written = writeBeside(c.Conn, head, r.Body)
 	}
-	resp, err := readAnswer(c.reader, r)
+	resp, err := readAnswer(c, r)
 	if err != nil {
 		if writeErr != nil {
 			err = writeErr
@@ -162,13 +162,16 @@
 	return b.Bytes()
 }
 
-// readAnswer returns the first final answer that belongs to the request.
-func readAnswer(reader *bufio.Reader, r *Request) (*http.Response, error) {
+// readAnswer returns the first final answer that belongs to the request. What it
+// reads before the answer's body is bounded.
+func readAnswer(c *conn, r *Request) (*http.Response, error) {
+	defer c.bounded.unlimit()
 	method := &http.Request{Method: r.Method}
 	for range maxStray {
-		resp, err := readFinal(reader, method)
+		c.bounded.limit(maxHeaderBytes, ErrHeaderTooLong)
+		resp, err := readFinal(c.reader, method)
 		if err != nil {
-			return nil, err
+			return nil, c.bounded.cause(err)
 		}
 		if r.Mine == nil || r.Mine(resp.Header) {
 			return resp, nil
@@ -176,6 +179,7 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrForeignAnswer
 		}
+		c.bounded.limit(maxStrayBytes, ErrStrayTooLong)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, eris.Wrap(err, "skipping an answer to another request")
 		}
--- a/internal/adapters/upstreamhttp/pool.go
+++ b/internal/adapters/upstreamhttp/pool.go
@@ -82,7 +82,9 @@
 // conn is one connection; one request uses it at a time.
 type conn struct {
 	net.Conn
-	address   string
+	address string
+	// bounded is what reader reads from.
+	bounded   *boundedReader
 	reader    *bufio.Reader
 	idleSince time.Time
 	// expires is when the upstream may close the idle connection.
@@ -113,7 +115,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: inner, address: address, reader: bufio.NewReaderSize(inner, bufferBytes)}, true, nil
+	bounded := &boundedReader{inner: inner}
+	return &conn{Conn: inner, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes)}, true, nil
 }
 
 func (p *Pool) take(address string) *conn {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -36,6 +36,12 @@
 	// which are kept until their requests end. On the smallest VM it holds five
 	// bodies of the largest size that the operators allow.
 	bodyMemoryShare = 0.2
+	// responseMemoryShare is the same for responses that are read in full before
+	// they are relayed.
+	responseMemoryShare = 0.1
+	// unsizedLinkShare is the share of the VM's link for long responses whose
+	// upstreams state no length.
+	unsizedLinkShare = 0.25
 	// removalMargin is subtracted from RemovalTimeout for requests in transit.
 	removalMargin = 300 * time.Millisecond
 	// defaultRemovalTimeout replaces a RemovalTimeout of zero.
@@ -135,7 +141,7 @@
 // Run serves until SIGTERM, which begins a graceful shutdown, or until ctx ends.
 func (e *Edge) Run(ctx context.Context) error {
 	s := e.settings.Load()
-	e.limitMemory(s)
+	e.applyLimits(s)
 	e.deps.Log.Event(telemetry.DaemonStarting).
 		Str("zone", string(s.Zone)).Str("callers", s.CallerAddress).
 		Str("readiness", s.ReadinessAddress).Str("internal", s.InternalAddress).Strs("seeds", s.Seeds).
@@ -315,12 +321,13 @@
 	return slices.DeleteFunc(slices.Clone(s.Seeds), func(seed string) bool { return seed == s.ControlAddress })
 }
 
-// limitMemory sets the soft limit of the garbage collector and the limit for
-// request bodies.
-func (e *Edge) limitMemory(s *Settings) {
+// applyLimits sets the soft limit of the garbage collector and the limits for bodies.
+func (e *Edge) applyLimits(s *Settings) {
+	e.handler.SetUnsizedResponseRate(unsizedLinkShare * s.LinkByteRate)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * gcMemoryShare))
 		e.handler.SetBodyMemoryLimit(int64(float64(s.MemoryBytes) * bodyMemoryShare))
+		e.handler.SetResponseMemoryLimit(int64(float64(s.MemoryBytes) * responseMemoryShare))
 	}
 }
 
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -43,7 +43,7 @@
 	}
 	changed := !reflect.DeepEqual(next, e.settings.Load())
 	if changed {
-		e.limitMemory(next)
+		e.applyLimits(next)
 		e.handler.Retries.SetRatio(next.RetryRatio)
 		e.state.setRemovalGrace(removalGrace(next))
 		e.settings.Store(next)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -35,6 +35,8 @@
 	// unknown.
 	MemoryBytes     int64
 	FileDescriptors int
+	// LinkByteRate is the VM's bandwidth in bytes a second. Zero means unknown.
+	LinkByteRate float64
 	// ShutdownTimeout is the time between the signal to stop and the end of the
 	// process.
 	ShutdownTimeout time.Duration
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -25,6 +25,8 @@
 	failingGrace = 100 * time.Millisecond
 	// fetchTimeout is the timeout of a read of a peer's copy.
 	fetchTimeout = time.Second
+	// maxCopyHeaderBytes limits the header of a response with a copy.
+	maxCopyHeaderBytes = 32 << 10
 	// maxCopyBytes limits the size of a peer's copy.
 	maxCopyBytes = 16 << 20
 	// maxFullCopies is the number of full copies that are sent concurrently. At
@@ -158,6 +160,11 @@
 	}
 }
 
+// copyClient reads copies of tables from peers, too rarely to keep connections.
+var copyClient = &http.Client{Transport: &http.Transport{
+	DisableKeepAlives: true, MaxResponseHeaderBytes: maxCopyHeaderBytes,
+}}
+
 func (n *Node) fetchCopy(ctx context.Context, name, peer string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -167,8 +174,7 @@
 	if err != nil {
 		return false, err
 	}
-	req.Close = true // copies are read too rarely to keep the connection
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := copyClient.Do(req)
 	if err != nil {
 		return false, eris.Wrap(err, "reading the peer's copy of the table")
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net/http"
@@ -9,6 +10,7 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/httproute"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 const (
@@ -52,6 +54,8 @@
 	// progress was last reported to the balancer.
 	progressEvents int
 	progressAt     time.Time
+	// unsizedBytes is the size so far of a response without a stated length.
+	unsizedBytes int64
 }
 
 // run makes attempts until the caller has a final response.
@@ -223,7 +227,7 @@
 	if a.callerGone() {
 		return callerDisconnected
 	}
-	a.cause = err.Error()
+	a.recordCause(err)
 	q.logAttempt(a)
 	if sent {
 		return unknown
@@ -231,6 +235,35 @@
 	return notRun
 }
 
+// recordCause records why the attempt failed, and counts an upstream that exceeded a
+// bound.
+func (a *attempt) recordCause(err error) {
+	a.cause = err.Error()
+	if bound := exceededBound(err); bound != "" {
+		a.q.h.Metrics.boundExceeded(bound)
+		a.q.h.Log.Event(telemetry.UpstreamExceededBound).Str("request", string(a.q.id())).
+			Str("upstream", string(a.choice.Upstream.ID)).Str("bound", bound).Send()
+	}
+}
+
+// exceededBound names the bound that an upstream's response exceeded, or returns an
+// empty string.
+func exceededBound(err error) string {
+	switch {
+	case errors.Is(err, upstreamhttp.ErrHeaderTooLong):
+		return "header"
+	case errors.Is(err, upstreamhttp.ErrStrayTooLong):
+		return "stray"
+	case errors.Is(err, errResponseTooLong):
+		return "body"
+	case errors.Is(err, bufio.ErrTooLong):
+		return "event"
+	case errors.Is(err, errNoProgress):
+		return "filler"
+	}
+	return ""
+}
+
 // callerGone reports whether the caller has disconnected, which ends the attempt
 // and says nothing about the upstream.
 func (a *attempt) callerGone() bool {
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -12,8 +12,12 @@
 	errNoMemory = eris.New("request bodies in progress use all the memory reserved for bodies")
 )
 
-// bodyMemory bounds the total size of the request bodies in memory. A body is kept
-// until its request ends, since the request may be retried.
+// minReadBytes is the size of the first buffer for a response.
+const minReadBytes = 4 << 10
+
+// bodyMemory bounds the total size of bodies in memory: of requests, which are kept
+// until the request ends since it may be retried, and of responses that are read in
+// full before they are relayed.
 type bodyMemory struct {
 	limit atomic.Int64 // zero means no limit
 	used  atomic.Int64
@@ -67,3 +71,27 @@
 	}
 	return n, err
 }
+
+// readUpTo reads a body to its end. If it is longer than limit bytes, or no memory is
+// left for it, readUpTo returns what it has read and errTooLarge. The returned number
+// of bytes stays reserved, also after an error.
+func (m *bodyMemory) readUpTo(body io.Reader, limit int) (data []byte, reserved int64, err error) {
+	for {
+		if len(data) == cap(data) {
+			grown := min(max(2*cap(data), minReadBytes), limit)
+			if len(data) >= limit || !m.reserve(int64(grown-cap(data))) {
+				return data, reserved, errTooLarge
+			}
+			reserved += int64(grown - cap(data))
+			data = append(make([]byte, 0, grown), data...)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, reserved, nil
+		}
+		if err != nil {
+			return data, reserved, err
+		}
+	}
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// boundExceeded counts a response that exceeded one of the bounds on upstreams.
+func (m *Metrics) boundExceeded(bound string) {
+	m.set.Counter("auburndyke_upstream_bounds_exceeded_total", "bound", bound).Inc(1)
+}
+
 func (m *Metrics) finished(q *request) {
 	o := &q.outcome
 	m.attempts.Inc(int64(q.sends))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,8 @@
 	shutdownDeadline atomic.Pointer[time.Time]
 	active           atomic.Int64
 	bodies           bodyMemory
+	responses        bodyMemory
+	unsized          unsizedRate
 }
 
 // New returns a Handler that refuses requests until SetTable is called.
@@ -78,6 +80,11 @@
 // means no limit.
 func (h *Handler) SetBodyMemoryLimit(bytes int64) { h.bodies.limit.Store(bytes) }
 
+// SetResponseMemoryLimit bounds the total size of the responses that are read in full
+// before they are relayed. Responses beyond it are relayed as they arrive. Zero means no
+// limit.
+func (h *Handler) SetResponseMemoryLimit(bytes int64) { h.responses.limit.Store(bytes) }
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -34,13 +35,14 @@
 	if a.response.Length > maxBufferedBytes {
 		return a.relayLarge()
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes+1))
+	body, reserved, err := a.q.h.responses.readUpTo(a.response, maxBufferedBytes)
+	defer a.q.h.responses.release(reserved)
+	if errors.Is(err, errTooLarge) {
+		return a.relayRest(body)
+	}
 	if err != nil {
 		return a.bodyReadFailed(err)
 	}
-	if len(body) > maxBufferedBytes {
-		return a.relayRest(body)
-	}
 	if a.response.Status >= http.StatusInternalServerError {
 		return a.serverError(body)
 	}
@@ -111,12 +113,15 @@
 				return a.callerWriteFailed(werr)
 			}
 		}
+		if bound := a.countUnsized(n); bound != nil && err == nil {
+			err = bound
+		}
 		if err == io.EOF {
 			a.result = balancer.OK
 			return delivered
 		}
 		if err != nil {
-			a.cause = err.Error()
+			a.recordCause(err)
 			q.logAttempt(a)
 			return q.abort(reasonBrokenResponse)
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -18,6 +18,8 @@
 	eventBufferSize = 4 << 10
 	// maxEventBytes bounds one event.
 	maxEventBytes = 256 << 10
+	// maxFillerBytes bounds the comments and blank lines between two events.
+	maxFillerBytes = 16 << 10
 	// streamIdleGaps is the multiple of the route's longest inter-token gap after
 	// which a stream that has begun counts as broken.
 	streamIdleGaps = 3
@@ -37,8 +39,13 @@
 	progressInterval = 200 * time.Millisecond
 )
 
-// errStreamIdle means that a stream paused for too long.
-var errStreamIdle = errors.New("stream is idle for too long")
+var (
+	// errStreamIdle means that a stream paused for too long.
+	errStreamIdle = errors.New("stream is idle for too long")
+	// errNoProgress means that a stream sent more than maxFillerBytes without an
+	// event.
+	errNoProgress = errors.New("stream sends bytes but no events")
+)
 
 // stream is the state of a caller's stream across all attempts.
 type stream struct {
@@ -56,18 +63,45 @@
 	reader := bufio.NewReaderSize(a.response, eventBufferSize)
 	var event []byte
 	first := true
+	// filler is what was received since the last event, and pending the part of it
+	// that waits for the stream's first event.
+	filler := 0
+	var pending []byte
 	for {
-		if err := a.response.SetReadDeadline(q.eventDeadline()); err != nil {
-			return a.streamBroken(err)
+		// Filler is no progress: the deadline is that of the next event.
+		if filler == 0 {
+			if err := a.response.SetReadDeadline(q.eventDeadline()); err != nil {
+				return a.streamBroken(err)
+			}
 		}
 		var err error
 		event, err = readEvent(reader, event[:0])
 		if err == io.EOF && len(event) == 0 {
-			return a.streamEnded()
+			return a.streamEnded(pending)
+		}
+		if err == nil {
+			err = a.countUnsized(len(event))
 		}
 		if err != nil {
 			return a.streamBroken(err)
 		}
+		if isFiller(event) {
+			if filler += len(event); filler > maxFillerBytes {
+				return a.streamBroken(errNoProgress)
+			}
+			if !q.outcome.stream.started {
+				pending = append(pending, event...)
+				continue
+			}
+			if err := a.write(event); err != nil {
+				return a.callerWriteFailed(err)
+			}
+			continue
+		}
+		filler = 0
+		if len(pending) > 0 {
+			event, pending = append(pending, event...), nil
+		}
 		if first {
 			first = false
 			a.choice.Reservation().FirstEvent(time.Now())
@@ -78,6 +112,25 @@
 	}
 }
 
+// isFiller reports whether a block of lines has no field: it consists of comments and
+// blank lines, which keep a connection open but are no event.
+func isFiller(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// write writes a part of a stream to the caller and flushes it.
+func (a *attempt) write(part []byte) error {
+	if _, err := a.q.w.Write(part); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.q.w).Flush()
+}
+
 // eventDeadline returns when the stream counts as broken unless another event
 // arrives.
 func (q *request) eventDeadline() time.Time {
@@ -156,10 +209,7 @@
 	}
 	s.lastAt = now
 	s.events++
-	if _, err := q.w.Write(event); err != nil {
-		return err
-	}
-	return http.NewResponseController(q.w).Flush()
+	return a.write(event)
 }
 
 // reportProgress reports the events since the last report to the balancer.
@@ -185,13 +235,19 @@
 	q.outcome.setStatus(a.response.Status)
 }
 
-// streamEnded handles the end of a complete stream.
-func (a *attempt) streamEnded() result {
+// streamEnded handles the end of a complete stream. pending is what a stream without
+// events consists of.
+func (a *attempt) streamEnded(pending []byte) result {
 	q := a.q
 	a.result = balancer.OK
 	if !q.outcome.stream.started {
 		q.startStream(a)
 	}
+	if len(pending) > 0 {
+		if err := a.write(pending); err != nil {
+			return a.callerWriteFailed(err)
+		}
+	}
 	return delivered
 }
 
@@ -208,7 +264,8 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = errStreamIdle
 	}
-	a.cause = err.Error() + " after " + strconv.Itoa(q.outcome.stream.events) + " events"
+	a.recordCause(err)
+	a.cause += " after " + strconv.Itoa(q.outcome.stream.events) + " events"
 	q.logAttempt(a)
 	s := &q.outcome.stream
 	if s.started && s.lastEventID != "" {
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -80,6 +80,8 @@
 
 	PlatformReturned = Event{"AD8012", "platform_returned", zerolog.InfoLevel, "A peer reports that the platform responds again; calls that are still open are repeated."}
 
+	UpstreamExceededBound = Event{"AD8013", "upstream_exceeded_bound", zerolog.WarnLevel, "A response exceeded one of the bounds on what an upstream may send; its connection is closed."}
+
 	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
 
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
@@ -97,7 +99,7 @@
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
-	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound,
 }
 
 // Log writes numbered events as JSON lines.
