Let one daemon read the platform's tables for its zone

By kind (trial with a line for each call): at the start 2 readings of the directory and 4 polls a daemon, and 105 writes that the store throttled because all register at once; then 24 readers, four in each zone, that poll two tables every 2 s, and a reading of the directory a minute.

Change: - The highest-ranked daemons of the groups of a zone form a group of their own, so that one daemon reads for the zone. The others pass its announcements on when they arrive, so that nobody relies on a reader for longer than 1.5 s after its last announcement. A reader's hash is always lower than that of the daemons it reads for, so that differing lists make no circle. - When the settings say that the whole fleet starts for the first time, daemons register over 1.5 s, read the directory once, and wait up to 4.5 s for their reader instead of polling. - The directory is read every two minutes instead of every minute. - A throttled call to the directory no longer counts as an outage.

Ruled out: longer waits of a reader's poll. A reader that is cut off would be noticed after more than the 4 s that a configuration may take.

TestOneDaemonReadsForItsZone: 20 daemons make at most 6 polls in 10 s, and changes arrive within 4 s while the readers end one after the other.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -311,7 +311,7 @@
 	return peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
 		Local: peerObserver{e.state.balancer, e}, Tables: tables, Contact: contact, PlatformReadRate: s.PlatformReadRate,
-		Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
+		FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
 
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -26,6 +26,8 @@
 	// Seeds are the control addresses of some daemons, which may be outdated or
 	// down.
 	Seeds []string
+	// FirstStart means that all daemons start together for the first time.
+	FirstStart bool
 	// PlatformAddress is the address of the platform's store.
 	PlatformAddress string
 	// PlatformReadRate is the number of reads a second that the store allows all
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -32,6 +32,9 @@
 	probeWait = 20 * time.Millisecond
 	// responseMargin is how long a response may take beyond the wait.
 	responseMargin = time.Second
+	// maxDelegatedPause is how often a follower asks whether its read is still
+	// delegated.
+	maxDelegatedPause = 500 * time.Millisecond
 	// minRefreshInterval is the least time between two calls caused by Refresh:
 	// processes that take over addresses do so within seconds of each other, and
 	// the platform limits the rate of calls.
@@ -276,7 +279,7 @@
 		return false
 	}
 	f.probe = true
-	return !f.pause(ctx, left)
+	return !f.pause(ctx, min(left, maxDelegatedPause))
 }
 
 func (f *Follower) step(ctx context.Context) error {
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,8 +15,19 @@
 
 const (
 	// directoryInterval is the mean time between two reads of the directory. A
-	// daemon that lost all its peers finds them again by reading it.
-	directoryInterval = time.Minute
+	// daemon that lost all its peers finds them again by reading it. 330 daemons
+	// make three reads a second.
+	directoryInterval = 2 * time.Minute
+	// registrationSpread is the span over which the daemons of a first start
+	// register. The platform takes about 200 transactions a second.
+	registrationSpread = 1500 * time.Millisecond
+	// firstReadDelay and firstReadSpread are when the daemons of a first start read
+	// the directory, after they have registered.
+	firstReadDelay  = time.Second
+	firstReadSpread = time.Second
+	// startHold is how long after a first start a daemon waits for a reader. It
+	// covers the reading of the directory and two announcements.
+	startHold = registrationSpread + firstReadDelay + firstReadSpread + 2*gossipInterval
 	// secondReadDelay is the mean pause before the second read, which finds the
 	// daemons that started at the same time.
 	secondReadDelay = 3 * time.Second
@@ -52,6 +64,12 @@
 func (n *Node) maintainDirectory(ctx context.Context) {
 	announced := false
 	next := secondReadDelay
+	if n.FirstStart {
+		next = directoryInterval
+		if !backoff.Sleep(ctx, time.Duration(n.directoryRand.Int64N(int64(registrationSpread)))) {
+			return
+		}
+	}
 	for {
 		returned := n.Contact.Returned()
 		err := n.syncDirectory(ctx, &announced)
@@ -60,11 +78,11 @@
 		}
 		wait := next
 		if err != nil {
-			n.Contact.Failed()
+			n.recordContact(err)
 			n.Log.Event(telemetry.PeerDirectoryFailed).Err(err).Send()
 			wait = directoryRetry
 		} else {
-			n.Contact.Responded(time.Now())
+			n.recordContact(nil)
 			next, returned = directoryInterval, nil
 		}
 		timer := time.NewTimer(wait/2 + time.Duration(n.directoryRand.Int64N(int64(wait))))
@@ -80,6 +98,22 @@
 	}
 }
 
+// recordContact records whether the platform responded to the last call.
+func (n *Node) recordContact(err error) {
+	if err == nil || errors.Is(err, ports.ErrThrottled) {
+		n.Contact.Responded(time.Now())
+		return
+	}
+	n.Contact.Failed()
+}
+
+// holdAtStart makes a daemon of a first start wait for its reader.
+func (n *Node) holdAtStart(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.awaitsReader, n.startHoldEnds = n.FirstStart, now.Add(startHold)
+}
+
 // returnDelay returns when the directory is read again after the platform's return.
 func (n *Node) returnDelay() time.Duration {
 	spread := n.ReturnSpread()
@@ -90,7 +124,11 @@
 }
 
 func (n *Node) syncDirectory(ctx context.Context, announced *bool) error {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	timeout := directoryTimeout
+	if n.FirstStart {
+		timeout += firstReadDelay + firstReadSpread
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !*announced {
 		value, err := cbor.Marshal(directoryEntry{n.Address, n.Zone})
@@ -101,6 +139,9 @@
 			return err
 		}
 		*announced = true
+		if n.FirstStart {
+			backoff.Sleep(ctx, firstReadDelay+time.Duration(n.directoryRand.Int64N(int64(firstReadSpread))))
+		}
 	}
 	rows, _, err := follow.ReadAll(ctx, n.Directory, n.directoryRand)
 	if err != nil {
@@ -150,6 +191,9 @@
 	}
 	n.lastHeard = lastHeard
 	n.group = newGroup(n.Address, zone)
+	if len(n.group.readers) == 0 {
+		n.awaitsReader = false
+	}
 	return own, stale
 }
 
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -22,6 +22,9 @@
 	// delegationTTL is how long a daemon relies on its group reader after a
 	// datagram from it. It tolerates two lost datagrams.
 	delegationTTL = 2*gossipInterval + 200*time.Millisecond
+	// passOnAge is how old a reader's announcement may be when it is passed on. A
+	// reader that ends is noticed that much later.
+	passOnAge = 300 * time.Millisecond
 	// readerWait is how long a group reader's call to the platform waits for a
 	// change. The group depends on the reader, so it has to notice sooner than
 	// others that the platform is silent.
@@ -33,11 +36,18 @@
 	delegationBackoff = 5 * time.Second
 )
 
-// group holds the daemons that share a group reader, in a fixed ranking. The
+// group holds the daemons of a zone from which a daemon gets the platform's
+// tables, and those to which it passes them on, in a fixed ranking. The
 // highest-ranked daemon that reaches the platform reads for those ranked below
 // it. A daemon that hears from no higher-ranked one reads for itself and, if it
 // reaches the platform, for those below it. No election is needed, and a reader
 // that ends, freezes or is partitioned is replaced after delegationTTL.
+//
+// A zone with more daemons than a group has several groups. Their highest-ranked
+// daemons form a group of their own, so that one daemon reads for the whole zone;
+// the others pass its announcements on to their groups as they arrive. Readers
+// have lower hashes than those that they read for, whatever list of the zone each
+// of them knows, so that no two daemons rely on each other.
 type group struct {
 	// dependents are the lower-ranked daemons, for which this one reads.
 	dependents []string
@@ -48,29 +58,39 @@
 // newGroup returns the group of a daemon among those of its zone. Daemons that
 // know the same list form the same groups.
 func newGroup(self string, zone []string) group {
+	if len(zone) < minGroup {
+		return group{}
+	}
 	slices.SortFunc(zone, func(a, b string) int {
 		return cmp.Or(cmp.Compare(Hash(a), Hash(b)), cmp.Compare(a, b))
 	})
-	groups := (len(zone) + groupSize - 1) / groupSize
 	at := slices.Index(zone, self)
 	if at < 0 {
 		return group{}
 	}
-	var members []string
-	for i := at % groups; i < len(zone); i += groups {
-		members = append(members, zone[i])
-	}
-	if len(members) < minGroup {
-		return group{}
-	}
-	own := slices.Index(members, self)
-	g := group{dependents: members[own+1:], readers: make(map[string]bool)}
-	for _, address := range members[:own] {
-		g.readers[address] = true
+	groups := (len(zone) + groupSize - 1) / groupSize
+	g := group{readers: make(map[string]bool)}
+	g.add(zone, at, groups)
+	if at < groups {
+		// The daemons at the first positions are the highest-ranked of each group.
+		g.add(zone[:groups], at, (groups+groupSize-1)/groupSize)
 	}
 	return g
 }
 
+// add adds the members of the group that the daemon at a position of the ranking
+// belongs to, if the ranking is divided into that many groups.
+func (g *group) add(ranking []string, at, groups int) {
+	for i := at % groups; i < len(ranking); i += groups {
+		switch {
+		case i < at:
+			g.readers[ranking[i]] = true
+		case i > at:
+			g.dependents = append(g.dependents, ranking[i])
+		}
+	}
+}
+
 // delegation records which daemon reads a table for this one.
 type delegation struct {
 	reader  string
@@ -80,11 +100,15 @@
 }
 
 // DelegatedFor returns for how much longer this daemon relies on another one to
-// read a table.
+// read a table. When all daemons start together, each waits for its reader.
 func (n *Node) DelegatedFor(table string, now time.Time) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.delegations[table].expires.Sub(now)
+	expires := n.delegations[table].expires
+	if n.awaitsReader && n.startHoldEnds.After(expires) {
+		expires = n.startHoldEnds
+	}
+	return expires.Sub(now)
 }
 
 // NotifyChange makes the daemon announce its tables to its group at once,
@@ -123,6 +147,8 @@
 	if previous != sender {
 		n.logReaderChange(state.Name, sender, own.AsOf)
 	}
+	// Daemons that depend on this one rely on the same reader.
+	n.NotifyChange()
 	if changed := ports.Version(state.Changed); changed <= own.AsOf {
 		// The reader has no change that this copy lacks.
 		table.OfferChanges(own.AsOf, nil, follow.Versions{AsOf: asOf, Changed: changed})
@@ -155,16 +181,19 @@
 	n.delegations[table] = delegation{blockedUntil: now.Add(delegationBackoff)}
 }
 
-// tablesReadForGroup returns the tables that the daemon reads for its group, and
-// the daemons that depend on it. It also drops expired delegations and sets how
-// long calls to the platform wait for a change.
-func (n *Node) tablesReadForGroup(now time.Time) (tables []TableState, dependents []string) {
+// tablesForGroup returns the tables that the daemon reads for its group or, with
+// passOn, those that another daemon reads for both, and the daemons that depend on
+// it. It also drops expired delegations and sets how long calls to the platform wait
+// for a change.
+func (n *Node) tablesForGroup(now time.Time, passOn bool) (tables []TableState, dependents []string) {
 	var expired []string
 	n.mu.Lock()
 	dependents = n.group.dependents
 	delegated := make(map[string]bool, len(n.delegations))
+	announced := make(map[string]bool, len(n.delegations))
 	for name, c := range n.delegations {
 		delegated[name] = now.Before(c.expires)
+		announced[name] = c.expires.Sub(now) >= delegationTTL-passOnAge
 		if !delegated[name] && c.reader != "" {
 			n.delegations[name] = delegation{blockedUntil: c.blockedUntil}
 			expired = append(expired, name)
@@ -177,10 +206,14 @@
 	for name, table := range n.Tables {
 		if len(dependents) == 0 || delegated[name] {
 			table.SetWait(soloWait)
-			continue
+		} else {
+			table.SetWait(readerWait)
+		}
+		current := !delegated[name] && table.ReadsPlatform(now)
+		if passOn {
+			current = announced[name]
 		}
-		table.SetWait(readerWait)
-		if !table.ReadsPlatform(now) {
+		if len(dependents) == 0 || !current {
 			continue
 		}
 		v := table.Versions()
@@ -190,9 +223,16 @@
 }
 
 // announceToGroup sends the versions of the tables that this daemon reads to the
-// daemons that depend on it.
-func (n *Node) announceToGroup(now time.Time, socket *net.UDPConn) {
-	tables, dependents := n.tablesReadForGroup(now)
+// daemons that depend on it. With passOn it also sends those of the tables that
+// another daemon reads for it, if that daemon's announcement has just come: no daemon
+// relies on a reader for much longer than delegationTTL after the reader's last
+// announcement.
+func (n *Node) announceToGroup(now time.Time, socket *net.UDPConn, passOn bool) {
+	tables, dependents := n.tablesForGroup(now, false)
+	if passOn {
+		delegated, _ := n.tablesForGroup(now, true)
+		tables = append(tables, delegated...)
+	}
 	if len(tables) == 0 {
 		return
 	}
--- a/internal/peers/group_test.go
+++ b/internal/peers/group_test.go
@@ -1,11 +1,13 @@
 package peers_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -79,13 +81,14 @@
 	node  *peers.Node
 	store *httptest.Server
 	stop  func()
+	rank  uint32
 }
 
 func startDaemon(t *testing.T, name string, store *standin.Store) *daemon {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	d := &daemon{rows: &tableSink{}, store: httptest.NewServer(store)}
+	d := &daemon{rows: &tableSink{}, store: httptest.NewServer(store), rank: peers.Hash(l.Addr().String())}
 	client := platform.NewStore(d.store.Listener.Addr().String())
 	rng := func() *rand.Rand { return rand.New(rand.NewPCG(1, uint64(peers.Hash(name)))) }
 	f := follow.New(client.Replicas(), d.rows, follow.Options{
@@ -199,3 +202,41 @@
 	store.Put("servers", "a", []byte("4"))
 	waitForAll(t, all, "a", "4")
 }
+
+// Guards against a zone of several groups in which each group polls the store, and
+// against daemons that fall behind when the daemon that reads for the whole zone, or
+// one that passes its announcements on, ends.
+func TestOneDaemonReadsForItsZone(t *testing.T) {
+	const daemons = 20 // two groups
+	store := standin.NewStore()
+	store.Put("servers", "a", []byte("1"))
+	var all []*daemon
+	for i := range daemons {
+		all = append(all, startDaemon(t, fmt.Sprint("daemon-", i), store))
+	}
+	waitForAll(t, all, "a", "1")
+	for deadline := time.Now().Add(15 * time.Second); len(delegated(all)) < daemons-1; time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "%d of %d daemons have a reader", len(delegated(all)), daemons-1)
+	}
+	time.Sleep(5 * time.Second) // lets calls end that began before the delegation
+	// As in TestOneDaemonReadsForItsGroup; a reader for each group makes 12 calls.
+	var calls []int
+	for len(calls) < 3 && (len(calls) == 0 || calls[len(calls)-1] > 6) {
+		before := store.Calls("/rows-feed")
+		time.Sleep(10 * time.Second)
+		calls = append(calls, store.Calls("/rows-feed")-before)
+	}
+	assert.Assert(t, calls[len(calls)-1] <= 6, "%v calls in windows of 10 s", calls)
+
+	store.Put("servers", "a", []byte("2"))
+	waitForAll(t, all, "a", "2")
+	// The daemons that others rely on end one after the other.
+	slices.SortFunc(all, func(a, b *daemon) int { return cmp.Compare(a.rank, b.rank) })
+	for i, value := range []string{"3", "4", "5"} {
+		all[0].stop()
+		all = all[1:]
+		store.Put("servers", "a", []byte(value))
+		waitForAll(t, all, "a", value)
+		t.Logf("%d daemons have ended", i+1)
+	}
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -42,8 +42,8 @@
 	MergeReports(map[uint32]balancer.LoadReport)
 }
 
-// Config sets up a Node. All fields but Seeds, Contact and PlatformReadRate are
-// required.
+// Config sets up a Node. All fields but Seeds, FirstStart, Contact and
+// PlatformReadRate are required.
 type Config struct {
 	Daemon    string
 	Address   string // IP:port at which the daemon receives datagrams
@@ -54,6 +54,10 @@
 	// Seeds are addresses of daemons from which a starting daemon may get its
 	// first copies of the tables during an outage. They may be down.
 	Seeds []string
+	// FirstStart means that all daemons start together for the first time. They then
+	// register over a span of time, read the directory once, and wait for their
+	// readers instead of polling the tables meanwhile.
+	FirstStart bool
 	// Contact records whether the platform responds. Nil means that peers are not
 	// told of its return.
 	Contact Contact
@@ -81,7 +85,11 @@
 	lastHeard map[string]time.Time
 	// delegations holds which daemon reads a table for this one, by table.
 	delegations map[string]delegation
-	// changed wakes the send loop when a copy has changed.
+	// awaitsReader is set while this daemon waits for a reader until startHoldEnds.
+	awaitsReader  bool
+	startHoldEnds time.Time
+	// changed wakes the send loop when a copy has changed or a reader has announced
+	// its tables.
 	changed chan struct{}
 	// fullCopies is a semaphore with an entry for each full copy that is being
 	// sent.
@@ -107,6 +115,7 @@
 
 // Run exchanges messages with peers until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
+	n.holdAtStart(time.Now())
 	address, err := net.ResolveUDPAddr("udp", n.Address)
 	if err != nil {
 		return eris.Wrap(err, "resolving the peer address")
@@ -169,9 +178,9 @@
 			n.announceReturn(time.Now(), socket)
 		case now := <-ticker.C:
 			n.sendGossip(now, socket)
-			n.announceToGroup(now, socket)
+			n.announceToGroup(now, socket, false)
 		case <-n.changed:
-			n.announceToGroup(time.Now(), socket)
+			n.announceToGroup(time.Now(), socket, true)
 		}
 	}
 }
