Pass each announcement of a zone's reader on once

Change: only the highest-ranked daemon of a group passes announcements on, and only to its own group. TestGroupsAreConsistent now counts how often a daemon receives an announcement; it was not run against the earlier rule.

--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -51,6 +51,10 @@
 type group struct {
 	// dependents are the lower-ranked daemons, for which this one reads.
 	dependents []string
+	// members are the dependents in the group whose highest-ranked daemon this one
+	// is. It passes the announcements of the zone's reader on to them, and to nobody
+	// else, so that each announcement reaches a daemon once.
+	members []string
 	// readers are the higher-ranked daemons, which may read for this one.
 	readers map[string]bool
 }
@@ -72,6 +76,7 @@
 	g := group{readers: make(map[string]bool)}
 	g.add(zone, at, groups)
 	if at < groups {
+		g.members = slices.Clone(g.dependents)
 		// The daemons at the first positions are the highest-ranked of each group.
 		g.add(zone[:groups], at, (groups+groupSize-1)/groupSize)
 	}
@@ -120,6 +125,14 @@
 	}
 }
 
+// notifyAnnounced makes the daemon pass an announcement of its reader on.
+func (n *Node) notifyAnnounced() {
+	select {
+	case n.announced <- struct{}{}:
+	default:
+	}
+}
+
 // acceptReader delegates the reading of a table to a higher-ranked daemon of the
 // group that announces it, unless that daemon's copy is behind this one or its
 // change history does not reach back to it.
@@ -147,8 +160,7 @@
 	if previous != sender {
 		n.logReaderChange(state.Name, sender, own.AsOf)
 	}
-	// Daemons that depend on this one rely on the same reader.
-	n.NotifyChange()
+	n.notifyAnnounced()
 	if changed := ports.Version(state.Changed); changed <= own.AsOf {
 		// The reader has no change that this copy lacks.
 		table.OfferChanges(own.AsOf, nil, follow.Versions{AsOf: asOf, Changed: changed})
@@ -181,19 +193,16 @@
 	n.delegations[table] = delegation{blockedUntil: now.Add(delegationBackoff)}
 }
 
-// tablesForGroup returns the tables that the daemon reads for its group or, with
-// passOn, those that another daemon reads for both, and the daemons that depend on
-// it. It also drops expired delegations and sets how long calls to the platform wait
-// for a change.
-func (n *Node) tablesForGroup(now time.Time, passOn bool) (tables []TableState, dependents []string) {
+// tablesReadForGroup returns the tables that the daemon reads for its group, and
+// the daemons that depend on it. It also drops expired delegations and sets how
+// long calls to the platform wait for a change.
+func (n *Node) tablesReadForGroup(now time.Time) (tables []TableState, dependents []string) {
 	var expired []string
 	n.mu.Lock()
 	dependents = n.group.dependents
 	delegated := make(map[string]bool, len(n.delegations))
-	announced := make(map[string]bool, len(n.delegations))
 	for name, c := range n.delegations {
 		delegated[name] = now.Before(c.expires)
-		announced[name] = c.expires.Sub(now) >= delegationTTL-passOnAge
 		if !delegated[name] && c.reader != "" {
 			n.delegations[name] = delegation{blockedUntil: c.blockedUntil}
 			expired = append(expired, name)
@@ -206,34 +215,52 @@
 	for name, table := range n.Tables {
 		if len(dependents) == 0 || delegated[name] {
 			table.SetWait(soloWait)
-		} else {
-			table.SetWait(readerWait)
-		}
-		current := !delegated[name] && table.ReadsPlatform(now)
-		if passOn {
-			current = announced[name]
-		}
-		if len(dependents) == 0 || !current {
 			continue
 		}
-		v := table.Versions()
-		tables = append(tables, TableState{Name: name, Changed: uint64(v.Changed), AsOf: uint64(v.AsOf), From: uint64(v.From)})
+		table.SetWait(readerWait)
+		if table.ReadsPlatform(now) {
+			tables = append(tables, announcement(name, table))
+		}
 	}
 	return tables, dependents
 }
 
+// tablesPassedOn returns the tables that another daemon reads for this one and has
+// just announced, and the daemons to which they are passed on.
+func (n *Node) tablesPassedOn(now time.Time) (tables []TableState, members []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, d := range n.delegations {
+		if d.expires.Sub(now) >= delegationTTL-passOnAge {
+			tables = append(tables, announcement(name, n.Tables[name]))
+		}
+	}
+	return tables, n.group.members
+}
+
+// announcement says which versions the daemon's copy of a table covers.
+func announcement(name string, table Table) TableState {
+	v := table.Versions()
+	return TableState{Name: name, Changed: uint64(v.Changed), AsOf: uint64(v.AsOf), From: uint64(v.From)}
+}
+
 // announceToGroup sends the versions of the tables that this daemon reads to the
-// daemons that depend on it. With passOn it also sends those of the tables that
-// another daemon reads for it, if that daemon's announcement has just come: no daemon
-// relies on a reader for much longer than delegationTTL after the reader's last
-// announcement.
-func (n *Node) announceToGroup(now time.Time, socket *net.UDPConn, passOn bool) {
-	tables, dependents := n.tablesForGroup(now, false)
-	if passOn {
-		delegated, _ := n.tablesForGroup(now, true)
-		tables = append(tables, delegated...)
-	}
-	if len(tables) == 0 {
+// daemons that depend on it.
+func (n *Node) announceToGroup(now time.Time, socket *net.UDPConn) {
+	tables, dependents := n.tablesReadForGroup(now)
+	n.announce(socket, tables, dependents)
+}
+
+// passOn sends what another daemon has just announced to this one to the daemons for
+// which this one passes it on. It is done only then, so that no daemon relies on a
+// reader for much longer than delegationTTL after the reader's last announcement.
+func (n *Node) passOn(now time.Time, socket *net.UDPConn) {
+	tables, members := n.tablesPassedOn(now)
+	n.announce(socket, tables, members)
+}
+
+func (n *Node) announce(socket *net.UDPConn, tables []TableState, targets []string) {
+	if len(tables) == 0 || len(targets) == 0 {
 		return
 	}
 	data, err := encode(&Message{Sender: n.Address, Tables: tables})
@@ -241,7 +268,7 @@
 		n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
 		return
 	}
-	for _, target := range dependents {
+	for _, target := range targets {
 		n.sendTo(socket, target, data)
 	}
 }
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -88,9 +88,9 @@
 	// awaitsReader is set while this daemon waits for a reader until startHoldEnds.
 	awaitsReader  bool
 	startHoldEnds time.Time
-	// changed wakes the send loop when a copy has changed or a reader has announced
-	// its tables.
-	changed chan struct{}
+	// changed wakes the send loop when a copy has changed, and announced when a
+	// reader has announced its tables.
+	changed, announced chan struct{}
 	// fullCopies is a semaphore with an entry for each full copy that is being
 	// sent.
 	fullCopies chan struct{}
@@ -107,6 +107,7 @@
 	return &Node{
 		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag),
 		delegations: make(map[string]delegation), changed: make(chan struct{}, 1),
+		announced:     make(chan struct{}, 1),
 		fullCopies:    make(chan struct{}, maxFullCopies),
 		directoryRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
 		bootstrapRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
@@ -178,9 +179,12 @@
 			n.announceReturn(time.Now(), socket)
 		case now := <-ticker.C:
 			n.sendGossip(now, socket)
-			n.announceToGroup(now, socket, false)
+			n.announceToGroup(now, socket)
 		case <-n.changed:
-			n.announceToGroup(time.Now(), socket, true)
+			n.announceToGroup(time.Now(), socket)
+			n.passOn(time.Now(), socket)
+		case <-n.announced:
+			n.passOn(time.Now(), socket)
 		}
 	}
 }
--- a/internal/peers/rank_test.go
+++ b/internal/peers/rank_test.go
@@ -10,7 +10,7 @@
 // Guards against daemons that derive different groups from the same list, against a
 // zone without exactly one top-ranked reader, against daemons that depend on more or
 // pass on to more others than two groups, and against one that no announcement of the
-// top-ranked reader reaches.
+// top-ranked reader reaches or that many copies of it reach: a storm of datagrams.
 func TestGroupsAreConsistent(t *testing.T) {
 	for _, n := range []int{1, 3, 4, 16, 17, 55, 256, 300} {
 		var zone []string
@@ -43,21 +43,21 @@
 		// Above groupSize groups, the daemons that read for them have several groups.
 		tops := ((n+groupSize-1)/groupSize + groupSize - 1) / groupSize
 		assert.Equal(t, len(top), tops, "zone of %d", n)
-		reached := make(map[string]bool)
-		var reach func(string)
-		reach = func(self string) {
-			if reached[self] {
-				return
-			}
-			reached[self] = true
+		// An announcement goes to the dependents, and the highest-ranked ones pass it on.
+		received := make(map[string]int)
+		for self := range top {
+			received[self]++
 			for _, address := range groups[self].dependents {
-				reach(address)
+				received[address]++
+				for _, member := range groups[address].members {
+					received[member]++
+				}
 			}
 		}
-		for self := range top {
-			reach(self)
+		assert.Equal(t, len(received), n)
+		for address, times := range received {
+			assert.Equal(t, times, 1, "%s gets an announcement %d times", address, times)
 		}
-		assert.Equal(t, len(reached), n)
 	}
 	assert.Equal(t, len(newGroup("absent", []string{"a", "b", "c", "d"}).readers), 0)
 }
