Contain panics, and stop only when no request is being read

A panic in a goroutine outside of net/http's handlers ended the process with all requests in it: a datagram, a row, a peer's copy, a load report. A datagram or row is dropped; a change that panics in the follower makes it read the whole table again. The request path stays with net/http. Locks that a panic would leave held are released by defer now.

A planned stop counted requests from their handler on. The listener counts connections on which a request has begun, and the stop waits for them.

--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -27,6 +27,21 @@
 type callerListener struct {
 	net.Listener
 	timeouts func() connTimeouts
+	conns    *callerConns
+}
+
+// callerConns counts the connections with a request: those being served, and those
+// whose header is being read, of which the server tells nobody.
+type callerConns struct {
+	serving atomic.Int64
+	// acceptedAt is when the last connection was accepted, in Unix nanoseconds.
+	acceptedAt atomic.Int64
+}
+
+// busy reports whether a request is in progress or may be about to arrive on a
+// connection that has just been accepted.
+func (c *callerConns) busy() bool {
+	return c.serving.Load() > 0 || time.Since(time.Unix(0, c.acceptedAt.Load())) < drainPollInterval
 }
 
 func (l callerListener) Accept() (net.Conn, error) {
@@ -34,13 +49,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: inner, timeouts: l.timeouts}, nil
+	l.conns.acceptedAt.Store(time.Now().UnixNano())
+	return &callerConn{Conn: inner, timeouts: l.timeouts, conns: l.conns}, nil
 }
 
 // callerConn is the connection of one caller.
 type callerConn struct {
 	net.Conn
 	timeouts func() connTimeouts
+	conns    *callerConns
 	// serving is set from a request's first byte until the connection is idle.
 	serving atomic.Bool
 
@@ -55,6 +72,7 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.serving.Swap(true) {
+		c.conns.serving.Add(1)
 		c.setTimeout(c.timeouts().header)
 	}
 	return n, err
@@ -94,9 +112,17 @@
 	switch state {
 	case http.StateIdle:
 		c.setTimeout(c.timeouts().idle)
-		c.serving.Store(false)
+		c.endRequest()
 	case http.StateClosed, http.StateHijacked:
 		c.setTimeout(0)
+		c.endRequest()
+	}
+}
+
+// endRequest records that the connection has no request.
+func (c *callerConn) endRequest() {
+	if c.serving.Swap(false) {
+		c.conns.serving.Add(-1)
 	}
 }
 
--- /dev/null
+++ b/internal/edge/contain_test.go
@@ -0,0 +1,47 @@
+package edge_test
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/edge"
+	"github.com/auburndyke/auburndyke/internal/httproute"
+	"github.com/auburndyke/auburndyke/internal/inventory"
+	"github.com/auburndyke/auburndyke/platform"
+	"github.com/auburndyke/auburndyke/platform/standin"
+)
+
+// Guards against one row that ends the process by a panic of its decoder: the other
+// rows hold, an earlier configuration stays in force, and later rows are read.
+func TestRowThatPanicsIsSkipped(t *testing.T) {
+	store := standin.NewStore()
+	s := startWithDecoders(t, store, func(s *edge.Settings) { s.RemovalTimeout = time.Second }, edge.Decoders{
+		IsConfig: platform.IsConfig,
+		Config: func(value []byte) (*httproute.Config, error) {
+			if bytes.Contains(value, []byte("planted")) {
+				panic("planted")
+			}
+			return platform.DecodeConfig(value)
+		},
+		Registration: func(id string, value []byte) (inventory.Registration, error) {
+			if id == "planted" {
+				panic("planted")
+			}
+			return platform.DecodeReplica(id, value)
+		},
+	})
+	store.Put("servers", "planted", []byte("x"))
+	s.configure(1, "/a/")
+	store.Put("servers", "replica-0", s.replica.Registration("app", "a", "ready"))
+	s.awaitStatus(s.callerURL("/a/"), "h.example", http.StatusOK)
+	store.Put("op", "config", []byte("planted"))
+	time.Sleep(200 * time.Millisecond)
+	status, _ := s.get(s.callerURL("/a/"), "h.example")
+	assert.Equal(t, status, http.StatusOK)
+	s.configure(2, "/b/")
+	s.awaitStatus(s.callerURL("/b/"), "h.example", http.StatusOK)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -97,6 +97,7 @@
 	handler  *relay.Handler
 	pool     *upstreamhttp.Pool
 	shutdown shutdownState
+	callers  callerConns
 }
 
 // New returns a daemon with the given settings and dependencies.
@@ -153,7 +154,7 @@
 	if s.FileDescriptors > 0 {
 		callers = netutil.LimitListener(callers, max(int(callerDescriptorShare*float64(s.FileDescriptors)), 1))
 	}
-	callers = callerListener{callers, e.callerTimeouts}
+	callers = callerListener{callers, e.callerTimeouts, &e.callers}
 	readiness, err := net.Listen("tcp", s.ReadinessAddress)
 	if err != nil {
 		_ = callers.Close() // never served
@@ -179,11 +180,11 @@
 	}
 	contact := follow.NewContact()
 	configuration := follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{
-		Delegated: delegatedFor(tableConfiguration), Contact: contact, ReturnSpread: returnSpread, Rand: newRand(),
+		Delegated: delegatedFor(tableConfiguration), Contact: contact, ReturnSpread: returnSpread, Log: e.deps.Log, Rand: newRand(),
 	})
 	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{
 		CoalesceDelay: settleInterval(s), Delegated: delegatedFor(tableUpstreams),
-		Contact: contact, ReturnSpread: returnSpread, Rand: newRand(),
+		Contact: contact, ReturnSpread: returnSpread, Log: e.deps.Log, Rand: newRand(),
 	})
 	e.handler.OnListOutdated = upstreams.Refresh
 	node = e.newPeerNode(contact, map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -52,6 +52,13 @@
 
 // startWithStore starts a daemon that follows a store. change adjusts its settings.
 func startWithStore(t *testing.T, store *standin.Store, change func(*edge.Settings)) *fixture {
+	t.Helper()
+	return startWithDecoders(t, store, change, edge.Decoders{
+		IsConfig: platform.IsConfig, Config: platform.DecodeConfig, Registration: platform.DecodeReplica,
+	})
+}
+
+func startWithDecoders(t *testing.T, store *standin.Store, change func(*edge.Settings), decoders edge.Decoders) *fixture {
 	t.Helper()
 	s := &fixture{t: t, store: store, done: make(chan error, 1)}
 	server := httptest.NewServer(s.store)
@@ -70,9 +77,7 @@
 	client := platform.NewStore(s.settings.Load().PlatformAddress)
 	e := edge.New(s.settings.Load(), edge.Deps{
 		Protocol: platform.Protocol{},
-		Decoders: edge.Decoders{
-			IsConfig: platform.IsConfig, Config: platform.DecodeConfig, Registration: platform.DecodeReplica,
-		},
+		Decoders: decoders,
 		Configuration: client.Configuration(), Upstreams: client.Replicas(), Daemons: client.Daemons(),
 		ReadSettings: func() (*edge.Settings, error) { return s.settings.Load(), nil },
 		Log:          telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
 	"github.com/auburndyke/auburndyke/internal/inventory"
@@ -82,12 +83,14 @@
 
 // applyConfig applies a configuration that is newer than the current one.
 func (s *state) applyConfig(value []byte, version ports.Version) {
-	config, err := s.decoders.Config(value)
-	if err != nil {
-		s.logRejected(err, version)
-		return
-	}
-	table, err := httproute.Compile(config)
+	var config *httproute.Config
+	var table *httproute.Table
+	err := contain.Do(s.log, "a configuration", func() (err error) {
+		if config, err = s.decoders.Config(value); err == nil {
+			table, err = httproute.Compile(config)
+		}
+		return err
+	})
 	if err != nil {
 		s.logRejected(err, version)
 		return
@@ -172,10 +175,17 @@
 }
 
 func (s *state) expireEntries() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inventory.Expire(time.Now())
-	s.updateBalancer()
+	err := contain.Do(s.log, "expired upstreams", func() error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.inventory.Expire(time.Now())
+		s.updateBalancer()
+		return nil
+	})
+	if err != nil {
+		// The next change of the list updates the balancer again.
+		s.log.Event(telemetry.RegistrationRejected).Err(err).Send()
+	}
 }
 
 // configSink receives the rows of the configuration table.
@@ -253,7 +263,11 @@
 	if row.Deleted {
 		return inventory.Registration{}, false
 	}
-	r, err := s.decoders.Registration(row.Key, row.Value)
+	var r inventory.Registration
+	err := contain.Do(s.log, "a registration", func() (err error) {
+		r, err = s.decoders.Registration(row.Key, row.Value)
+		return err
+	})
 	if err != nil {
 		s.log.Event(telemetry.RegistrationRejected).Err(err).Str("upstream", row.Key).
 			Uint64("row_version", uint64(row.Version)).Send()
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -23,7 +23,8 @@
 	// defaultShutdownTimeout replaces a ShutdownTimeout of zero.
 	defaultShutdownTimeout = 8 * time.Second
 	// drainPollInterval is how often the daemon checks whether its requests have
-	// ended.
+	// ended. It is also how old a connection without a request must be before it is
+	// closed.
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -54,12 +55,13 @@
 		return nil
 	}
 	e.handler.SetShutdownDeadline(deadline)
-	for e.handler.Active() > 0 && time.Now().Before(deadline) && backoff.Sleep(ctx, drainPollInterval) {
+	for e.callers.busy() && time.Now().Before(deadline) && backoff.Sleep(ctx, drainPollInterval) {
 	}
 	e.deps.Log.Event(telemetry.ShutdownComplete).Int("cut", e.handler.Active()).Send()
 	return nil
 }
 
 // closeCallerServer closes the server for callers when the group stops. Requests
-// have then ended, or the shutdown timeout has passed.
+// have then ended, or the shutdown timeout has passed. The server's own Shutdown is not
+// used: it drops requests whose header it has read meanwhile.
 func (e *Edge) closeCallerServer(s *http.Server) { _ = s.Close() }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,7 +12,9 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburndyke/auburndyke/internal/backoff"
+	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
 // ErrHistoryGone means that the source no longer has all changes after the
@@ -82,6 +84,7 @@
 	delegated     func(time.Time) time.Duration
 	contact       *Contact
 	returnSpread  func() time.Duration
+	log           *telemetry.Log
 	rng           *rand.Rand
 	// timeout bounds calls that are answered at once. It is used by Run only.
 	timeout callTimeout
@@ -139,6 +142,8 @@
 	// ReturnSpread returns the span over which the daemons spread the calls that
 	// they repeat when the platform returns. Nil means that they don't.
 	ReturnSpread func() time.Duration
+	// Log gets the panics of the sink. Default none.
+	Log *telemetry.Log
 	// Rand adds jitter to the delays after failures. Required.
 	Rand *rand.Rand
 }
@@ -147,7 +152,7 @@
 func New(source Source, sink Sink, o Options) *Follower {
 	f := &Follower{
 		source: source, sink: sink, coalesceDelay: o.CoalesceDelay, delegated: o.Delegated,
-		contact: o.Contact, returnSpread: o.ReturnSpread, rng: o.Rand,
+		contact: o.Contact, returnSpread: o.ReturnSpread, log: cmp.Or(o.Log, telemetry.NopLog()), rng: o.Rand,
 		refresh: make(chan struct{}, 1), started: time.Now(),
 	}
 	if f.contact == nil {
@@ -220,7 +225,11 @@
 			continue
 		}
 		returned := f.contact.Returned()
-		err := f.step(ctx)
+		err := contain.Do(f.log, "a table read", func() error { return f.step(ctx) })
+		if errors.Is(err, contain.ErrPanic) {
+			// The sink may have taken over a part of the rows.
+			f.setIncremental(false)
+		}
 		f.probe, f.lastCallAt = false, time.Now()
 		if ctx.Err() != nil {
 			break
--- a/internal/follow/outage_test.go
+++ b/internal/follow/outage_test.go
@@ -362,3 +362,39 @@
 		t.Fatal("the second return was not announced")
 	}
 }
+
+// panickingSink panics at the first change.
+type panickingSink struct {
+	recordingSink
+	panicked bool
+}
+
+func (s *panickingSink) Apply(now time.Time, rows []ports.Row, version ports.Version) {
+	if version > 1 && !s.panicked {
+		s.panicked = true
+		panic("planted")
+	}
+	s.recordingSink.Apply(now, rows, version)
+}
+
+// Guards against a page or a change that ends the process because it can't be handled,
+// and against a copy that keeps a part of it: the whole table is read again.
+func TestChangeThatPanicsIsReadAgain(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p, sink := newOutagePlatform(), &panickingSink{}
+		f := follow.New(p, sink, follow.Options{Rand: rand.New(rand.NewPCG(1, 2))})
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		defer func() { cancel(); assert.Check(t, <-done) }()
+		time.Sleep(time.Second)
+		version := p.write()
+		time.Sleep(time.Second)
+		assert.Assert(t, sink.panicked)
+		assert.Equal(t, f.Versions().AsOf, version)
+		sink.mu.Lock()
+		defer sink.mu.Unlock()
+		assert.Equal(t, len(sink.rows), 1)
+		assert.Assert(t, sink.regained > 0)
+	})
+}
--- a/internal/peers/bootstrap.go
+++ b/internal/peers/bootstrap.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/backoff"
+	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -51,7 +52,11 @@
 // readSeed requests a table from one seed. It reports whether the seed's copy
 // was adopted.
 func (n *Node) readSeed(ctx context.Context, name, seed string) bool {
-	adopted, err := n.fetchCopy(ctx, name, seed)
+	var adopted bool
+	err := contain.Do(n.Log, "a seed's copy", func() (err error) {
+		adopted, err = n.fetchCopy(ctx, name, seed)
+		return err
+	})
 	line := n.Log.Event(telemetry.SeedCopyRead)
 	if err != nil {
 		line.Err(err)
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/auburndyke/auburndyke/internal/backoff"
+	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
@@ -72,7 +73,7 @@
 	}
 	for {
 		returned := n.Contact.Returned()
-		err := n.syncDirectory(ctx, &announced)
+		err := contain.Do(n.Log, "the directory", func() error { return n.syncDirectory(ctx, &announced) })
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -146,26 +147,41 @@
 		if err != nil {
 			continue // ICMP error: an earlier datagram had no receiver
 		}
-		m, err := decode(buf[:size])
+		err = contain.Do(n.Log, "a peer message", func() error { return n.receive(ctx, buf[:size]) })
 		if err != nil {
 			n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
-			continue
 		}
-		n.mu.Lock()
-		fresh := n.state.Receive(time.Now(), m)
-		if _, listed := n.lastHeard[m.Sender]; listed {
-			n.lastHeard[m.Sender] = time.Now()
-		}
-		n.mu.Unlock()
-		n.mergeReturn(time.Now(), m)
-		n.Local.MergeReports(fresh)
-		for _, state := range m.Tables {
-			n.acceptReader(time.Now(), state, m.Sender)
-		}
-		n.compareTables(ctx, time.Now(), m)
 	}
 }
 
+// receive handles one datagram.
+func (n *Node) receive(ctx context.Context, data []byte) error {
+	m, err := decode(data)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	fresh := n.mergeState(now, m)
+	n.mergeReturn(now, m)
+	n.Local.MergeReports(fresh)
+	for _, state := range m.Tables {
+		n.acceptReader(now, state, m.Sender)
+	}
+	n.compareTables(ctx, now, m)
+	return nil
+}
+
+// mergeState takes over what a message says of the other daemons. It returns the load
+// reports that are newer than the known ones.
+func (n *Node) mergeState(now time.Time, m *Message) map[uint32]balancer.LoadReport {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, listed := n.lastHeard[m.Sender]; listed {
+		n.lastHeard[m.Sender] = now
+	}
+	return n.state.Receive(now, m)
+}
+
 func (n *Node) sendLoop(ctx context.Context, socket *net.UDPConn) {
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
@@ -178,8 +194,8 @@
 			returned = n.Contact.Returned()
 			n.announceReturn(time.Now(), socket)
 		case now := <-ticker.C:
-			n.sendGossip(now, socket)
-			n.announceToGroup(now, socket)
+			n.contained("sending reports", func() { n.sendGossip(now, socket) })
+			n.contained("announcing tables", func() { n.announceToGroup(now, socket) })
 		case <-n.changed:
 			n.announceToGroup(time.Now(), socket)
 			n.passOn(time.Now(), socket)
@@ -189,6 +205,12 @@
 	}
 }
 
+// contained calls f, whose panic is logged. f is called again at the next interval.
+func (n *Node) contained(place string, f func()) {
+	// The error is logged where the panic is contained.
+	_ = contain.Do(n.Log, place, func() error { f(); return nil })
+}
+
 // sendGossip exchanges reports with the local state and sends one message to
 // random peers.
 func (n *Node) sendGossip(now time.Time, socket *net.UDPConn) {
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
 
+	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
@@ -140,7 +141,11 @@
 }
 
 func (n *Node) fetch(ctx context.Context, name string, l lag) {
-	adopted, err := n.fetchCopy(ctx, name, l.peer)
+	var adopted bool
+	err := contain.Do(n.Log, "a peer's copy", func() (err error) {
+		adopted, err = n.fetchCopy(ctx, name, l.peer)
+		return err
+	})
 	line := n.Log.Event(telemetry.PeerCopyRead)
 	if err != nil {
 		line.Err(err)
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/inventory"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -34,12 +35,16 @@
 	var wait sync.WaitGroup
 	for _, u := range upstreams {
 		wait.Go(func() {
-			load, err := h.pollLoad(ctx, u)
+			err := contain.Do(h.Log, "a load report", func() error {
+				load, err := h.pollLoad(ctx, u)
+				if err == nil {
+					h.Balancer.ObserveLoad(time.Now(), u.ID, load)
+				}
+				return err
+			})
 			if err != nil {
 				h.Log.Event(telemetry.LoadReportError).Err(err).Str("upstream", string(u.ID)).Send()
-				return
 			}
-			h.Balancer.ObserveLoad(time.Now(), u.ID, load)
 		})
 	}
 	wait.Wait()
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -30,6 +30,8 @@
 	SettingsReloaded = Event{"AD1008", "settings_reloaded", zerolog.InfoLevel, "The settings were read again, after a signal or because the file changed."}
 	SettingsRejected = Event{"AD1009", "settings_rejected", zerolog.ErrorLevel, "Changed settings can't be read; the earlier ones stay in use."}
 
+	PanicContained = Event{"AD1010", "panic_contained", zerolog.ErrorLevel, "Code that handles one message, row or page panicked; the message is dropped or read again, the daemon goes on."}
+
 	AdmissionDecision = Event{"AD2001", "admission_decision", zerolog.InfoLevel, "A request was queued, dispatched or refused; reason says why."}
 	RoutingDecision   = Event{"AD2002", "routing_decision", zerolog.InfoLevel, "An upstream was picked; candidates, scores and exclusions are listed."}
 	AttemptFailed     = Event{"AD2003", "attempt_failed", zerolog.WarnLevel, "An attempt at an upstream failed; error says how."}
@@ -90,7 +92,7 @@
 // Catalogue lists every event in code order.
 var Catalogue = []Event{
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
-	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected,
+	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected, PanicContained,
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
