Ask the platform again after a pause of the process

Cause: the clock of the daemon's timers stands still while its VM is suspended. A delegation of 1.2 s, or a poll that was open, looked as good after a pause of 40 s as before, although a key, a route or an upstream may have been revoked.

Change: a loop compares the boot-time clock, which counts suspended time, with its own interval.

Not changed: requests that arrive in the first milliseconds after a pause are served by the copies as they are, as in any outage of the platform.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -201,6 +201,17 @@
 	}
 	followers := map[string]*follow.Follower{tableConfiguration: configuration, tableUpstreams: upstreams}
 	addLoop(&g, func(ctx context.Context) error { return e.sweep(ctx, followers) })
+	addLoop(&g, func(ctx context.Context) error {
+		return e.watchPauses(ctx, bootTime, func() {
+			if node != nil {
+				node.ForgetReaders()
+			}
+			for _, f := range followers {
+				f.Refresh()
+				f.RepeatCall()
+			}
+		})
+	})
 	addLoop(&g, e.watchSettings)
 	addLoop(&g, func(group context.Context) error { return e.awaitShutdown(group, ctx) })
 	return g.Run()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -76,8 +76,8 @@
 	s.settings.Store(settings)
 	client := platform.NewStore(s.settings.Load().PlatformAddress)
 	e := edge.New(s.settings.Load(), edge.Deps{
-		Protocol: platform.Protocol{},
-		Decoders: decoders,
+		Protocol:      platform.Protocol{},
+		Decoders:      decoders,
 		Configuration: client.Configuration(), Upstreams: client.Replicas(), Daemons: client.Daemons(),
 		ReadSettings: func() (*edge.Settings, error) { return s.settings.Load(), nil },
 		Log:          telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
--- a/internal/peers/contact_test.go
+++ b/internal/peers/contact_test.go
@@ -70,3 +70,16 @@
 	n.PlatformReadRate = 0
 	assert.Equal(t, n.ReturnSpread(), time.Duration(0))
 }
+
+// Guards against a daemon that relies on its reader after a pause in which the reader
+// may have announced changes.
+func TestPauseEndsDelegations(t *testing.T) {
+	table := &fixedTable{copy: follow.NewSnapshot(nil, follow.Versions{AsOf: 5, Changed: 3})}
+	n := New(Config{Daemon: "a", Address: "a:1", Local: idleState{}, Tables: map[string]Table{"upstreams": table}, Rand: rand.New(rand.NewPCG(1, 2)), Log: telemetry.NopLog()})
+	n.group.readers = map[string]bool{"b:1": true}
+	now := time.Now()
+	n.acceptReader(now, TableState{Name: "upstreams", Changed: 3, AsOf: 6, From: 1}, "b:1")
+	assert.Assert(t, n.DelegatedFor("upstreams", now) > 0)
+	n.ForgetReaders()
+	assert.Assert(t, n.DelegatedFor("upstreams", now) <= 0)
+}
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -116,6 +116,14 @@
 	return expires.Sub(now)
 }
 
+// ForgetReaders ends all delegations. It is used after a pause of the process, whose
+// readers may have announced changes meanwhile.
+func (n *Node) ForgetReaders() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.delegations)
+}
+
 // NotifyChange makes the daemon announce its tables to its group at once,
 // because a copy has changed.
 func (n *Node) NotifyChange() {
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -32,6 +32,8 @@
 
 	PanicContained = Event{"AD1010", "panic_contained", zerolog.ErrorLevel, "Code that handles one message, row or page panicked; the message is dropped or read again, the daemon goes on."}
 
+	ProcessPaused = Event{"AD1011", "process_paused", zerolog.WarnLevel, "The process or its VM was paused; the daemon asks the platform at once whether its tables are current."}
+
 	AdmissionDecision = Event{"AD2001", "admission_decision", zerolog.InfoLevel, "A request was queued, dispatched or refused; reason says why."}
 	RoutingDecision   = Event{"AD2002", "routing_decision", zerolog.InfoLevel, "An upstream was picked; candidates, scores and exclusions are listed."}
 	AttemptFailed     = Event{"AD2003", "attempt_failed", zerolog.WarnLevel, "An attempt at an upstream failed; error says how."}
@@ -92,7 +94,7 @@
 // Catalogue lists every event in code order.
 var Catalogue = []Event{
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
-	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected, PanicContained,
+	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected, PanicContained, ProcessPaused,
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
