Make daemons with a reader ask rarely while the platform is away

After all were killed, each wrote a row that the directory still had, and read it twice.

Tests: TestRetriesAreRareInLargeFleets, TestRestartedDaemonWritesNoRow.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
+	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/inventory"
@@ -178,13 +179,19 @@
 		}
 		return node.ReturnSpread()
 	}
+	retryPolicy := func() backoff.Policy {
+		if node == nil {
+			return follow.DefaultRetryPolicy
+		}
+		return node.RetryPolicy()
+	}
 	contact := follow.NewContact()
 	configuration := follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{
-		Delegated: delegatedFor(tableConfiguration), Contact: contact, ReturnSpread: returnSpread, Log: e.deps.Log, Rand: newRand(),
+		Delegated: delegatedFor(tableConfiguration), Contact: contact, ReturnSpread: returnSpread, RetryPolicy: retryPolicy, Log: e.deps.Log, Rand: newRand(),
 	})
 	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{
 		CoalesceDelay: settleInterval(s), Delegated: delegatedFor(tableUpstreams),
-		Contact: contact, ReturnSpread: returnSpread, Log: e.deps.Log, Rand: newRand(),
+		Contact: contact, ReturnSpread: returnSpread, RetryPolicy: retryPolicy, Log: e.deps.Log, Rand: newRand(),
 	})
 	e.handler.OnListOutdated = upstreams.Refresh
 	node = e.newPeerNode(contact, map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
--- a/internal/edge/outage_test.go
+++ b/internal/edge/outage_test.go
@@ -19,6 +19,17 @@
 // response. The bound is the tightest that the users state for a configuration; the
 // first request is served within that of registrations that lapsed.
 func TestServesSoonAfterAnOutage(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"silent": standin.Silent, "busy": standin.Busy, "throttled": standin.Throttled, "reset": standin.Reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testServesSoonAfter(t, fault)
+		})
+	}
+}
+
+func testServesSoonAfter(t *testing.T, fault standin.Fault) {
 	const (
 		daemons      = 7
 		configBound  = 2500 * time.Millisecond
@@ -41,7 +52,7 @@
 	}
 	time.Sleep(4 * time.Second) // all have read the directory a second time
 
-	store.SetFault(standin.Silent)
+	store.SetFault(fault)
 	// Two more daemons start in the outage and have no copies.
 	for i := range 2 {
 		all = append(all, startWithStore(t, store, func(s *edge.Settings) {
@@ -59,6 +70,8 @@
 	})
 
 	var wait sync.WaitGroup
+	var mu sync.Mutex
+	var slowest, slowestStart time.Duration
 	for i, d := range all {
 		wait.Go(func() {
 			for status := 0; status != http.StatusOK; time.Sleep(10 * time.Millisecond) {
@@ -69,13 +82,19 @@
 			}
 			took := time.Since(returned)
 			bound := configBound
+			mu.Lock()
 			if i >= daemons {
 				bound = servingBound
+				slowestStart = max(slowestStart, took)
+			} else {
+				slowest = max(slowest, took)
 			}
+			mu.Unlock()
 			assert.Check(t, took <= bound, "daemon %d served the new configuration after %s", i, took)
 		})
 	}
 	wait.Wait()
+	t.Logf("new configuration served after at most %s, by daemons that started in the outage after %s", slowest, slowestStart)
 }
 
 func daemonName(i int) domain.DaemonID { return domain.DaemonID(fmt.Sprint("edge-", i)) }
--- a/internal/follow/call.go
+++ b/internal/follow/call.go
@@ -20,8 +20,9 @@
 	// callTimeoutFactor is the timeout as a multiple of the time that responses
 	// take.
 	callTimeoutFactor = 4
-	// callTimeoutGrowth is the growth of the timeout after a call that exceeded it.
-	callTimeoutGrowth = 1.4
+	// longCallEvery is the number of calls without a response of which one has a
+	// longer timeout, twice the last one.
+	longCallEvery = 8
 	// maxTransferTime bounds a response that arrives in parts.
 	maxTransferTime = 10 * time.Second
 )
@@ -33,20 +34,40 @@
 	errCallRepeated = errors.New("call ended to be repeated")
 )
 
-// callTimeout is the timeout of calls that the platform answers at once. It
-// follows the time that recent responses took.
-type callTimeout struct{ current time.Duration }
+// callTimeout is the timeout of calls that the platform answers at once. It follows
+// the time that recent responses took. While there are none, most calls have a short
+// timeout, so that the platform's return is noticed soon, and every longCallEvery-th a
+// long one, which a slow platform needs.
+type callTimeout struct {
+	usual time.Duration
+	long  time.Duration
+	// misses is the number of calls without a response since the last one.
+	misses int
+}
 
-func (t *callTimeout) value() time.Duration { return max(t.current, minCallTimeout) }
+func (t *callTimeout) value() time.Duration {
+	usual := max(t.usual, minCallTimeout)
+	if t.isLong() {
+		return max(t.long, usual)
+	}
+	return usual
+}
+
+// isLong reports whether the next call has a long timeout.
+func (t *callTimeout) isLong() bool { return t.misses%longCallEvery == longCallEvery-1 }
 
 // observe records how long a response took.
 func (t *callTimeout) observe(took time.Duration) {
-	t.current = min(max(callTimeoutFactor*took, t.value()/2), maxCallTimeout)
+	t.usual = min(max(callTimeoutFactor*took, t.usual/2), maxCallTimeout)
+	t.long, t.misses = 0, 0
 }
 
 // exceeded records that a call got no response in time.
 func (t *callTimeout) exceeded() {
-	t.current = min(time.Duration(callTimeoutGrowth*float64(t.value())), maxCallTimeout)
+	t.misses++
+	if t.isLong() {
+		t.long = min(2*max(t.long, t.usual, minCallTimeout), maxCallTimeout)
+	}
 }
 
 // call is one call to the platform. It ends if its response does not begin within
--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -75,3 +75,10 @@
 	defer c.mu.Unlock()
 	return c.returned
 }
+
+// untilRepeat returns how long to wait until a call is repeated that is due a delay
+// after the platform's last return. A daemon that learns of the return late does not
+// wait for longer than the others.
+func (c *Contact) untilRepeat(delay time.Duration) time.Duration {
+	return max(time.Until(c.ReturnedAt().Add(delay)), 0)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -45,13 +45,12 @@
 	// minRefreshInterval: the platform takes about that long to notice that a
 	// process has ended, and processes that ended together restart within it.
 	refreshWindow = 3 * time.Second
-	// failureFloor and failureCap bound the delay after a failure. The cap is half
-	// of the time within which upstreams that lapsed during an outage register
-	// again.
-	failureFloor = 100 * time.Millisecond
-	failureCap   = time.Second
 )
 
+// DefaultRetryPolicy bounds the delay after a failure. Its cap is half of the time
+// within which upstreams that lapsed during an outage register again.
+var DefaultRetryPolicy = backoff.Policy{Floor: 100 * time.Millisecond, Cap: time.Second}
+
 // Source is a table of the platform.
 type Source interface {
 	Reader
@@ -84,6 +83,7 @@
 	delegated     func(time.Time) time.Duration
 	contact       *Contact
 	returnSpread  func() time.Duration
+	retryPolicy   func() backoff.Policy
 	log           *telemetry.Log
 	rng           *rand.Rand
 	// timeout bounds calls that are answered at once. It is used by Run only.
@@ -142,6 +142,9 @@
 	// ReturnSpread returns the span over which the daemons spread the calls that
 	// they repeat when the platform returns. Nil means that they don't.
 	ReturnSpread func() time.Duration
+	// RetryPolicy returns the delays after failures while other daemons report the
+	// platform's return. Nil means delays of 0.1 to 1 s.
+	RetryPolicy func() backoff.Policy
 	// Log gets the panics of the sink. Default none.
 	Log *telemetry.Log
 	// Rand adds jitter to the delays after failures. Required.
@@ -152,12 +155,15 @@
 func New(source Source, sink Sink, o Options) *Follower {
 	f := &Follower{
 		source: source, sink: sink, coalesceDelay: o.CoalesceDelay, delegated: o.Delegated,
-		contact: o.Contact, returnSpread: o.ReturnSpread, log: cmp.Or(o.Log, telemetry.NopLog()), rng: o.Rand,
+		contact: o.Contact, returnSpread: o.ReturnSpread, retryPolicy: o.RetryPolicy, log: cmp.Or(o.Log, telemetry.NopLog()), rng: o.Rand,
 		refresh: make(chan struct{}, 1), started: time.Now(),
 	}
 	if f.contact == nil {
 		f.contact = NewContact()
 	}
+	if f.retryPolicy == nil {
+		f.retryPolicy = func() backoff.Policy { return DefaultRetryPolicy }
+	}
 	f.refreshedAt.Store(int64(-refreshWindow))
 	f.SetWait(cmp.Or(o.Wait, defaultWait))
 	return f
@@ -219,7 +225,6 @@
 	f.lastSuccessAt = time.Now()
 	f.lastResponseAt, f.lastPageAt = f.lastSuccessAt, f.lastSuccessAt
 	f.mu.Unlock()
-	retry := backoff.Policy{Floor: failureFloor, Cap: failureCap}
 	for ctx.Err() == nil {
 		if f.waitWhileDelegated(ctx) {
 			continue
@@ -245,7 +250,7 @@
 			f.probe = true
 		default:
 			f.recordFailure(err)
-			f.pauseUntilReturn(ctx, returned, retry.Delay(f.failures, f.rng))
+			f.pauseUntilReturn(ctx, returned, f.retryPolicy().Delay(f.failures, f.rng))
 		}
 	}
 	return nil
@@ -260,11 +265,11 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-returned:
-		backoff.Sleep(ctx, f.returnDelay())
+		backoff.Sleep(ctx, f.contact.untilRepeat(f.returnDelay()))
 	}
 }
 
-// returnDelay returns when a call is repeated after the platform's return.
+// returnDelay returns how long after the platform's return a call is repeated.
 func (f *Follower) returnDelay() time.Duration {
 	if f.returnSpread == nil {
 		return 0
@@ -347,7 +352,7 @@
 		select {
 		case <-ctx.Done():
 		case <-returned:
-			if backoff.Sleep(ctx, delay) {
+			if backoff.Sleep(ctx, f.contact.untilRepeat(delay)) {
 				c.repeat()
 			}
 		}
--- a/internal/peers/contact.go
+++ b/internal/peers/contact.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/auburndyke/auburndyke/internal/backoff"
+	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -21,6 +23,13 @@
 	// returnRateShare is the share of the platform's rate of reads that these calls
 	// may take.
 	returnRateShare = 0.5
+	// retryRate is the number of calls a second with which the daemons of a fleet
+	// ask whether the platform has returned, beside those that read for a zone.
+	retryRate = 60
+	// maxRetryCap is the longest delay between two such calls of a daemon.
+	maxRetryCap = 10 * time.Second
+	// retryFloorShare is the shortest delay as a share of the longest.
+	retryFloorShare = 0.125
 )
 
 // Contact records whether the platform responds, and learns of its return from
@@ -74,6 +83,20 @@
 	}
 }
 
+// RetryPolicy returns the delays between the calls of a daemon while the platform does
+// not respond. Daemons with a reader learn of its return from others, so that they call
+// rarely in a large fleet; the others call as often as in a small one.
+func (n *Node) RetryPolicy() backoff.Policy {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	longest := time.Duration(float64(n.directorySize*len(n.Tables)) / retryRate * float64(time.Second))
+	if len(n.group.readers) == 0 || longest <= follow.DefaultRetryPolicy.Cap {
+		return follow.DefaultRetryPolicy
+	}
+	longest = min(longest, maxRetryCap)
+	return backoff.Policy{Floor: time.Duration(retryFloorShare * float64(longest)), Cap: longest}
+}
+
 // ReturnSpread returns the span over which the daemons spread their calls when the
 // platform returns, so that they stay within its rate of reads.
 func (n *Node) ReturnSpread() time.Duration {
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -29,8 +29,8 @@
 	// startHold is how long after a first start a daemon waits for a reader. It
 	// covers the reading of the directory and two announcements.
 	startHold = registrationSpread + firstReadDelay + firstReadSpread + 2*gossipInterval
-	// secondReadDelay is the mean pause before the second read, which finds the
-	// daemons that started at the same time.
+	// secondReadDelay is the mean pause before the next read of a daemon whose row
+	// was missing, which finds the daemons that started at the same time.
 	secondReadDelay = 3 * time.Second
 	// directoryRetry is the mean pause after a failed read or write of the
 	// directory.
@@ -63,20 +63,26 @@
 // maintainDirectory registers the daemon, reads the other daemons' rows and
 // removes stale ones, until ctx ends.
 func (n *Node) maintainDirectory(ctx context.Context) {
-	announced := false
-	next := secondReadDelay
 	if n.FirstStart {
-		next = directoryInterval
-		if !backoff.Sleep(ctx, time.Duration(n.directoryRand.Int64N(int64(registrationSpread)))) {
-			return
+		if err := n.registerFirst(ctx); err != nil && ctx.Err() == nil {
+			// The reading that follows finds the row missing and writes it.
+			n.Log.Event(telemetry.PeerDirectoryFailed).Err(err).Send()
 		}
 	}
 	for {
 		returned := n.Contact.Returned()
-		err := contain.Do(n.Log, "the directory", func() error { return n.syncDirectory(ctx, &announced) })
+		registered := false
+		err := contain.Do(n.Log, "the directory", func() (err error) {
+			registered, err = n.syncDirectory(ctx)
+			return err
+		})
 		if ctx.Err() != nil {
 			return
 		}
+		next := secondReadDelay
+		if registered {
+			next = directoryInterval
+		}
 		wait := next
 		if err != nil {
 			n.recordContact(err)
@@ -84,14 +90,14 @@
 			wait = directoryRetry
 		} else {
 			n.recordContact(nil)
-			next, returned = directoryInterval, nil
+			returned = nil
 		}
 		timer := time.NewTimer(wait/2 + time.Duration(n.directoryRand.Int64N(int64(wait))))
 		select {
 		case <-timer.C:
 		case <-returned: // nil unless the directory could not be read
 			timer.Stop()
-			backoff.Sleep(ctx, n.returnDelay())
+			backoff.Sleep(ctx, time.Until(n.Contact.ReturnedAt().Add(n.returnDelay())))
 		case <-ctx.Done():
 			timer.Stop()
 			return
@@ -115,7 +121,7 @@
 	n.awaitsReader, n.startHoldEnds = n.FirstStart, now.Add(startHold)
 }
 
-// returnDelay returns when the directory is read again after the platform's return.
+// returnDelay returns how long after the platform's return the directory is read.
 func (n *Node) returnDelay() time.Duration {
 	spread := n.ReturnSpread()
 	if spread <= 0 {
@@ -124,37 +130,47 @@
 	return time.Duration(n.directoryRand.Int64N(int64(spread)))
 }
 
-func (n *Node) syncDirectory(ctx context.Context, announced *bool) error {
-	timeout := directoryTimeout
-	if n.FirstStart {
-		timeout += firstReadDelay + firstReadSpread
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// syncDirectory reads the directory and registers the daemon if its row is missing.
+// registered reports whether the row was there before: the daemons of a fleet that
+// restarts find each other with one reading.
+func (n *Node) syncDirectory(ctx context.Context) (registered bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
-	if !*announced {
-		value, err := cbor.Marshal(directoryEntry{n.Address, n.Zone})
-		if err != nil {
-			return err
-		}
-		if err := n.Directory.Put(ctx, n.Daemon, value); err != nil {
-			return err
-		}
-		*announced = true
-		if n.FirstStart {
-			backoff.Sleep(ctx, firstReadDelay+time.Duration(n.directoryRand.Int64N(int64(firstReadSpread))))
-		}
-	}
 	rows, _, err := follow.ReadAll(ctx, n.Directory, n.directoryRand)
 	if err != nil {
-		return err
+		return false, err
+	}
+	registered, stale := n.applyDirectory(time.Now(), rows)
+	if !registered {
+		return false, n.register(ctx)
 	}
-	own, stale := n.applyDirectory(time.Now(), rows)
-	*announced = own
 	// About one daemon in the fleet removes a row per read interval.
 	if len(stale) > 0 && n.directoryRand.IntN(len(rows)) == 0 {
-		return n.removeStaleRow(ctx, stale[n.directoryRand.IntN(len(stale))])
+		return true, n.removeStaleRow(ctx, stale[n.directoryRand.IntN(len(stale))])
+	}
+	return true, nil
+}
+
+// register writes the daemon's row.
+func (n *Node) register(ctx context.Context) error {
+	value, err := cbor.Marshal(directoryEntry{n.Address, n.Zone})
+	if err != nil {
+		return err
+	}
+	return n.Directory.Put(ctx, n.Daemon, value)
+}
+
+// registerFirst registers a daemon of a first start, and waits until the others have
+// registered.
+func (n *Node) registerFirst(ctx context.Context) error {
+	if !backoff.Sleep(ctx, time.Duration(n.directoryRand.Int64N(int64(registrationSpread)))) {
+		return ctx.Err()
 	}
-	return nil
+	call, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	err := n.register(call)
+	backoff.Sleep(ctx, firstReadDelay+time.Duration(n.directoryRand.Int64N(int64(firstReadSpread))))
+	return err
 }
 
 // applyDirectory takes over the rows of the directory and forms the daemon's
--- a/internal/peers/directory_test.go
+++ b/internal/peers/directory_test.go
@@ -8,6 +8,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/auburndyke/auburndyke/internal/backoff"
+	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -48,10 +50,42 @@
 func TestRemovedDaemonRegistersAgain(t *testing.T) {
 	d := &memoryDirectory{rows: make(map[string][]byte)}
 	n := newDirectoryNode("d-1", d)
-	announced := false
-	assert.NilError(t, n.syncDirectory(t.Context(), &announced))
+	sync := func() (registered bool) {
+		t.Helper()
+		registered, err := n.syncDirectory(t.Context())
+		assert.NilError(t, err)
+		return registered
+	}
+	assert.Assert(t, !sync())
+	assert.Assert(t, sync())
 	assert.NilError(t, d.Remove(t.Context(), ports.Row{Key: "d-1"}))
-	assert.NilError(t, n.syncDirectory(t.Context(), &announced))
-	assert.NilError(t, n.syncDirectory(t.Context(), &announced))
+	assert.Assert(t, !sync())
+	assert.Assert(t, sync())
 	assert.Equal(t, len(d.rows), 1)
 }
+
+// Guards against a fleet that writes a row for each daemon whenever it restarts,
+// although the directory has them: the platform throttles writes that come together.
+func TestRestartedDaemonWritesNoRow(t *testing.T) {
+	d := &memoryDirectory{rows: make(map[string][]byte)}
+	_, err := newDirectoryNode("d-1", d).syncDirectory(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, d.puts, 1)
+	registered, err := newDirectoryNode("d-1", d).syncDirectory(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, registered)
+	assert.Equal(t, d.puts, 1)
+}
+
+// Guards against a large fleet that asks thousands of times whether the platform has
+// returned, and against one in which nobody asks often enough to notice soon.
+func TestRetriesAreRareInLargeFleets(t *testing.T) {
+	n := newDirectoryNode("d-1", nil)
+	n.Tables = map[string]Table{"configuration": nil, "upstreams": nil}
+	n.directorySize = 330
+	assert.Equal(t, n.RetryPolicy(), follow.DefaultRetryPolicy, "a daemon without a reader asks often")
+	n.group.readers = map[string]bool{"a:1": true}
+	assert.Equal(t, n.RetryPolicy(), backoff.Policy{Floor: 1250 * time.Millisecond, Cap: maxRetryCap})
+	n.directorySize = 7
+	assert.Equal(t, n.RetryPolicy(), follow.DefaultRetryPolicy)
+}
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -23,12 +23,14 @@
 type memoryDirectory struct {
 	mu   sync.Mutex
 	rows map[string][]byte
+	puts int
 }
 
 func (d *memoryDirectory) Put(_ context.Context, key string, value []byte) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rows[key] = value
+	d.puts++
 	return nil
 }
 
@@ -165,8 +167,10 @@
 			Daemon: name, Address: "127.0.0.1:1" + name[2:], Directory: d, Local: o,
 			Rand: rand.New(rand.NewPCG(1, 2)), Log: telemetry.NopLog(),
 		})
-		announced := false
-		assert.NilError(t, n.syncDirectory(t.Context(), &announced))
+		for range 2 { // the first one registers the daemon
+			_, err := n.syncDirectory(t.Context())
+			assert.NilError(t, err)
+		}
 		nodes = append(nodes, n)
 	}
 	_, _, err := nodes[2].compose(time.Now())
