--- a/internal/peers/doc.go
+++ b/internal/peers/doc.go
@@ -1,7 +1,7 @@
 // Package peers implements gossip between daemons. Each daemon sends work
 // reports, load reports and table versions in UDP datagrams to random peers.
-// Daemons are also divided into groups in which one of them reads the platform's
-// tables for the others (see group.go).
+// In each zone one daemon reads the platform's tables for the others, which are
+// divided into groups that pass its announcements on (see group.go).
 //
 // Each daemon sees only its share of the traffic: with 70 daemons, one hears of
 // each engine's load every ten seconds, and its own mix of requests is a poor
