--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -34,14 +34,15 @@
 // whose header is being read, of which the server tells nobody.
 type callerConns struct {
 	serving atomic.Int64
-	// acceptedAt is when the last connection was accepted, in Unix nanoseconds.
-	acceptedAt atomic.Int64
+	// acceptedAt is when the last connection was accepted.
+	acceptedAt atomic.Pointer[time.Time]
 }
 
 // busy reports whether a request is in progress or may be about to arrive on a
 // connection that has just been accepted.
 func (c *callerConns) busy() bool {
-	return c.serving.Load() > 0 || time.Since(time.Unix(0, c.acceptedAt.Load())) < drainPollInterval
+	accepted := c.acceptedAt.Load()
+	return c.serving.Load() > 0 || accepted != nil && time.Since(*accepted) < drainPollInterval
 }
 
 func (l callerListener) Accept() (net.Conn, error) {
@@ -49,7 +50,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l.conns.acceptedAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	l.conns.acceptedAt.Store(&now)
 	return &callerConn{Conn: inner, timeouts: l.timeouts, conns: l.conns}, nil
 }
 
