--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -54,6 +54,8 @@
 	// progress was last reported to the balancer.
 	progressEvents int
 	progressAt     time.Time
+	// events is the number of events that the upstream has sent.
+	events int
 	// unsizedBytes is the size so far of a response without a stated length.
 	unsizedBytes int64
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/balancer"
@@ -67,7 +68,11 @@
 		Str("upstream", string(a.choice.Upstream.ID)).
 		Str("error", a.cause).
 		Bool("sent", a.sent).
-		Int64("elapsed_ms", time.Since(q.arrived).Milliseconds())
+		Int64("elapsed_ms", time.Since(q.arrived).Milliseconds()).
+		Int("attempt_events", a.events)
+	if parts := sharedParts(q.info.Prompt); len(parts) > 0 {
+		line.Strs("parts", formatParts(parts))
+	}
 	if a.response != nil {
 		line.Int("status", a.response.Status).Bool("reused_connection", !a.response.Fresh)
 	}
@@ -112,3 +117,16 @@
 		return domain.OutcomeNotRun
 	}
 }
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// formatParts returns the ids of the first parts, as the caller wrote them.
+func formatParts(parts []balancer.Part) []string {
+	parts = parts[:min(len(parts), maxLoggedParts)]
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return ids
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -239,3 +239,9 @@
 
 // remaining returns the time until the request's deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
+
+// sharedParts returns the parts of a prompt that other requests may have as well: all
+// but the last, which belongs to the request or its session.
+func sharedParts(prompt []balancer.Part) []balancer.Part {
+	return prompt[:max(len(prompt)-1, 0)]
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -203,6 +203,7 @@
 		s.lastEventID = id
 	}
 	now := time.Now()
+	a.events++
 	if s.events > 0 {
 		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
 		a.reportProgress(now)
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -36,7 +36,7 @@
 
 	AdmissionDecision = Event{"AD2001", "admission_decision", zerolog.InfoLevel, "A request was queued, dispatched or refused; reason says why."}
 	RoutingDecision   = Event{"AD2002", "routing_decision", zerolog.InfoLevel, "An upstream was picked; candidates, scores and exclusions are listed."}
-	AttemptFailed     = Event{"AD2003", "attempt_failed", zerolog.WarnLevel, "An attempt at an upstream failed; error says how."}
+	AttemptFailed     = Event{"AD2003", "attempt_failed", zerolog.WarnLevel, "An attempt at an upstream failed; error says how, attempt_events how many events it gave, parts which parts of its prompt other requests may share."}
 	StreamContinued   = Event{"AD2005", "stream_continued", zerolog.InfoLevel, "A generation was continued on another upstream."}
 	RequestHedged     = Event{"AD2006", "request_hedged", zerolog.InfoLevel, "A second attempt was started before the first token."}
 	RequestPreempted  = Event{"AD2007", "request_preempted", zerolog.InfoLevel, "A running request gave way to a higher tier."}
