Block parts of prompts that crash upstreams

Cause: a request that crashes its upstream counts as an attempt that failed, and is sent to the next upstream. Nothing relates the failures of different requests with a common part, on one daemon or on several.

Change: package quarantine collects evidence. An upstream that ends before the first event of a response, and then refuses connections, is evidence against the shared parts of the prompt; a response that gets further clears them. Two crashes after a header block a part, for one to two minutes at first. Crashes that may have a common cause count once, parts that a peer knows to be sound need more evidence, and parts that the same crashes speak against block only together. Daemons push evidence to peers at once. Attempts without an event that have a part which is blocked meanwhile end before they crash their upstreams.

--- a/internal/adapters/upstreamhttp/pool.go
+++ b/internal/adapters/upstreamhttp/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -119,6 +120,17 @@
 	return &conn{Conn: inner, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes)}, true, nil
 }
 
+// Refuses reports whether an address refuses connections, as it does after its process
+// has ended. A connection that it accepts is closed without a request.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close() // nothing was sent
+	return false
+}
+
 func (p *Pool) take(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/inventory"
 	"github.com/auburndyke/auburndyke/internal/peers"
+	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/relay"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -105,13 +106,17 @@
 func New(s *Settings, d Deps) *Edge {
 	pool := upstreamhttp.NewPool(upstreamhttp.Options{})
 	b := balancer.New(balancer.Site{Zone: s.Zone, Region: s.Region, Regions: s.Regions})
-	handler := relay.New(relay.Options{
+	var handler *relay.Handler
+	tracker := quarantine.New(newRand(), func(c quarantine.Change) { handler.PartChanged(c) })
+	handler = relay.New(relay.Options{
 		Protocol: d.Protocol,
 		Balancer: b,
 		Pool:     pool,
 		Retries:  relay.NewRetryBudgets(s.RetryRatio, relay.RetryFloor(s.RetrySlack, assumedFleetSize), rand.Float64()),
 		Log:      d.Log,
 		Metrics:  relay.NewMetrics(d.Metrics),
+
+		Quarantine: tracker,
 	})
 	e := &Edge{
 		deps:    d,
@@ -297,8 +302,8 @@
 	return nil
 }
 
-// sweep closes expired connections to upstreams and updates the metrics of connections
-// and of the platform's tables.
+// sweep closes expired connections to upstreams, ends the blocks of prompt parts whose
+// time is over, and updates the metrics of these and of the platform's tables.
 func (e *Edge) sweep(ctx context.Context, followers map[string]*follow.Follower) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -308,6 +313,8 @@
 			return nil
 		case now := <-ticker.C:
 			e.pool.Sweep(now)
+			e.handler.Quarantine.Expire(now)
+			e.deps.Metrics.Gauge("auburndyke_blocked_parts").Update(float64(e.handler.Quarantine.BlockedParts()))
 			opened, reused := e.pool.Stats()
 			e.deps.Metrics.Gauge("auburndyke_upstream_connections_opened").Update(float64(opened))
 			e.deps.Metrics.Gauge("auburndyke_upstream_connections_reused").Update(float64(reused))
@@ -329,7 +336,7 @@
 	}
 	return peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
-		Local: peerObserver{e.state.balancer, e}, Tables: tables, Contact: contact, PlatformReadRate: s.PlatformReadRate,
+		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, PlatformReadRate: s.PlatformReadRate,
 		FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -6,6 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/auburndyke/auburndyke/internal/quarantine"
 )
 
 // ageUnit is the unit of ages in messages.
@@ -122,6 +124,14 @@
 	Tables   []TableState
 }
 
+// evidenceMessage is the content of a datagram with evidence on parts of prompts. Its
+// length tells it from the other messages.
+type evidenceMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Sender   string
+	Evidence quarantine.Report
+}
+
 // maxMessageBytes keeps a message within one Ethernet frame.
 const maxMessageBytes = 1400
 
@@ -150,6 +160,27 @@
 	return cbor.Marshal(&plainMessage{Sender: m.Sender, Peers: m.Peers, Services: m.Services, Loads: m.Loads, Tables: m.Tables})
 }
 
+// encodeEvidence returns a message with evidence.
+func encodeEvidence(sender string, r *quarantine.Report) ([]byte, error) {
+	data, err := cbor.Marshal(&evidenceMessage{Sender: sender, Evidence: *r})
+	if err != nil {
+		return nil, eris.Wrap(err, "encoding evidence")
+	}
+	if len(data) > maxMessageBytes {
+		return nil, eris.Errorf("evidence has %d bytes, more than the limit of %d", len(data), maxMessageBytes)
+	}
+	return data, nil
+}
+
+// decodeEvidence decodes a message with evidence. It returns false for others.
+func decodeEvidence(data []byte) (*evidenceMessage, bool) {
+	var m evidenceMessage
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return nil, false // one of the other messages
+	}
+	return &m, true
+}
+
 // decode decodes a message with or without Return.
 func decode(data []byte) (*Message, error) {
 	var p plainMessage
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -14,6 +14,7 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/follow"
+	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -23,6 +24,9 @@
 	// messages.
 	gossipInterval = 500 * time.Millisecond
 	gossipFanOut   = 2
+	// evidenceFanOut is the number of peers to which a daemon passes evidence on when
+	// it learns of it. Those that it does not reach hear of it at the next rounds.
+	evidenceFanOut = 3
 )
 
 // LocalState provides the daemon's own reports for its peers and receives the
@@ -43,7 +47,17 @@
 	MergeReports(map[uint32]balancer.LoadReport)
 }
 
-// Config sets up a Node. All fields but Seeds, FirstStart, Contact and
+// Evidence is what daemons tell each other of parts of prompts that crash upstreams.
+type Evidence interface {
+	// Report returns the news for peers, or nil.
+	Report(now time.Time) *quarantine.Report
+	// Merge takes over a peer's report.
+	Merge(now time.Time, r *quarantine.Report)
+	// Updated receives a value when there is news.
+	Updated() <-chan struct{}
+}
+
+// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Evidence and
 // PlatformReadRate are required.
 type Config struct {
 	Daemon    string
@@ -68,8 +82,10 @@
 	// Tables are the copies that daemons help each other to keep current, by
 	// table name.
 	Tables map[string]Table
-	Rand   *rand.Rand
-	Log    *telemetry.Log
+	// Evidence is exchanged with peers. Nil means that none is.
+	Evidence Evidence
+	Rand     *rand.Rand
+	Log      *telemetry.Log
 }
 
 // Node exchanges messages with peers.
@@ -156,6 +172,12 @@
 
 // receive handles one datagram.
 func (n *Node) receive(ctx context.Context, data []byte) error {
+	if m, ok := decodeEvidence(data); ok {
+		if n.Evidence != nil {
+			n.Evidence.Merge(time.Now(), &m.Evidence)
+		}
+		return nil
+	}
 	m, err := decode(data)
 	if err != nil {
 		return err
@@ -186,6 +208,10 @@
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	returned := n.Contact.Returned()
+	var updated <-chan struct{}
+	if n.Evidence != nil {
+		updated = n.Evidence.Updated()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -196,6 +222,9 @@
 		case now := <-ticker.C:
 			n.contained("sending reports", func() { n.sendGossip(now, socket) })
 			n.contained("announcing tables", func() { n.announceToGroup(now, socket) })
+			n.contained("sending evidence", func() { n.sendEvidence(now, socket, gossipFanOut) })
+		case <-updated:
+			n.contained("sending evidence", func() { n.sendEvidence(time.Now(), socket, evidenceFanOut) })
 		case <-n.changed:
 			n.announceToGroup(time.Now(), socket)
 			n.passOn(time.Now(), socket)
@@ -224,6 +253,28 @@
 	}
 }
 
+// sendEvidence sends what is new about parts of prompts to random peers.
+func (n *Node) sendEvidence(now time.Time, socket *net.UDPConn, fanOut int) {
+	if n.Evidence == nil {
+		return
+	}
+	report := n.Evidence.Report(now)
+	if report == nil {
+		return
+	}
+	data, err := encodeEvidence(n.Address, report)
+	if err != nil {
+		n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
+		return
+	}
+	n.mu.Lock()
+	targets := n.state.Targets(n.Rand, fanOut)
+	n.mu.Unlock()
+	for _, target := range targets {
+		n.sendTo(socket, target, data)
+	}
+}
+
 func (n *Node) sendTo(socket *net.UDPConn, target string, data []byte) {
 	address, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,506 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+)
+
+const (
+	// blockScore is the score from which a part is blocked. Two crashes right after a
+	// response's header reach it.
+	blockScore = 1.0
+	// soundBlockScore applies instead to a part that was sound within soundTTL before
+	// the first crash: several crashes by chance are likelier than a part that has
+	// become harmful.
+	soundBlockScore = 2.0
+	// relapseScore applies instead to a part whose block has expired less than
+	// relapseTime ago.
+	relapseScore = 0.5
+	relapseTime  = 10 * time.Minute
+
+	// begunWeight and queuedWeight are the scores of a crash.
+	begunWeight  = 0.5
+	queuedWeight = 0.25
+
+	// A crash counts in full for fullWeightAge, and then less and less until
+	// crashTTL.
+	fullWeightAge = 30 * time.Second
+	crashTTL      = 2 * time.Minute
+	// sameCrashTime is the time between reports of one crash of an upstream. No
+	// upstream restarts and crashes again sooner.
+	sameCrashTime = 2 * time.Second
+	// Crashes of several upstreams within commonCauseTime count once, unless the request
+	// was sent to one of them only after the other had crashed. Their common cause is
+	// likelier the loss of a zone than a part of different requests.
+	commonCauseTime = 100 * time.Millisecond
+	// soundTTL is how long a part counts as sound after a response got past it.
+	soundTTL = time.Minute
+
+	// begunHold and queuedHold are the shortest first blocks: a trial that fails
+	// costs an engine with all its streams. queuedHold applies without any response
+	// that had begun, since sound parts are then likelier.
+	begunHold  = time.Minute
+	queuedHold = 10 * time.Second
+	maxHold    = 15 * time.Minute
+
+	// Limits on what is kept. Beyond them the oldest suspect and crashes go, and a
+	// quarter of the sound parts, which then only count as unknown.
+	maxSuspects = 512
+	maxCrashes  = 16
+	maxSound    = 4096
+)
+
+// Part identifies a part of a prompt.
+type Part uint64
+
+// Stage is how far a response had come when its upstream crashed.
+type Stage uint8
+
+const (
+	// Queued responses had no header.
+	Queued Stage = iota
+	// Begun responses had a header and no event.
+	Begun
+)
+
+func (s Stage) weight() float64 {
+	if s == Begun {
+		return begunWeight
+	}
+	return queuedWeight
+}
+
+// Change says that a part is blocked, or no longer blocked.
+type Change struct {
+	Part    Part
+	Blocked bool
+	// Until is when the block ends; zero if it has ended.
+	Until time.Time
+	// Score is the score of the evidence, Crashes the number of crashes in it and
+	// Own how many of them this daemon has seen itself.
+	Score   float64
+	Crashes int
+	Own     int
+	// Refused is the number of requests that the block has refused.
+	Refused int64
+	// Sound is set if the block has ended because the part is sound.
+	Sound bool
+}
+
+// Tracker collects evidence and decides which parts are blocked. It is safe for
+// concurrent use; Blocked takes no lock.
+type Tracker struct {
+	onChange func(Change)
+
+	mu       sync.Mutex
+	rand     *rand.Rand
+	suspects map[Part]*suspect
+	sound    map[Part]soundness
+	updated  chan struct{}
+
+	blocked atomic.Pointer[map[Part]*block]
+}
+
+// suspect is a part with evidence against it.
+type suspect struct {
+	crashes []crash // distinct, oldest first
+	// blocks is the number of blocks in a row, and until the end of the last one.
+	blocks int
+	until  time.Time
+	block  *block // nil if the part is not blocked
+}
+
+// reportable reports whether the evidence is strong enough that peers have to know it.
+// Most requests that wait at an upstream when it crashes have only sound parts.
+func (s *suspect) reportable() bool {
+	evidence := s.evidence()
+	return len(evidence) > 1 || slices.ContainsFunc(evidence, func(c crash) bool { return c.stage == Begun })
+}
+
+// evidence returns the crashes since the part was last sound, oldest first.
+func (s *suspect) evidence() []crash {
+	i := 0
+	for i < len(s.crashes) && s.crashes[i].cleared {
+		i++
+	}
+	return s.crashes[i:]
+}
+
+// crash is one crash of an upstream.
+type crash struct {
+	upstream uint32 // hash of the upstream's id
+	stage    Stage
+	// sent is when the request was sent to the upstream, and at when that crashed.
+	sent, at time.Time
+	own      bool
+	// cleared is set if the part was sound later. The crash is kept, so that reports of
+	// it that still go round are known.
+	cleared bool
+	// learned is when this daemon learned of the crash or of its stage.
+	learned time.Time
+}
+
+type soundness struct {
+	at time.Time
+	// reportedAt is when this daemon last learned that its peers need the fact. Zero
+	// means that they don't.
+	reportedAt time.Time
+}
+
+// block is what a request needs to know of a blocked part.
+type block struct {
+	until time.Time
+	// with are the other parts with the same evidence, which a request must have as
+	// well to be refused.
+	with    []Part
+	refused *atomic.Int64
+}
+
+// New returns a Tracker without evidence. onChange is called for each change; it must
+// not block, and may be nil.
+func New(r *rand.Rand, onChange func(Change)) *Tracker {
+	if onChange == nil {
+		onChange = func(Change) {}
+	}
+	t := &Tracker{
+		onChange: onChange, rand: r,
+		suspects: make(map[Part]*suspect), sound: make(map[Part]soundness), updated: make(chan struct{}, 1),
+	}
+	t.blocked.Store(&map[Part]*block{})
+	return t
+}
+
+// Blocked returns until when requests with these parts are refused, and counts the
+// request. It returns false if they are not.
+func (t *Tracker) Blocked(now time.Time, parts []Part) (until time.Time, ok bool) {
+	blocked := *t.blocked.Load()
+	if len(blocked) == 0 {
+		return time.Time{}, false
+	}
+	for _, part := range parts {
+		b := blocked[part]
+		if b == nil || !now.Before(b.until) || slices.ContainsFunc(b.with, func(p Part) bool { return !slices.Contains(parts, p) }) {
+			continue
+		}
+		b.refused.Add(1)
+		return b.until, true
+	}
+	return time.Time{}, false
+}
+
+// Unknown reports whether any of the parts is not known to be sound.
+func (t *Tracker) Unknown(now time.Time, parts []Part) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(parts, func(p Part) bool { return now.Sub(t.sound[p].at) >= soundTTL })
+}
+
+// Sound records that a response got past these parts.
+func (t *Tracker) Sound(now time.Time, parts []Part) {
+	t.update(now, func() (changed bool) {
+		for _, part := range parts {
+			changed = t.markSound(now, part, now) || changed
+		}
+		return changed
+	})
+}
+
+// Crash records that an upstream crashed while it had a request with these parts, which
+// was sent to it at the given time.
+func (t *Tracker) Crash(now time.Time, upstream domain.UpstreamID, sent time.Time, stage Stage, parts []Part) {
+	c := crash{upstream: uint32(xxhash.Sum64String(string(upstream))), stage: stage, sent: sent, at: now, own: true, learned: now}
+	t.update(now, func() (added bool) {
+		for _, part := range parts {
+			added = t.addCrash(now, part, c) || added
+		}
+		return added
+	})
+}
+
+// update calls f with the lock held, and reports the changes if f says that the blocks
+// may have changed.
+func (t *Tracker) update(now time.Time, f func() (changed bool)) {
+	t.mu.Lock()
+	var changes []Change
+	if f() {
+		changes = t.publish(now)
+	}
+	t.mu.Unlock()
+	for _, c := range changes {
+		t.onChange(c)
+	}
+}
+
+// markSound records that a part was sound at a time, which clears the evidence of
+// earlier crashes and weakens that of later ones. It reports whether a block has ended.
+func (t *Tracker) markSound(now time.Time, part Part, at time.Time) bool {
+	known := t.sound[part]
+	if !at.After(known.at) {
+		return false
+	}
+	s := t.suspects[part]
+	if s == nil {
+		known.at = at
+		t.setSound(now, part, known)
+		return false
+	}
+	needed, matters := t.neededScore(now, part, s), false
+	known.at = at
+	t.setSound(now, part, known)
+	for i := range s.crashes {
+		if c := &s.crashes[i]; !c.cleared && !c.at.After(at) {
+			c.cleared, matters = true, true
+		}
+	}
+	if matters || t.neededScore(now, part, s) > needed {
+		t.reportSound(now, part)
+	}
+	if s.block == nil || t.score(now, s) >= t.neededScore(now, part, s) {
+		return false
+	}
+	s.block, s.blocks, s.until = nil, 0, time.Time{}
+	return true
+}
+
+// setSound stores when a part was sound.
+func (t *Tracker) setSound(now time.Time, part Part, known soundness) {
+	t.sound[part] = known
+	if len(t.sound) <= maxSound {
+		return
+	}
+	t.pruneSound(now)
+	for other := range t.sound {
+		if len(t.sound) <= maxSound*3/4 {
+			return
+		}
+		if other != part {
+			delete(t.sound, other)
+		}
+	}
+}
+
+// addCrash adds a crash to the evidence against a part. It reports whether the crash
+// or its stage was new.
+func (t *Tracker) addCrash(now time.Time, part Part, c crash) bool {
+	if !c.at.After(t.sound[part].at) || now.Sub(c.at) >= crashTTL {
+		return false
+	}
+	s := t.suspects[part]
+	if s == nil {
+		t.evictSuspect()
+		s = &suspect{}
+		t.suspects[part] = s
+	}
+	known := slices.IndexFunc(s.crashes, c.same)
+	switch {
+	case known < 0:
+		s.crashes = append(s.crashes, c)
+		slices.SortStableFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+		s.crashes = s.crashes[max(len(s.crashes)-maxCrashes, 0):]
+	case c.stage > s.crashes[known].stage:
+		s.crashes[known].stage, s.crashes[known].learned = c.stage, now
+	default:
+		s.crashes[known].own = s.crashes[known].own || c.own
+		return false
+	}
+	if s.reportable() {
+		t.notify()
+	}
+	t.judge(now, part, s)
+	return true
+}
+
+// judge blocks a part if the evidence against it is enough, and extends its block with
+// each further crash.
+func (t *Tracker) judge(now time.Time, part Part, s *suspect) {
+	if t.score(now, s) < t.neededScore(now, part, s) {
+		return
+	}
+	if s.block == nil {
+		s.blocks++
+		s.block = &block{refused: new(atomic.Int64)}
+	}
+	if until := now.Add(t.hold(s)); until.After(s.until) {
+		s.until = until
+	}
+}
+
+// score returns the weight of the evidence against a part.
+func (t *Tracker) score(now time.Time, s *suspect) float64 {
+	// group is the weight of the crashes that count once, since groupStart.
+	var score, group float64
+	var groupStart time.Time
+	for _, c := range s.evidence() {
+		if c.at.Sub(groupStart) >= commonCauseTime || c.sent.After(groupStart) {
+			score, group, groupStart = score+group, 0, c.at
+		}
+		fading := float64(now.Sub(c.at)-fullWeightAge) / float64(crashTTL-fullWeightAge)
+		group = max(group, c.stage.weight()*min(max(1-fading, 0), 1))
+	}
+	return score + group
+}
+
+// neededScore returns the score from which a part is blocked.
+func (t *Tracker) neededScore(now time.Time, part Part, s *suspect) float64 {
+	evidence := s.evidence()
+	switch soundAt := t.sound[part].at; {
+	case len(evidence) > 0 && evidence[0].at.Sub(soundAt) < soundTTL:
+		return soundBlockScore
+	case s.blocks > 0 && s.block == nil && now.Sub(s.until) < relapseTime:
+		return relapseScore
+	default:
+		return blockScore
+	}
+}
+
+// hold returns the length of a part's block. Each daemon draws its own, so that not all
+// try the part again at the same time.
+func (t *Tracker) hold(s *suspect) time.Duration {
+	hold := queuedHold
+	if slices.ContainsFunc(s.evidence(), func(c crash) bool { return c.stage == Begun }) {
+		hold = begunHold
+	}
+	for range s.blocks - 1 {
+		hold = min(2*hold, maxHold)
+	}
+	return hold + time.Duration(t.rand.Float64()*float64(hold))
+}
+
+// evictSuspect makes room for another suspect: the one goes whose last crash is the
+// longest ago, before all blocked ones.
+func (t *Tracker) evictSuspect() {
+	if len(t.suspects) < maxSuspects {
+		return
+	}
+	var oldest Part
+	var found *suspect
+	for part, s := range t.suspects {
+		switch {
+		case found == nil, found.block != nil && s.block == nil:
+		case found.block == nil && s.block != nil, !s.lastCrash().Before(found.lastCrash()):
+			continue
+		}
+		oldest, found = part, s
+	}
+	delete(t.suspects, oldest)
+}
+
+func (s *suspect) lastCrash() time.Time {
+	if len(s.crashes) == 0 {
+		return time.Time{}
+	}
+	return s.crashes[len(s.crashes)-1].at
+}
+
+// Expire ends blocks whose time is over and forgets old evidence.
+func (t *Tracker) Expire(now time.Time) {
+	t.update(now, func() (changed bool) {
+		for part, s := range t.suspects {
+			if s.block != nil && !now.Before(s.until) {
+				s.block, changed = nil, true
+			}
+			if s.block == nil { // the evidence of a block lasts as long as the block
+				s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) >= crashTTL })
+			}
+			if s.block == nil && len(s.crashes) == 0 && now.Sub(s.until) >= relapseTime {
+				delete(t.suspects, part)
+			}
+		}
+		t.pruneSound(now)
+		return changed
+	})
+}
+
+func (t *Tracker) pruneSound(now time.Time) {
+	for part, s := range t.sound {
+		if now.Sub(s.at) >= soundTTL+crashTTL {
+			delete(t.sound, part)
+		}
+	}
+}
+
+// publish makes the blocked parts visible to Blocked and returns what has changed. The
+// caller holds mu.
+func (t *Tracker) publish(now time.Time) (changes []Change) {
+	previous, next := *t.blocked.Load(), make(map[Part]*block)
+	for part, s := range t.suspects {
+		b := t.effectiveBlock(part, s)
+		if b == nil {
+			continue
+		}
+		next[part] = b
+		if old := previous[part]; old == nil || !old.until.Equal(b.until) {
+			changes = append(changes, t.blockedChange(now, part, s))
+		}
+	}
+	for part, b := range previous {
+		if next[part] == nil {
+			s := t.suspects[part]
+			changes = append(changes, Change{
+				Part: part, Refused: b.refused.Load(), Sound: now.Before(b.until) && s != nil && s.block == nil,
+			})
+		}
+	}
+	t.blocked.Store(&next)
+	return changes
+}
+
+func (t *Tracker) blockedChange(now time.Time, part Part, s *suspect) Change {
+	c := Change{Part: part, Blocked: true, Until: s.until, Score: t.score(now, s), Crashes: len(s.evidence()), Refused: s.block.refused.Load()}
+	for _, k := range s.evidence() {
+		if k.own {
+			c.Own++
+		}
+	}
+	return c
+}
+
+// effectiveBlock returns the block of a part, or nil if it has none or if another
+// blocked part explains all crashes that are evidence against it, and more.
+func (t *Tracker) effectiveBlock(part Part, s *suspect) *block {
+	if s.block == nil {
+		return nil
+	}
+	b := &block{until: s.until, refused: s.block.refused}
+	for other, o := range t.suspects {
+		if other == part || o.block == nil || !covers(o.evidence(), s.evidence()) {
+			continue
+		}
+		if !covers(s.evidence(), o.evidence()) {
+			return nil
+		}
+		b.with = append(b.with, other)
+	}
+	return b
+}
+
+// same reports whether c and k are reports of one crash.
+func (c crash) same(k crash) bool {
+	return k.upstream == c.upstream && k.at.Sub(c.at).Abs() < sameCrashTime
+}
+
+// covers reports whether a holds all crashes of b.
+func covers(a, b []crash) bool {
+	return !slices.ContainsFunc(b, func(c crash) bool { return !slices.ContainsFunc(a, c.same) })
+}
+
+// BlockedParts returns the number of parts that are blocked.
+func (t *Tracker) BlockedParts() int { return len(*t.blocked.Load()) }
+
+// Updated receives a value when there is news for peers.
+func (t *Tracker) Updated() <-chan struct{} { return t.updated }
+
+// notify wakes the receiver of Updated.
+func (t *Tracker) notify() {
+	select {
+	case t.updated <- struct{}{}:
+	default:
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
@@ -48,6 +49,7 @@
 	info     ResponseInfo
 	result   balancer.Result
 	cause    string
+	sentAt   time.Time
 	// sent reports whether the upstream may have received the request.
 	sent bool
 	// progressEvents is the number of events since progressAt, when the stream's
@@ -55,7 +57,10 @@
 	progressEvents int
 	progressAt     time.Time
 	// events is the number of events that the upstream has sent.
-	events int
+	events atomic.Int32
+	// ctx ends with the attempt, and cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	// unsizedBytes is the size so far of a response without a stated length.
 	unsizedBytes int64
 }
@@ -68,6 +73,10 @@
 	q.setWriteDeadline(q.deadline.Add(writeSlack))
 	defer q.setWriteDeadline(time.Time{})
 	q.prompt = balancer.NewPrompt(q.info.Prompt)
+	q.parts = sharedParts(q.info.Prompt)
+	if q.refuseBlocked() {
+		return
+	}
 	q.h.Balancer.RecordArrival(q.arrived, q.query())
 	if q.shedIfLate() {
 		return
@@ -86,6 +95,10 @@
 			q.mayHaveRun = true
 		case notRun:
 		}
+		if _, blocked := q.blocked(); blocked {
+			q.giveUp(reasonCrashesUpstreams)
+			return
+		}
 		if reason := q.noRetryReason(); reason != "" {
 			q.giveUp(reason)
 			return
@@ -149,14 +162,17 @@
 // send sends the request to the picked upstream and relays its response.
 func (a *attempt) send(ctx context.Context) result {
 	q := a.q
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	defer a.cancel(nil)
+	q.h.unbegun.add(a)
+	defer q.h.unbegun.remove(a)
 	a.result = balancer.Failed
 	q.startDeadline = q.attemptStartDeadline(a.choice)
 	reservation := a.choice.Reservation()
 	defer func() { reservation.Done(time.Now(), a.result) }()
 
-	response, err := q.h.Pool.Do(ctx, a.choice.Upstream.Address, a.upstreamRequest())
+	a.sentAt = time.Now()
+	response, err := q.h.Pool.Do(a.ctx, a.choice.Upstream.Address, a.upstreamRequest())
 	if err != nil {
 		return a.sendFailed(err)
 	}
@@ -229,6 +245,11 @@
 	if a.callerGone() {
 		return callerDisconnected
 	}
+	if a.endedByBlock() {
+		err = errBlocked
+	} else if sent {
+		a.recordCrash(err)
+	}
 	a.recordCause(err)
 	q.logAttempt(a)
 	if sent {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -25,6 +25,8 @@
 	reasonRetryBudget     = "retry_budget"
 	reasonBrokenResponse  = "broken_answer"
 	reasonTooLate         = "too_late"
+	// reasonCrashesUpstreams means that a part of the prompt has crashed upstreams.
+	reasonCrashesUpstreams = "crashes_upstreams"
 )
 
 // How a request can end, other than by a complete response.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -69,9 +70,9 @@
 		Str("error", a.cause).
 		Bool("sent", a.sent).
 		Int64("elapsed_ms", time.Since(q.arrived).Milliseconds()).
-		Int("attempt_events", a.events)
-	if parts := sharedParts(q.info.Prompt); len(parts) > 0 {
-		line.Strs("parts", formatParts(parts))
+		Int("attempt_events", int(a.events.Load()))
+	if len(q.parts) > 0 {
+		line.Strs("parts", formatParts(q.parts))
 	}
 	if a.response != nil {
 		line.Int("status", a.response.Status).Bool("reused_connection", !a.response.Fresh)
@@ -122,11 +123,13 @@
 const maxLoggedParts = 8
 
 // formatParts returns the ids of the first parts, as the caller wrote them.
-func formatParts(parts []balancer.Part) []string {
+func formatParts(parts []quarantine.Part) []string {
 	parts = parts[:min(len(parts), maxLoggedParts)]
 	ids := make([]string, len(parts))
 	for i, part := range parts {
-		ids[i] = strconv.FormatUint(part.ID, 16)
+		ids[i] = formatPart(part)
 	}
 	return ids
 }
+
+func formatPart(part quarantine.Part) string { return strconv.FormatUint(uint64(part), 16) }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -16,6 +16,10 @@
 	firstEvent metrics.Histogram
 	maxGap     metrics.Histogram
 	attempts   metrics.Counter
+	// crashes counts requests at upstreams that crashed before their first events, and
+	// refusedSound those that blocks refused whose parts proved to be sound.
+	crashes      metrics.Counter
+	refusedSound metrics.Counter
 }
 
 // NewMetrics registers the metrics of a relay.
@@ -26,6 +30,9 @@
 		firstEvent: set.Histogram("auburndyke_first_event_microseconds"),
 		maxGap:     set.Histogram("auburndyke_stream_max_gap_microseconds"),
 		attempts:   set.Counter("auburndyke_attempts_total"),
+
+		crashes:      set.Counter("auburndyke_prompt_crashes_total"),
+		refusedSound: set.Counter("auburndyke_sound_prompts_refused_total"),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
+	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -33,7 +34,8 @@
 	returnMargin = 20 * time.Millisecond
 )
 
-// Options configures a Handler. All fields but OnListOutdated are required.
+// Options configures a Handler. All fields but OnListOutdated and Quarantine are
+// required.
 type Options struct {
 	Protocol Protocol
 	Balancer *balancer.Balancer
@@ -44,6 +46,10 @@
 	// OnListOutdated is called when a response shows that the list of upstreams is
 	// outdated. It must not block. It may be nil.
 	OnListOutdated func()
+	// Quarantine says which parts of prompts crash upstreams. Nil means that the
+	// handler decides by its own requests. The tracker must pass its changes to
+	// Handler.PartChanged.
+	Quarantine *quarantine.Tracker
 }
 
 // Handler is the HTTP handler for callers.
@@ -58,10 +64,17 @@
 	bodies           bodyMemory
 	responses        bodyMemory
 	unsized          unsizedRate
+	unbegun          unbegunAttempts
 }
 
 // New returns a Handler that refuses requests until SetTable is called.
-func New(o Options) *Handler { return &Handler{Options: o} }
+func New(o Options) *Handler {
+	h := &Handler{Options: o}
+	if h.Quarantine == nil {
+		h.Quarantine = quarantine.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), h.PartChanged)
+	}
+	return h
+}
 
 // SetTable replaces the configuration.
 func (h *Handler) SetTable(t *httproute.Table) { h.table.Store(t) }
@@ -104,9 +117,11 @@
 	// bodyReserved is the number of bytes that are reserved for the body.
 	bodyReserved int64
 	prompt       balancer.Prompt
-	arrived      time.Time
-	deadline     time.Time
-	ctx          context.Context
+	// parts are the parts of the prompt that other requests may have as well.
+	parts    []quarantine.Part
+	arrived  time.Time
+	deadline time.Time
+	ctx      context.Context
 
 	// startDeadline is when a response that has not begun counts as lost.
 	startDeadline time.Time
@@ -239,9 +254,3 @@
 
 // remaining returns the time until the request's deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
-
-// sharedParts returns the parts of a prompt that other requests may have as well: all
-// but the last, which belongs to the request or its session.
-func sharedParts(prompt []balancer.Part) []balancer.Part {
-	return prompt[:max(len(prompt)-1, 0)]
-}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -47,6 +47,7 @@
 		return a.serverError(body)
 	}
 	a.result = balancer.OK
+	a.recordSound()
 	a.q.deliver(bufferedResponse{a.response.Status, a.response.Header, body})
 	return delivered
 }
@@ -64,9 +65,13 @@
 	if a.callerGone() {
 		return callerDisconnected
 	}
-	if cause := a.q.ctx.Err(); cause != nil {
-		err = cause // the connection was closed at the deadline
+	switch {
+	case a.endedByBlock():
+		err = errBlocked
+	case a.q.ctx.Err() != nil:
+		err = a.q.ctx.Err() // the connection was closed at the deadline
 	}
+	a.recordCrash(err)
 	return a.brokenResponse("response broke off: " + err.Error())
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -203,7 +203,9 @@
 		s.lastEventID = id
 	}
 	now := time.Now()
-	a.events++
+	if a.events.Add(1) == soundEvents {
+		a.recordSound()
+	}
 	if s.events > 0 {
 		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
 		a.reportProgress(now)
@@ -241,6 +243,7 @@
 func (a *attempt) streamEnded(pending []byte) result {
 	q := a.q
 	a.result = balancer.OK
+	a.recordSound()
 	if !q.outcome.stream.started {
 		q.startStream(a)
 	}
@@ -260,11 +263,14 @@
 		return callerDisconnected
 	}
 	switch {
+	case a.endedByBlock():
+		err = errBlocked
 	case q.ctx.Err() != nil:
 		err = q.ctx.Err() // the connection was closed at the deadline
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = errStreamIdle
 	}
+	a.recordCrash(err)
 	a.recordCause(err)
 	a.cause += " after " + strconv.Itoa(q.outcome.stream.events) + " events"
 	q.logAttempt(a)
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -44,6 +44,9 @@
 	RequestShed       = Event{"AD2009", "request_shed", zerolog.WarnLevel, "A request was refused by admission control or removed from its queue."}
 	ClaimSettled      = Event{"AD2010", "claim_settled", zerolog.InfoLevel, "A call that must not be repeated was claimed, replayed or refused."}
 
+	PartBlocked   = Event{"AD2011", "part_blocked", zerolog.WarnLevel, "Requests with a part of a prompt are refused, because upstreams crashed that began to answer on it; score, crashes and own_crashes are the evidence, hold_ms how long it holds."}
+	PartUnblocked = Event{"AD2012", "part_unblocked", zerolog.WarnLevel, "Requests with a part of a prompt are no longer refused; sound says that a response got past the part, refused how many requests the block refused."}
+
 	ConfigurationInForce  = Event{"AD3001", "configuration_in_force", zerolog.InfoLevel, "A revision was compiled and is in force on this daemon."}
 	ConfigurationRejected = Event{"AD3002", "configuration_rejected", zerolog.ErrorLevel, "A revision could not be compiled; the earlier one stays in force."}
 	ConfigurationPoll     = Event{"AD3003", "configuration_poll_failed", zerolog.WarnLevel, "The configuration head could not be read."}
@@ -86,6 +89,8 @@
 
 	UpstreamExceededBound = Event{"AD8013", "upstream_exceeded_bound", zerolog.WarnLevel, "A response exceeded one of the bounds on what an upstream may send; its connection is closed."}
 
+	UpstreamCrashed = Event{"AD8014", "upstream_crashed", zerolog.WarnLevel, "An upstream ended before the first event of a response; begun says whether its header had arrived, parts which parts of the prompt other requests may share."}
+
 	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
 
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
@@ -96,14 +101,14 @@
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
 	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected, PanicContained, ProcessPaused,
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
-	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled,
+	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled, PartBlocked, PartUnblocked,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
 	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
-	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed,
 }
 
 // Log writes numbered events as JSON lines.
