Keep an upstream's error out of a stream that has begun

Callers saw, or would see: the text of an error in the middle of their stream, and a stream that ends as if it were complete.

Cause: a stream breaks off, and the upstream on which it resumes answers with a status other than 200. Statuses below 500, and large bodies, were delivered as if nothing had been sent yet; the response then ended in order.

Ruled out: server errors and refusals, which were handled already.

Change: such a response is a broken attempt; another upstream may follow, otherwise the caller's connection closes before the end of the response.

TestErrorOnResumptionIsNoPartOfTheStream failed for 204, 206, 400, 404 and 409 before and passes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -192,6 +193,9 @@
 		return a.brokenResponse("response has a content encoding")
 	case q.route.Type == httproute.Stream && response.Status == http.StatusOK:
 		return a.relayStream()
+	case q.outcome.stream.started:
+		// Only events can follow those that the caller has.
+		return a.brokenResponse("status " + strconv.Itoa(response.Status) + " in place of the rest of a stream")
 	default:
 		if err := response.SetReadDeadline(q.deadline); err != nil {
 			return a.brokenResponse(err.Error())
