Give the daemons of tests ports that no connection takes

The tests took a port from the kernel and gave it back; another listener or an outgoing connection of the tests that run side by side could have it before the daemon listened. Seen again once in three runs of a new test that starts four daemons.

Ruled out: a fault of the daemon, which refuses to start as it should.

Change: ports come from process.Ports, below the kernel's range.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/auburndyke/auburndyke/internal/edge"
+	"github.com/auburndyke/auburndyke/internal/standin/process"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 	"github.com/auburndyke/auburndyke/platform"
 	"github.com/auburndyke/auburndyke/platform/standin"
@@ -32,12 +34,22 @@
 	done     chan error
 }
 
+// ports lie below those that the kernel gives to outgoing connections and to listeners
+// without a port, which could take a port before its daemon listens, and apart from those
+// of the packages that start processes.
+var (
+	portsMu sync.Mutex
+	ports   = process.NewPorts(2_000, 8_000)
+)
+
+// freeAddress returns an address that nothing listens on, and that it returns only once.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	portsMu.Lock()
+	defer portsMu.Unlock()
+	port, err := ports.Free()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
 func start(t *testing.T) *fixture {
