Honour upstreams that announce their leaving or ask for a pause

An upstream that was leaving got requests until its registration said so, and one that asked for a pause got them again after half a second.

Change: the balancer keeps, for each start of an upstream at an address, whether it has said in any response that it is leaving, and until when it is paused. Neither gets requests, repeats, fetches or polls of the load, whatever the platform's table says, and a request that is on its way to a connection is checked once more before it is written. A pause counts for at most a minute, ends a little later on each daemon, and then one request shows whether the upstream takes more. If all upstreams are paused, callers are told when the first pause ends. What is said outlasts a registration that lapses.

--- a/internal/adapters/upstreamhttp/exchange.go
+++ b/internal/adapters/upstreamhttp/exchange.go
@@ -57,6 +57,9 @@
 	MaxIdleAge time.Duration
 	// Mine reports whether an answer belongs to the request. Nil accepts all.
 	Mine func(http.Header) bool
+	// Allowed returns an error if the request must not be sent any more. It is called
+	// when a connection is open. Nil allows all.
+	Allowed func() error
 	// HeaderDeadline bounds the wait for the answer's header.
 	HeaderDeadline time.Time
 }
@@ -87,6 +90,12 @@
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
+	if r.Allowed != nil {
+		if err := r.Allowed(); err != nil {
+			_ = c.Close() // nothing was sent
+			return nil, &SendError{Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a, sent, err := p.exchange(c, r)
 	if err != nil {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -53,6 +53,8 @@
 	services  map[string]*service
 	// newReports holds the load reports not yet sent to peers.
 	newReports map[uint32]LoadReport
+	// availabilities holds what the upstreams have said about new requests.
+	availabilities map[process]*availability
 }
 
 // service is a group of interchangeable upstreams.
@@ -121,6 +123,8 @@
 		upstreams:  make(map[domain.UpstreamID]*upstream),
 		services:   make(map[string]*service),
 		newReports: make(map[uint32]LoadReport),
+
+		availabilities: make(map[process]*availability),
 	}
 }
 
@@ -144,6 +148,7 @@
 			}
 		}
 		u.Entry = e
+		u.said = b.availabilityOf(now, process{e.ID, e.Incarnation, e.Address})
 		u.rtt = b.site.rtt(e.Zone)
 		engine := engineOf(e.Service)
 		u.cache.capacity = engine.KVTokens
@@ -176,6 +181,7 @@
 		}
 	}
 	b.upstreams = next
+	b.forgetAvailabilities(now)
 }
 
 // Choice is a picked upstream with the figures behind the pick.
@@ -312,12 +318,13 @@
 }
 
 // eligible returns the upstreams that may take a request: those that serve and are
-// not ejected, or else the ejected ones, or else the unlisted ones.
+// not ejected, or else the ejected ones, or else the unlisted ones. Those that have said
+// that they take no requests are none of them.
 func eligible(all []*upstream, now time.Time, tried []domain.UpstreamID) []*upstream {
 	var serving, ejected, unlisted []*upstream
 	for _, u := range all {
 		switch {
-		case u.State == inventory.Draining || u.State == inventory.Superseded || contains(tried, u.ID):
+		case u.State == inventory.Draining || u.State == inventory.Superseded || contains(tried, u.ID) || !u.said.admits(now):
 		case u.State == inventory.Unlisted:
 			unlisted = append(unlisted, u)
 		case u.health.ejected(now):
--- a/internal/balancer/reservation.go
+++ b/internal/balancer/reservation.go
@@ -32,12 +32,15 @@
 	started    time.Time
 	uncached   int
 	prefilling bool
-	once       sync.Once
+	// trying is set while this is the first request after a pause, without a response.
+	trying bool
+	once   sync.Once
 }
 
 func (b *Balancer) reserve(now time.Time, u *upstream, s *service, q Query, uncached int) *Reservation {
 	u.inFlight++
 	r := &Reservation{b: b, u: u, s: s, route: q.Route, started: now, uncached: uncached}
+	r.beginTry()
 	if !q.Prompt.empty() {
 		r.prefilling = true
 		u.prefillTokens += uncached
@@ -79,6 +82,7 @@
 		r.b.mu.Lock()
 		defer r.b.mu.Unlock()
 		r.u.inFlight--
+		r.endTry()
 		r.endPrefill()
 		r.u.health.observe(now, result)
 		if result == Refused {
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -42,6 +42,8 @@
 	joinedAt   time.Time
 	switchedAt time.Time
 	health     health
+	// said is what its process has said about new requests.
+	said *availability
 	// inFlight is the number of requests of this daemon at the upstream.
 	inFlight int
 	// prefillTokens is the number of uncached prompt tokens of this daemon's
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -26,6 +26,10 @@
 	minAttemptTime = 50 * time.Millisecond
 )
 
+// errUnavailable means that the upstream has said, while the request was on its way to
+// it, that it takes no requests.
+var errUnavailable = errors.New("the upstream is leaving or paused")
+
 // result is how an attempt ended.
 type result uint8
 
@@ -181,6 +185,10 @@
 	q.recordSend(a)
 	a.response = response
 	a.info = q.h.Protocol.ParseResponse(response.Status, response.Header)
+	if !a.info.AddressReused {
+		leaving, pause := reservation.ObserveAvailability(time.Now(), a.info.Availability)
+		q.h.logAvailability(a.choice.Upstream.ID, q.id(), leaving, pause, a.info)
+	}
 	if a.info.HasLoad {
 		reservation.ObserveLoad(time.Now(), a.info.Load)
 	}
@@ -223,9 +231,15 @@
 			FetchFrom:   a.choice.FetchFrom,
 			LastEventID: q.info.LastEventID,
 		}),
-		Body:           q.body,
-		MaxIdleAge:     maxIdleAge,
-		Mine:           func(h http.Header) bool { return q.h.Protocol.MatchesRequest(h, q.info.ID) },
+		Body:       q.body,
+		MaxIdleAge: maxIdleAge,
+		Mine:       func(h http.Header) bool { return q.h.Protocol.MatchesRequest(h, q.info.ID) },
+		Allowed: func() error {
+			if !a.choice.Reservation().Admits(time.Now()) {
+				return errUnavailable
+			}
+			return nil
+		},
 		HeaderDeadline: q.startDeadline,
 	}
 }
@@ -249,9 +263,12 @@
 	if a.callerGone() {
 		return callerDisconnected
 	}
-	if a.endedByBlock() {
+	switch {
+	case a.endedByBlock():
 		err = errBlocked
-	} else if sent {
+	case errors.Is(err, errUnavailable):
+		a.result = balancer.Abandoned
+	case sent:
 		a.recordCrash(err)
 	}
 	a.recordCause(err)
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -96,8 +96,12 @@
 }
 
 // noUpstreamRetryAfter returns the delay for a request that no upstream took. It
-// is longer if there was no eligible upstream than if those tried refused.
+// is longer if there was no eligible upstream than if those tried refused, and lasts
+// until the end of a pause if upstreams asked for one.
 func (q *request) noUpstreamRetryAfter() time.Duration {
+	if wait, paused := q.h.Balancer.ResumesIn(time.Now(), q.service); paused {
+		return min(wait, q.maxRetryAfter())
+	}
 	if len(q.tried) > 0 {
 		return upstreamRetryAfter
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -80,6 +80,26 @@
 	line.Send()
 }
 
+// logAvailability logs and counts that an upstream is leaving or asks for a pause.
+// request is the request that it answered, if any.
+func (h *Handler) logAvailability(upstream domain.UpstreamID, request domain.RequestID, leaving bool, pause time.Duration, info ResponseInfo) {
+	if leaving {
+		h.Log.Event(telemetry.UpstreamLeaving).Str("upstream", string(upstream)).Str("request", string(request)).Send()
+	}
+	if pause > 0 {
+		h.Metrics.pauses.Inc(1)
+		h.Log.Event(telemetry.UpstreamPaused).Str("upstream", string(upstream)).Str("request", string(request)).
+			Int64("asked_ms", info.Availability.Pause.Milliseconds()).Int64("pause_ms", pause.Milliseconds()).Send()
+	}
+	if info.InvalidPause != "" {
+		h.Log.Event(telemetry.UpstreamPaused).Str("upstream", string(upstream)).Str("request", string(request)).
+			Str("ignored", info.InvalidPause[:min(len(info.InvalidPause), maxLoggedPause)]).Send()
+	}
+}
+
+// maxLoggedPause bounds an invalid pause in a log line, in bytes.
+const maxLoggedPause = 64
+
 // logFinish logs how a request ended.
 func (q *request) logFinish() {
 	line := q.h.Log.Event(telemetry.RequestFinished)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -20,6 +20,7 @@
 	// refusedSound those that blocks refused whose parts proved to be sound.
 	crashes      metrics.Counter
 	refusedSound metrics.Counter
+	pauses       metrics.Counter
 }
 
 // NewMetrics registers the metrics of a relay.
@@ -33,6 +34,7 @@
 
 		crashes:      set.Counter("auburndyke_prompt_crashes_total"),
 		refusedSound: set.Counter("auburndyke_sound_prompts_refused_total"),
+		pauses:       set.Counter("auburndyke_upstream_pauses_total"),
 	}
 }
 
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -50,6 +50,10 @@
 	AddressReused bool
 	// Genuine reports whether the response is marked as the upstream's own.
 	Genuine bool
+	// Availability is what the upstream says about new requests.
+	Availability balancer.Availability
+	// InvalidPause is a request for a pause that can't be read. It has no effect.
+	InvalidPause string
 	// Load is set when HasLoad is.
 	Load    balancer.Load
 	HasLoad bool
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -60,6 +60,9 @@
 		return balancer.Load{}, err
 	}
 	defer response.Close()
+	info := h.Protocol.ParseResponse(response.Status, response.Header)
+	leaving, pause := h.Balancer.ObserveAvailability(time.Now(), u.ID, info.Availability)
+	h.logAvailability(u.ID, "", leaving, pause, info)
 	if response.Status != http.StatusOK {
 		return balancer.Load{}, eris.Errorf("load report has status %d", response.Status)
 	}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -91,6 +91,9 @@
 
 	UpstreamCrashed = Event{"AD8014", "upstream_crashed", zerolog.WarnLevel, "An upstream ended before the first event of a response; begun says whether its header had arrived, parts which parts of the prompt other requests may share."}
 
+	UpstreamLeaving = Event{"AD8015", "upstream_leaving", zerolog.InfoLevel, "An upstream says in a response that it is leaving; the daemon sends it no more requests until it has started again."}
+	UpstreamPaused  = Event{"AD8016", "upstream_paused", zerolog.InfoLevel, "An upstream refused a request and asked for a pause; pause_ms is how long the daemon sends it nothing, ignored a pause that can't be read."}
+
 	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
 
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
@@ -108,7 +111,7 @@
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
-	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused,
 }
 
 // Log writes numbered events as JSON lines.
