--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -68,6 +68,7 @@
 	for _, d := range f.daemons {
 		out = append(out, d.checkStops()...)
 	}
+	out = append(out, f.checkAvailability(all)...)
 	return append(out, f.checkRuns(runs, all)...)
 }
 
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -36,6 +36,10 @@
 	status  int
 	body    string
 	refused bool
+	// leaving is the upstream that said in the response that it leaves, and headAt when
+	// the response's header arrived.
+	leaving string
+	headAt  time.Time
 	err     error // the connection failed before the answer's end
 }
 
@@ -124,7 +128,10 @@
 		return e
 	}
 	defer resp.Body.Close()
-	e.status = resp.StatusCode
+	e.status, e.headAt = resp.StatusCode, time.Now()
+	if resp.Header.Get("Server-Leaving") != "" {
+		e.leaving = resp.Header.Get("X-Replica-Seal")
+	}
 	e.refused = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	data, err := io.ReadAll(resp.Body)
 	e.body, e.err = string(data), err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -174,7 +174,7 @@
 			one.disturbed(time.Now().Add(lasts))
 		}
 	}
-	switch rng.IntN(18) {
+	switch rng.IntN(20) {
 	case 0:
 		return d.name + " is killed", func() { d.restart(f, d.kill) }
 	case 1:
@@ -245,6 +245,25 @@
 	case 14:
 		herd := pick(rng, f.daemons, 2+rng.IntN(len(f.daemons)-1))
 		return fmt.Sprintf("%d daemons are killed at once", len(herd)), func() { restartAll(f, herd) }
+	case 16:
+		old := u.replica()
+		return fmt.Sprintf("%s says that it leaves, and ends after %s", old.ID, lasts), func() {
+			b := u.usual()
+			b.Leaving = true
+			old.Set(b)
+			time.Sleep(lasts)
+			f.store.Drop("servers", u.crash(f))
+			f.register(u, "ready")
+		}
+	case 17:
+		asked := time.Duration(500+rng.IntN(2500)) * time.Millisecond
+		return fmt.Sprintf("%s asks for pauses of %s for %s", u.replica().ID, asked, lasts), func() {
+			b := u.usual()
+			b.Refuse, b.RetryAfter = true, fmt.Sprint(asked.Seconds())
+			u.replica().Set(b)
+			time.Sleep(lasts)
+			u.replica().Set(u.usual())
+		}
 	case 15:
 		return fmt.Sprintf("%s is killed while the store is silent for %s", d.name, lasts), func() {
 			disturb(f.daemons...)
