--- a/internal/peers/state_test.go
+++ b/internal/peers/state_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/follow"
+	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/quarantine"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -168,3 +174,54 @@
 		}
 	})
 }
+
+// Guards against evidence of peers that crashes the daemon or grows without bound.
+func FuzzDecodeEvidence(f *testing.F) {
+	data, err := encodeEvidence("a:1", &quarantine.Report{
+		Crashes: []quarantine.CrashReport{{Part: 1, Upstream: 2, Stage: quarantine.Begun, Age: 3, SentAge: 9}},
+		Sound:   []quarantine.SoundReport{{Part: 4, Age: 5}},
+	})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, ok := decodeEvidence(data)
+		if !ok {
+			return
+		}
+		tracker := quarantine.New(rand.New(rand.NewPCG(1, 2)), nil)
+		for i := range 3 {
+			tracker.Merge(start.Add(time.Duration(i)*time.Second), &m.Evidence)
+		}
+		if report := tracker.Report(start.Add(3 * time.Second)); report != nil {
+			_, err := encodeEvidence("a:1", report)
+			assert.NilError(t, err)
+		}
+	})
+}
+
+// Guards against copies of peers that crash the daemon.
+func FuzzDecodeCopy(f *testing.F) {
+	data, err := cbor.Marshal(tableCopy{Rows: []copyRow{{Key: "a", Value: []byte("x"), Version: 3}}, AsOf: 4})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var c tableCopy
+		if cbor.Unmarshal(data, &c) == nil {
+			follow.NewSnapshot(c.rows(), follow.Versions{AsOf: ports.Version(c.AsOf), Changed: ports.Version(c.Changed)})
+		}
+	})
+}
+
+// Guards against evidence that is too large for a datagram when it is complete.
+func TestEvidenceFitsIntoADatagram(t *testing.T) {
+	tracker := quarantine.New(rand.New(rand.NewPCG(1, 2)), nil)
+	for i := range 100 {
+		part := quarantine.Part(math.MaxUint64 - uint64(i))
+		tracker.Crash(start, domain.UpstreamID(fmt.Sprint(i)), start, quarantine.Begun, []quarantine.Part{part})
+		tracker.Sound(start.Add(time.Second), []quarantine.Part{part})
+		tracker.Crash(start.Add(2*time.Second), domain.UpstreamID(fmt.Sprint(i)), start, quarantine.Begun, []quarantine.Part{part})
+	}
+	data, err := encodeEvidence("100.100.100.100:65535", tracker.Report(start.Add(2*time.Second)))
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < 700, "%d bytes", len(data))
+}
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -196,10 +196,7 @@
 		return false, eris.Wrap(err, "decoding the peer's copy of the table")
 	}
 	n.addPeers(c.Peers)
-	rows := make([]ports.Row, 0, len(c.Rows))
-	for _, r := range c.Rows {
-		rows = append(rows, ports.Row{Key: r.Key, Value: r.Value, Version: ports.Version(r.Version), Deleted: r.Removed})
-	}
+	rows := c.rows()
 	versions := follow.Versions{AsOf: ports.Version(c.AsOf), Changed: ports.Version(c.Changed)}
 	if c.Partial {
 		return n.Tables[name].OfferChanges(after, rows, versions), nil
@@ -207,6 +204,15 @@
 	return n.Tables[name].Offer(follow.NewSnapshot(rows, versions)), nil
 }
 
+// rows returns the rows of the copy.
+func (c *tableCopy) rows() []ports.Row {
+	rows := make([]ports.Row, 0, len(c.Rows))
+	for _, r := range c.Rows {
+		rows = append(rows, ports.Row{Key: r.Key, Value: r.Value, Version: ports.Version(r.Version), Deleted: r.Removed})
+	}
+	return rows
+}
+
 func (n *Node) addPeers(addresses []string) {
 	now := time.Now()
 	n.mu.Lock()
