Show that a repeated refusal is not taken for a later answer

Result: it cannot happen here as far as the test plays it: the copy arrives before the answer to the next request on the connection, with the earlier request's id or without one.

--- a/internal/relay/midstream_test.go
+++ b/internal/relay/midstream_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -52,3 +53,35 @@
 		}
 	}
 }
+
+// Guards against a refusal that an upstream writes once more on a kept connection and
+// that is taken for the answer to a later request, which has run.
+func TestRepeatedRefusalIsOfAnEarlierRequest(t *testing.T) {
+	for name, withoutID := range map[string]bool{"with the earlier id": false, "without an id": true} {
+		t.Run(name, func(t *testing.T) {
+			s := startRelay(t, 1)
+			s.setBehaviour(standin.Behaviour{RefuseThenRepeat: true, WithoutID: withoutID, Work: 20 * time.Millisecond})
+			for i := range 12 {
+				id := fmt.Sprintf("r%d", i)
+				got := s.do(s.request(http.MethodPost, "/once/", id, "x"))
+				ran := 0
+				for _, run := range s.replicas[0].Runs() {
+					if run.ID == id {
+						ran++
+					}
+				}
+				assert.Assert(t, ran <= 1, "%s ran %d times", id, ran)
+				switch got.status {
+				case http.StatusOK:
+					assert.Equal(t, got.body, "answer of replica-0 to "+id)
+				case http.StatusServiceUnavailable:
+					assert.Equal(t, ran, 0, "%s was refused and has run", id)
+				default:
+					assert.Equal(t, got.status, http.StatusBadGateway)
+				}
+				time.Sleep(30 * time.Millisecond)
+			}
+			assert.Assert(t, s.executions() > 0)
+		})
+	}
+}
