Keep slow streams that no other upstream can take over

Callers saw: a slow but sound stream cut after 1.5 s without an event (or three times the route's gap), with no upstream to resume it or no attempt left.

Cause: the deadline of the next event did not ask whether anything could follow. The same held for the start of a response when there is one upstream only.

Ruled out: leaving the deadline out. A stalled stream then keeps its place, and its caller waits although another upstream could go on.

Change: a timer watches the stream instead of a read deadline, since a chunked body can't be read on after one. When it fires, the attempt ends only if the route, the attempts, the retry budget and the list of upstreams allow another one.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -246,6 +246,14 @@
 	return best, true
 }
 
+// HasCandidate reports whether Pick would find an upstream.
+func (b *Balancer) HasCandidate(now time.Time, q Query) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[q.Service]
+	return s != nil && len(eligible(s.upstreams, now, q.Tried)) > 0
+}
+
 // RecordArrival adds a new request to the measured work. It is called once for each
 // request, before the first Pick.
 func (b *Balancer) RecordArrival(now time.Time, q Query) {
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -78,3 +78,8 @@
 func (r *RetryBudgets) Withdraw(now time.Time, service string) bool {
 	return r.budget(service).Withdraw(now)
 }
+
+// Remaining returns the number of retries that the budget of a service allows now.
+func (r *RetryBudgets) Remaining(now time.Time, service string) int {
+	return r.budget(service).Remaining(now)
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,10 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -63,16 +63,19 @@
 	reader := bufio.NewReaderSize(a.response, eventBufferSize)
 	var event []byte
 	first := true
+	if err := a.response.SetReadDeadline(q.deadline); err != nil {
+		return a.streamBroken(err)
+	}
+	idle := a.watchIdle()
+	defer idle.stop()
 	// filler is what was received since the last event, and pending the part of it
 	// that waits for the stream's first event.
 	filler := 0
 	var pending []byte
 	for {
-		// Filler is no progress: the deadline is that of the next event.
+		// Filler is no progress: the time for the next event goes on.
 		if filler == 0 {
-			if err := a.response.SetReadDeadline(q.eventDeadline()); err != nil {
-				return a.streamBroken(err)
-			}
+			idle.reset()
 		}
 		var err error
 		event, err = readEvent(reader, event[:0])
@@ -131,27 +134,11 @@
 	return http.NewResponseController(a.q.w).Flush()
 }
 
-// eventDeadline returns when the stream counts as broken unless another event
-// arrives.
-func (q *request) eventDeadline() time.Time {
-	if !q.route.Repeatable() {
-		return q.deadline
-	}
-	if !q.outcome.stream.started {
-		return q.startDeadline
-	}
-	idle := max(minStreamIdle, streamIdleGaps*q.route.MaxGap)
-	if at := time.Now().Add(idle); at.Before(q.deadline) {
-		return at
-	}
-	return q.deadline
-}
-
 // attemptStartDeadline returns the time by which the response of an attempt must
 // begin. That is the request's deadline while requests wait at the upstreams, or
 // if no further attempt may follow.
 func (q *request) attemptStartDeadline(c balancer.Choice) time.Time {
-	if !q.route.Repeatable() || q.sends+1 >= q.route.MaxAttempts || c.Queueing {
+	if !q.route.Repeatable() || q.sends+1 >= q.route.MaxAttempts || c.Queueing || c.Eligible < 2 {
 		return q.deadline
 	}
 	timeout := max(time.Duration(startTimeoutTargets*float64(q.route.LatencyTarget)), startTimeoutCosts*c.Cost, minStartTimeout)
@@ -267,7 +254,7 @@
 		err = errBlocked
 	case q.ctx.Err() != nil:
 		err = q.ctx.Err() // the connection was closed at the deadline
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(context.Cause(a.ctx), errStreamIdle):
 		err = errStreamIdle
 	}
 	a.recordCrash(err)
