Split the evidence from the tracker, and end a stream's watch for good

Read as a newcomer: the tracker's file held the evidence as well, a block's state stood in two places, the evidence datagram named a sender that nobody read, and a set of attempts had a name that it did not live up to.

A watch of a stream whose timer fired while the attempt ended would have looked again for ever if no other upstream was free. Found by reading; not seen. It now ends with its attempt.

--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -124,14 +124,6 @@
 	Tables   []TableState
 }
 
-// evidenceMessage is the content of a datagram with evidence on parts of prompts. Its
-// length tells it from the other messages.
-type evidenceMessage struct {
-	_        struct{} `cbor:",toarray"`
-	Sender   string
-	Evidence quarantine.Report
-}
-
 // maxMessageBytes keeps a message within one Ethernet frame.
 const maxMessageBytes = 1400
 
@@ -160,9 +152,9 @@
 	return cbor.Marshal(&plainMessage{Sender: m.Sender, Peers: m.Peers, Services: m.Services, Loads: m.Loads, Tables: m.Tables})
 }
 
-// encodeEvidence returns a message with evidence.
-func encodeEvidence(sender string, r *quarantine.Report) ([]byte, error) {
-	data, err := cbor.Marshal(&evidenceMessage{Sender: sender, Evidence: *r})
+// encodeEvidence returns a datagram with evidence on parts of prompts.
+func encodeEvidence(r *quarantine.Report) ([]byte, error) {
+	data, err := cbor.Marshal(r)
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding evidence")
 	}
@@ -172,13 +164,14 @@
 	return data, nil
 }
 
-// decodeEvidence decodes a message with evidence. It returns false for others.
-func decodeEvidence(data []byte) (*evidenceMessage, bool) {
-	var m evidenceMessage
-	if err := cbor.Unmarshal(data, &m); err != nil {
-		return nil, false // one of the other messages
+// decodeEvidence decodes a datagram with evidence. It returns false for a Message, which
+// has another number of elements.
+func decodeEvidence(data []byte) (*quarantine.Report, bool) {
+	var r quarantine.Report
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return nil, false
 	}
-	return &m, true
+	return &r, true
 }
 
 // decode decodes a message with or without Return.
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -172,9 +172,9 @@
 
 // receive handles one datagram.
 func (n *Node) receive(ctx context.Context, data []byte) error {
-	if m, ok := decodeEvidence(data); ok {
+	if report, ok := decodeEvidence(data); ok {
 		if n.Evidence != nil {
-			n.Evidence.Merge(time.Now(), &m.Evidence)
+			n.Evidence.Merge(time.Now(), report)
 		}
 		return nil
 	}
@@ -262,7 +262,7 @@
 	if report == nil {
 		return
 	}
-	data, err := encodeEvidence(n.Address, report)
+	data, err := encodeEvidence(report)
 	if err != nil {
 		n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
 		return
--- a/internal/peers/state_test.go
+++ b/internal/peers/state_test.go
@@ -177,23 +177,23 @@
 
 // Guards against evidence of peers that crashes the daemon or grows without bound.
 func FuzzDecodeEvidence(f *testing.F) {
-	data, err := encodeEvidence("a:1", &quarantine.Report{
+	data, err := encodeEvidence(&quarantine.Report{
 		Crashes: []quarantine.CrashReport{{Part: 1, Upstream: 2, Stage: quarantine.Begun, Age: 3, SentAge: 9}},
 		Sound:   []quarantine.SoundReport{{Part: 4, Age: 5}},
 	})
 	assert.NilError(f, err)
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, ok := decodeEvidence(data)
+		received, ok := decodeEvidence(data)
 		if !ok {
 			return
 		}
 		tracker := quarantine.New(rand.New(rand.NewPCG(1, 2)), nil)
 		for i := range 3 {
-			tracker.Merge(start.Add(time.Duration(i)*time.Second), &m.Evidence)
+			tracker.Merge(start.Add(time.Duration(i)*time.Second), received)
 		}
 		if report := tracker.Report(start.Add(3 * time.Second)); report != nil {
-			_, err := encodeEvidence("a:1", report)
+			_, err := encodeEvidence(report)
 			assert.NilError(t, err)
 		}
 	})
@@ -221,7 +221,7 @@
 		tracker.Sound(start.Add(time.Second), []quarantine.Part{part})
 		tracker.Crash(start.Add(2*time.Second), domain.UpstreamID(fmt.Sprint(i)), start, quarantine.Begun, []quarantine.Part{part})
 	}
-	data, err := encodeEvidence("100.100.100.100:65535", tracker.Report(start.Add(2*time.Second)))
+	data, err := encodeEvidence(tracker.Report(start.Add(2 * time.Second)))
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) < 700, "%d bytes", len(data))
 }
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,118 @@
+package quarantine
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// begunWeight and queuedWeight are the scores of a crash.
+	begunWeight  = 0.5
+	queuedWeight = 0.25
+
+	// A crash counts in full for fullWeightAge, and then less and less until
+	// crashTTL.
+	fullWeightAge = 30 * time.Second
+	crashTTL      = 2 * time.Minute
+	// sameCrashTime is the time between reports of one crash of an upstream. No
+	// upstream restarts and crashes again sooner.
+	sameCrashTime = 2 * time.Second
+	// Crashes of several upstreams within commonCauseTime count once, unless the request
+	// was sent to one of them only after the other had crashed. Their common cause is
+	// likelier the loss of a zone than a part of different requests.
+	commonCauseTime = 100 * time.Millisecond
+)
+
+// Stage is how far a response had come when its upstream crashed.
+type Stage uint8
+
+const (
+	// Queued responses had no header.
+	Queued Stage = iota
+	// Begun responses had a header and no event.
+	Begun
+)
+
+func (s Stage) weight() float64 {
+	if s == Begun {
+		return begunWeight
+	}
+	return queuedWeight
+}
+
+// suspect is a part with evidence against it.
+type suspect struct {
+	crashes []crash // distinct, oldest first
+	// blocks is the number of blocks in a row, and until the end of the last one.
+	blocks int
+	until  time.Time
+	// refused counts the requests that the block has refused. Nil means that the part
+	// is not blocked.
+	refused *atomic.Int64
+}
+
+// reportable reports whether the evidence is strong enough that peers have to know it.
+// Most requests that wait at an upstream when it crashes have only sound parts.
+func (s *suspect) reportable() bool {
+	evidence := s.evidence()
+	return len(evidence) > 1 || slices.ContainsFunc(evidence, func(c crash) bool { return c.stage == Begun })
+}
+
+// evidence returns the crashes since the part was last sound, oldest first.
+func (s *suspect) evidence() []crash {
+	i := 0
+	for i < len(s.crashes) && s.crashes[i].cleared {
+		i++
+	}
+	return s.crashes[i:]
+}
+
+// blocked reports whether requests with the part are refused.
+func (s *suspect) blocked() bool { return s.refused != nil }
+
+// score returns the weight of the evidence.
+func (s *suspect) score(now time.Time) float64 {
+	// group is the weight of the crashes that count once, since groupStart.
+	var score, group float64
+	var groupStart time.Time
+	for _, c := range s.evidence() {
+		if c.at.Sub(groupStart) >= commonCauseTime || c.sent.After(groupStart) {
+			score, group, groupStart = score+group, 0, c.at
+		}
+		fading := float64(now.Sub(c.at)-fullWeightAge) / float64(crashTTL-fullWeightAge)
+		group = max(group, c.stage.weight()*min(max(1-fading, 0), 1))
+	}
+	return score + group
+}
+
+func (s *suspect) lastCrash() time.Time {
+	if len(s.crashes) == 0 {
+		return time.Time{}
+	}
+	return s.crashes[len(s.crashes)-1].at
+}
+
+// crash is one crash of an upstream.
+type crash struct {
+	upstream uint32 // hash of the upstream's id
+	stage    Stage
+	// sent is when the request was sent to the upstream, and at when that crashed.
+	sent, at time.Time
+	own      bool
+	// cleared is set if the part was sound later. The crash is kept, so that reports of
+	// it that still go round are known.
+	cleared bool
+	// learned is when this daemon learned of the crash or of its stage.
+	learned time.Time
+}
+
+// same reports whether c and k are reports of one crash.
+func (c crash) same(k crash) bool {
+	return k.upstream == c.upstream && k.at.Sub(c.at).Abs() < sameCrashTime
+}
+
+// covers reports whether a holds all crashes of b.
+func covers(a, b []crash) bool {
+	return !slices.ContainsFunc(b, func(c crash) bool { return !slices.ContainsFunc(a, c.same) })
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -25,21 +25,6 @@
 	relapseScore = 0.5
 	relapseTime  = 10 * time.Minute
 
-	// begunWeight and queuedWeight are the scores of a crash.
-	begunWeight  = 0.5
-	queuedWeight = 0.25
-
-	// A crash counts in full for fullWeightAge, and then less and less until
-	// crashTTL.
-	fullWeightAge = 30 * time.Second
-	crashTTL      = 2 * time.Minute
-	// sameCrashTime is the time between reports of one crash of an upstream. No
-	// upstream restarts and crashes again sooner.
-	sameCrashTime = 2 * time.Second
-	// Crashes of several upstreams within commonCauseTime count once, unless the request
-	// was sent to one of them only after the other had crashed. Their common cause is
-	// likelier the loss of a zone than a part of different requests.
-	commonCauseTime = 100 * time.Millisecond
 	// soundTTL is how long a part counts as sound after a response got past it.
 	soundTTL = time.Minute
 
@@ -60,23 +45,6 @@
 // Part identifies a part of a prompt.
 type Part uint64
 
-// Stage is how far a response had come when its upstream crashed.
-type Stage uint8
-
-const (
-	// Queued responses had no header.
-	Queued Stage = iota
-	// Begun responses had a header and no event.
-	Begun
-)
-
-func (s Stage) weight() float64 {
-	if s == Begun {
-		return begunWeight
-	}
-	return queuedWeight
-}
-
 // Change says that a part is blocked, or no longer blocked.
 type Change struct {
 	Part    Part
@@ -108,45 +76,6 @@
 	blocked atomic.Pointer[map[Part]*block]
 }
 
-// suspect is a part with evidence against it.
-type suspect struct {
-	crashes []crash // distinct, oldest first
-	// blocks is the number of blocks in a row, and until the end of the last one.
-	blocks int
-	until  time.Time
-	block  *block // nil if the part is not blocked
-}
-
-// reportable reports whether the evidence is strong enough that peers have to know it.
-// Most requests that wait at an upstream when it crashes have only sound parts.
-func (s *suspect) reportable() bool {
-	evidence := s.evidence()
-	return len(evidence) > 1 || slices.ContainsFunc(evidence, func(c crash) bool { return c.stage == Begun })
-}
-
-// evidence returns the crashes since the part was last sound, oldest first.
-func (s *suspect) evidence() []crash {
-	i := 0
-	for i < len(s.crashes) && s.crashes[i].cleared {
-		i++
-	}
-	return s.crashes[i:]
-}
-
-// crash is one crash of an upstream.
-type crash struct {
-	upstream uint32 // hash of the upstream's id
-	stage    Stage
-	// sent is when the request was sent to the upstream, and at when that crashed.
-	sent, at time.Time
-	own      bool
-	// cleared is set if the part was sound later. The crash is kept, so that reports of
-	// it that still go round are known.
-	cleared bool
-	// learned is when this daemon learned of the crash or of its stage.
-	learned time.Time
-}
-
 type soundness struct {
 	at time.Time
 	// reportedAt is when this daemon last learned that its peers need the fact. Zero
@@ -262,10 +191,10 @@
 	if matters || t.neededScore(now, part, s) > needed {
 		t.reportSound(now, part)
 	}
-	if s.block == nil || t.score(now, s) >= t.neededScore(now, part, s) {
+	if !s.blocked() || s.score(now) >= t.neededScore(now, part, s) {
 		return false
 	}
-	s.block, s.blocks, s.until = nil, 0, time.Time{}
+	s.refused, s.blocks, s.until = nil, 0, time.Time{}
 	return true
 }
 
@@ -320,40 +249,25 @@
 // judge blocks a part if the evidence against it is enough, and extends its block with
 // each further crash.
 func (t *Tracker) judge(now time.Time, part Part, s *suspect) {
-	if t.score(now, s) < t.neededScore(now, part, s) {
+	if s.score(now) < t.neededScore(now, part, s) {
 		return
 	}
-	if s.block == nil {
+	if !s.blocked() {
 		s.blocks++
-		s.block = &block{refused: new(atomic.Int64)}
+		s.refused = new(atomic.Int64)
 	}
 	if until := now.Add(t.hold(s)); until.After(s.until) {
 		s.until = until
 	}
 }
 
-// score returns the weight of the evidence against a part.
-func (t *Tracker) score(now time.Time, s *suspect) float64 {
-	// group is the weight of the crashes that count once, since groupStart.
-	var score, group float64
-	var groupStart time.Time
-	for _, c := range s.evidence() {
-		if c.at.Sub(groupStart) >= commonCauseTime || c.sent.After(groupStart) {
-			score, group, groupStart = score+group, 0, c.at
-		}
-		fading := float64(now.Sub(c.at)-fullWeightAge) / float64(crashTTL-fullWeightAge)
-		group = max(group, c.stage.weight()*min(max(1-fading, 0), 1))
-	}
-	return score + group
-}
-
 // neededScore returns the score from which a part is blocked.
 func (t *Tracker) neededScore(now time.Time, part Part, s *suspect) float64 {
 	evidence := s.evidence()
 	switch soundAt := t.sound[part].at; {
 	case len(evidence) > 0 && evidence[0].at.Sub(soundAt) < soundTTL:
 		return soundBlockScore
-	case s.blocks > 0 && s.block == nil && now.Sub(s.until) < relapseTime:
+	case s.blocks > 0 && !s.blocked() && now.Sub(s.until) < relapseTime:
 		return relapseScore
 	default:
 		return blockScore
@@ -383,8 +297,8 @@
 	var found *suspect
 	for part, s := range t.suspects {
 		switch {
-		case found == nil, found.block != nil && s.block == nil:
-		case found.block == nil && s.block != nil, !s.lastCrash().Before(found.lastCrash()):
+		case found == nil, found.blocked() && !s.blocked():
+		case !found.blocked() && s.blocked(), !s.lastCrash().Before(found.lastCrash()):
 			continue
 		}
 		oldest, found = part, s
@@ -392,24 +306,17 @@
 	delete(t.suspects, oldest)
 }
 
-func (s *suspect) lastCrash() time.Time {
-	if len(s.crashes) == 0 {
-		return time.Time{}
-	}
-	return s.crashes[len(s.crashes)-1].at
-}
-
 // Expire ends blocks whose time is over and forgets old evidence.
 func (t *Tracker) Expire(now time.Time) {
 	t.update(now, func() (changed bool) {
 		for part, s := range t.suspects {
-			if s.block != nil && !now.Before(s.until) {
-				s.block, changed = nil, true
+			if s.blocked() && !now.Before(s.until) {
+				s.refused, changed = nil, true
 			}
-			if s.block == nil { // the evidence of a block lasts as long as the block
+			if !s.blocked() { // the evidence of a block lasts as long as the block
 				s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) >= crashTTL })
 			}
-			if s.block == nil && len(s.crashes) == 0 && now.Sub(s.until) >= relapseTime {
+			if !s.blocked() && len(s.crashes) == 0 && now.Sub(s.until) >= relapseTime {
 				delete(t.suspects, part)
 			}
 		}
@@ -444,7 +351,7 @@
 		if next[part] == nil {
 			s := t.suspects[part]
 			changes = append(changes, Change{
-				Part: part, Refused: b.refused.Load(), Sound: now.Before(b.until) && s != nil && s.block == nil,
+				Part: part, Refused: b.refused.Load(), Sound: now.Before(b.until) && s != nil && !s.blocked(),
 			})
 		}
 	}
@@ -453,7 +360,7 @@
 }
 
 func (t *Tracker) blockedChange(now time.Time, part Part, s *suspect) Change {
-	c := Change{Part: part, Blocked: true, Until: s.until, Score: t.score(now, s), Crashes: len(s.evidence()), Refused: s.block.refused.Load()}
+	c := Change{Part: part, Blocked: true, Until: s.until, Score: s.score(now), Crashes: len(s.evidence()), Refused: s.refused.Load()}
 	for _, k := range s.evidence() {
 		if k.own {
 			c.Own++
@@ -465,12 +372,12 @@
 // effectiveBlock returns the block of a part, or nil if it has none or if another
 // blocked part explains all crashes that are evidence against it, and more.
 func (t *Tracker) effectiveBlock(part Part, s *suspect) *block {
-	if s.block == nil {
+	if !s.blocked() {
 		return nil
 	}
-	b := &block{until: s.until, refused: s.block.refused}
+	b := &block{until: s.until, refused: s.refused}
 	for other, o := range t.suspects {
-		if other == part || o.block == nil || !covers(o.evidence(), s.evidence()) {
+		if other == part || !o.blocked() || !covers(o.evidence(), s.evidence()) {
 			continue
 		}
 		if !covers(s.evidence(), o.evidence()) {
@@ -481,16 +388,6 @@
 	return b
 }
 
-// same reports whether c and k are reports of one crash.
-func (c crash) same(k crash) bool {
-	return k.upstream == c.upstream && k.at.Sub(c.at).Abs() < sameCrashTime
-}
-
-// covers reports whether a holds all crashes of b.
-func covers(a, b []crash) bool {
-	return !slices.ContainsFunc(b, func(c crash) bool { return !slices.ContainsFunc(a, c.same) })
-}
-
 // BlockedParts returns the number of parts that are blocked.
 func (t *Tracker) BlockedParts() int { return len(*t.blocked.Load()) }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -169,8 +169,8 @@
 	q := a.q
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
-	q.h.unbegun.add(a)
-	defer q.h.unbegun.remove(a)
+	q.h.open.add(a)
+	defer q.h.open.remove(a)
 	a.result = balancer.Failed
 	q.startDeadline = q.attemptStartDeadline(a.choice)
 	reservation := a.choice.Reservation()
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -109,42 +109,42 @@
 func (h *Handler) PartChanged(c quarantine.Change) {
 	h.logPart(c)
 	if c.Blocked {
-		h.unbegun.cancelBlocked(h.Quarantine)
+		h.open.cancelBlocked(h.Quarantine)
 	} else if c.Sound {
 		h.Metrics.refusedSound.Inc(c.Refused)
 	}
 }
 
-// unbegunAttempts holds the attempts in progress whose prompts have parts.
-type unbegunAttempts struct {
+// openAttempts holds the attempts in progress whose prompts have shared parts.
+type openAttempts struct {
 	mu  sync.Mutex
 	all map[*attempt]struct{}
 }
 
-func (u *unbegunAttempts) add(a *attempt) {
+func (o *openAttempts) add(a *attempt) {
 	if len(a.q.parts) == 0 {
 		return
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.all == nil {
-		u.all = make(map[*attempt]struct{})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.all == nil {
+		o.all = make(map[*attempt]struct{})
 	}
-	u.all[a] = struct{}{}
+	o.all[a] = struct{}{}
 }
 
-func (u *unbegunAttempts) remove(a *attempt) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.all, a)
+func (o *openAttempts) remove(a *attempt) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.all, a)
 }
 
 // cancelBlocked ends the attempts without an event that have a blocked part.
-func (u *unbegunAttempts) cancelBlocked(t *quarantine.Tracker) {
+func (o *openAttempts) cancelBlocked(t *quarantine.Tracker) {
 	now := time.Now()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for a := range u.all {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for a := range o.all {
 		if a.events.Load() > 0 {
 			continue
 		}
--- a/internal/relay/idle.go
+++ b/internal/relay/idle.go
@@ -48,11 +48,13 @@
 
 // expired ends the attempt if another one may follow, and otherwise looks again later.
 func (w *idleWatch) expired() {
-	if w.replaceable() {
+	switch {
+	case w.attempt.ctx.Err() != nil: // the attempt ended while the timer fired
+	case w.replaceable():
 		w.attempt.cancel(errStreamIdle)
-		return
+	default:
+		w.timer.Reset(w.pauseTimeout())
 	}
-	w.timer.Reset(w.pauseTimeout())
 }
 
 // replaceable reports whether another upstream can resume the stream.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,7 +64,7 @@
 	bodies           bodyMemory
 	responses        bodyMemory
 	unsized          unsizedRate
-	unbegun          unbegunAttempts
+	open             openAttempts
 }
 
 // New returns a Handler that refuses requests until SetTable is called.
