--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -81,7 +81,7 @@
 	}
 	// Responses that had begun are stronger evidence than any number of others.
 	slices.SortFunc(crashes, func(a, b datedCrash) int {
-		return cmp.Or(cmp.Compare(b.Stage, a.Stage), b.learned.Compare(a.learned), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(b.Stage, a.Stage), b.learned.Compare(a.learned), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Upstream, b.Upstream))
 	})
 	slices.SortFunc(sound, func(a, b datedSound) int {
 		return cmp.Or(b.learned.Compare(a.learned), cmp.Compare(a.Part, b.Part))
