Give each daemon of a case a loopback address of its own

Two daemons chose one port in 3 runs of case 5 when seven cases were played beside each other, and the case could not run.

--- a/review/driver/stage.go
+++ b/review/driver/stage.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -106,7 +107,7 @@
 role = "edge"
 class = "edge"
 serves = ["edge","ctl"]
-ip = "127.0.0.1"
+ip = "{{.IP}}"
 zone = "{{.Zone}}"
 region = "{{.Region}}"
 port_range = [{{.Internal}},{{.Internal}}]
@@ -174,13 +175,38 @@
 // regions maps the zones of the deployment to their regions.
 var regions = map[string]string{"dublin-a": "leinster", "cork-a": "munster", "galway-a": "connacht"}
 
-// freeAddress returns a loopback address with a free port.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports of each daemon, as in the example of the pages. Each daemon has a loopback address
+// of its own, so that cases which run beside each other do not take each other's ports.
+const (
+	frontPort    = "8227"
+	readyPort    = "8220"
+	controlPort  = "8229"
+	internalPort = "7340"
+)
+
+// freeIP returns a loopback address at which the ports of a daemon are free.
+func freeIP() (string, error) {
+	var last error
+	for range 20 {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+		if last = portsFree(ip); last == nil {
+			return ip, nil
+		}
 	}
-	return l.Addr().String(), l.Close()
+	return "", fmt.Errorf("no loopback address with free ports: %w", last)
+}
+
+func portsFree(ip string) error {
+	for _, port := range []string{frontPort, readyPort, controlPort, internalPort} {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, port))
+		if err != nil {
+			return err
+		}
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // startDaemon starts a daemon with the command of the deploy file and waits until it
@@ -194,22 +220,15 @@
 }
 
 func (s *stage) launch(name, zone string) (*daemon, error) {
-	var addresses [4]string
-	for i := range addresses {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		addresses[i] = address
-	}
-	_, internal, err := net.SplitHostPort(addresses[3])
+	ip, err := freeIP()
 	if err != nil {
 		return nil, err
 	}
+	address := func(port string) string { return net.JoinHostPort(ip, port) }
 	var text strings.Builder
 	err = settingsText.Execute(&text, map[string]string{
-		"Name": name, "Zone": zone, "Region": regions[zone], "Front": addresses[0], "Ready": addresses[1],
-		"Control": addresses[2], "Internal": internal, "Store": s.address,
+		"Name": name, "Zone": zone, "Region": regions[zone], "IP": ip, "Front": address(frontPort),
+		"Ready": address(readyPort), "Control": address(controlPort), "Internal": internalPort, "Store": s.address,
 	})
 	if err != nil {
 		return nil, err
@@ -219,7 +238,7 @@
 		return nil, err
 	}
 	d := &daemon{
-		name: name, front: addresses[0], ready: addresses[1], ended: make(chan struct{}),
+		name: name, front: address(frontPort), ready: address(readyPort), ended: make(chan struct{}),
 		log: filepath.Join(s.folder, name+".log"),
 	}
 	out, err := os.Create(d.log)
@@ -248,6 +267,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	for ctx.Err() == nil {
+		select {
+		case <-d.ended:
+			text, _ := os.ReadFile(d.log) // without it the error says less
+			return fmt.Errorf("daemon %s ended before it was ready: %s", d.name, text)
+		default:
+		}
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.ready+"/readyz", nil)
 		if err != nil {
 			return err
