--- a/review/driver/deadly.go
+++ b/review/driver/deadly.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,7 +27,7 @@
 	engine := func(a *arrival) bool {
 		r := a.replica
 		if !strings.Contains(a.request.Header.Get("X-Prompt-Prefix"), deadly) {
-			return a.stream(17, 20*time.Millisecond, 0, 0)
+			return a.stream(17, 100*time.Millisecond, 0, 0)
 		}
 		mu.Lock()
 		arrivals = append(arrivals, time.Now())
@@ -35,9 +36,12 @@
 		if !a.sleep(200 * time.Millisecond) { // it reads the prompt
 			return false
 		}
+		out := a.begin()
+		out.event(1)
+		time.Sleep(20 * time.Millisecond)
 		mu.Lock()
 		crashes = append(crashes, time.Now())
-		s.logf("replica %s crashes as it begins to write: crash %d", r.id, len(crashes))
+		s.logf("replica %s crashes behind the first event: crash %d", r.id, len(crashes))
 		mu.Unlock()
 		r.crash()
 		time.AfterFunc(back, func() {
@@ -70,8 +74,9 @@
 	const first = "5c1e07a2:2520"
 	stop := make(chan struct{})
 	var consumers sync.WaitGroup
+	var lost atomic.Int64
 	for _, d := range daemons {
-		consumers.Go(func() { s.soundCompares(d, first, stop) })
+		consumers.Go(func() { s.soundCompares(d, first, stop, &lost) })
 	}
 	for n := range requests {
 		if s.trouble {
@@ -98,21 +103,29 @@
 			late++
 		}
 	}
-	s.logf("%d crashes; %d requests with the deadly part reached replicas later than 4 s after the fifth crash, %d are allowed", len(crashes), late, allowed)
+	s.logf("%d crashes, which broke off %d sound streams", len(crashes), lost.Load())
+	s.logf("%d requests with the deadly part reached replicas later than 4 s after the fifth crash, %d are allowed", late, allowed)
 	return late > allowed, nil
 }
 
 // soundCompares sends sound requests with the same first part, one a second, until stop
-// is closed.
-func (s *stage) soundCompares(d *daemon, first string, stop <-chan struct{}) {
+// is closed. It counts the streams that are broken off.
+func (s *stage) soundCompares(d *daemon, first string, stop <-chan struct{}, lost *atomic.Int64) {
+	var streams sync.WaitGroup
+	defer streams.Wait()
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(time.Second):
 		}
-		if _, err := s.callOnce(d, compareCall(n, fmt.Sprintf("%s,91bd%04x:3780", first, n%72))); err != nil {
-			s.logf("sound request: %v", err)
-		}
+		streams.Go(func() {
+			o, err := s.callOnce(d, compareCall(n, fmt.Sprintf("%s,91bd%04x:3780", first, n%72)))
+			if err != nil {
+				s.logf("sound request: %v", err)
+			} else if o.cut() {
+				lost.Add(1)
+			}
+		})
 	}
 }
