Answer requests in progress at the end of a planned stop

Cause: awaitShutdown returned at its deadline and the server closed all connections. Nothing ended the requests before, so that a handler never got to write. Requests whose deadline was the daemon's own last moment raced with that close.

A request without a response gets 502, or 503 if no upstream has it; a response that has begun is broken off; upstreams are not blamed. Responses that begin after the signal close their connections, also those of requests from before. The deadline is looked at again after the body has been read.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -100,6 +100,9 @@
 	pool     *upstreamhttp.Pool
 	shutdown shutdownState
 	callers  callerConns
+	// requests is the parent of the contexts of all requests, and endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns a daemon with the given settings and dependencies.
@@ -128,6 +131,7 @@
 		},
 	}
 	e.settings.Store(s)
+	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	return e
 }
 
@@ -251,6 +255,7 @@
 func (e *Edge) callerServer() *http.Server {
 	return &http.Server{
 		Handler:           stopHeaderTimeout(e.handler),
+		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ConnState:         onConnState,
 		ConnContext:       connContext,
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -150,6 +150,8 @@
 // noRetryReason returns why the request must not be retried, or an empty string.
 func (q *request) noRetryReason() string {
 	switch {
+	case q.stopping():
+		return reasonStopping
 	case q.mayHaveRun && !q.route.Repeatable():
 		return reasonMayHaveRun
 	case q.sends >= q.route.MaxAttempts:
@@ -263,9 +265,10 @@
 	if a.callerGone() {
 		return callerDisconnected
 	}
+	cause := a.canceledByDaemon()
 	switch {
-	case a.endedByBlock():
-		err = errBlocked
+	case cause != nil:
+		err = cause
 	case errors.Is(err, errUnavailable):
 		a.result = balancer.Abandoned
 	case sent:
@@ -279,6 +282,21 @@
 	return notRun
 }
 
+// endCause returns why reading the response has failed: the daemon's own reason if it
+// has closed the connection, and otherwise err.
+func (a *attempt) endCause(err error) error {
+	cause := a.canceledByDaemon()
+	switch {
+	case cause != nil:
+		return cause
+	case a.q.ctx.Err() != nil:
+		return a.q.ctx.Err() // the connection was closed at the deadline
+	case errors.Is(context.Cause(a.ctx), errStreamIdle):
+		return errStreamIdle
+	}
+	return err
+}
+
 // recordCause records why the attempt failed, and counts an upstream that exceeded a
 // bound.
 func (a *attempt) recordCause(err error) {
@@ -311,7 +329,7 @@
 // callerGone reports whether the caller has disconnected, which ends the attempt
 // and says nothing about the upstream.
 func (a *attempt) callerGone() bool {
-	if a.q.r.Context().Err() == nil {
+	if !a.q.callerGone() {
 		return false
 	}
 	a.result = balancer.Abandoned
@@ -319,6 +337,23 @@
 	return true
 }
 
+// callerGone reports whether the caller has disconnected.
+func (q *request) callerGone() bool { return q.r.Context().Err() != nil && !q.stopping() }
+
+// stopping reports whether the request has to end because the daemon stops.
+func (q *request) stopping() bool { return errors.Is(context.Cause(q.r.Context()), ErrStopping) }
+
+// canceledByDaemon returns the reason for which the daemon itself has canceled the
+// attempt, which says nothing about the upstream, or nil.
+func (a *attempt) canceledByDaemon() error {
+	cause := context.Cause(a.ctx)
+	if !errors.Is(cause, errBlocked) && !errors.Is(cause, ErrStopping) {
+		return nil
+	}
+	a.result = balancer.Abandoned
+	return cause
+}
+
 // refused handles a response that says the request has not run.
 func (a *attempt) refused() result {
 	a.result = balancer.Refused
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -87,16 +87,6 @@
 	q.h.Quarantine.Crash(time.Now(), a.choice.Upstream.ID, a.sentAt, stage, q.parts)
 }
 
-// endedByBlock reports whether the attempt was ended because a part of its prompt was
-// blocked, which says nothing about the upstream.
-func (a *attempt) endedByBlock() bool {
-	if !errors.Is(context.Cause(a.ctx), errBlocked) {
-		return false
-	}
-	a.result = balancer.Abandoned
-	return true
-}
-
 // connectionEnded reports whether an error means that the upstream closed or reset the
 // connection.
 func connectionEnded(err error) bool {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -66,8 +66,6 @@
 	aborted bool
 }
 
-func (o *outcome) setStatus(status int) { o.status = status }
-
 func (o *outcome) setEnded(how, detail string) { o.ended, o.detail = how, detail }
 
 // reject responds to a request that is not valid.
@@ -99,6 +97,9 @@
 // is longer if there was no eligible upstream than if those tried refused, and lasts
 // until the end of a pause if upstreams asked for one.
 func (q *request) noUpstreamRetryAfter() time.Duration {
+	if q.stopping() {
+		return stoppingRetryAfter
+	}
 	if wait, paused := q.h.Balancer.ResumesIn(time.Now(), q.service); paused {
 		return min(wait, q.maxRetryAfter())
 	}
@@ -108,14 +109,23 @@
 	return min(registrationRetryAfter, q.maxRetryAfter())
 }
 
+// writeHeader writes the header of the response. The connection closes after it if the
+// daemon stops.
+func (q *request) writeHeader(status int) {
+	if q.h.disableKeepAlives.Load() {
+		q.w.Header().Set("Connection", "close")
+	}
+	q.w.WriteHeader(status)
+	q.outcome.status = status
+}
+
 // respond writes a response of the daemon's own.
 func (q *request) respond(status int, reason string) {
 	q.outcome.reason = reason
-	q.outcome.setStatus(status)
 	header := q.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := reason + "\n"
-	q.w.WriteHeader(status)
+	q.writeHeader(status)
 	if q.r.Method == http.MethodHead {
 		return
 	}
@@ -138,7 +148,7 @@
 	switch {
 	case q.outcome.stream.started:
 		q.abort(reason)
-	case q.r.Context().Err() != nil:
+	case q.callerGone():
 		q.outcome.setEnded(outcomeCallerDisconnected, "")
 	case q.outcome.lastFailure != nil:
 		q.outcome.reason = reason
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,6 +85,11 @@
 // DisableKeepAlives makes every later response close its connection.
 func (h *Handler) DisableKeepAlives() { h.disableKeepAlives.Store(true) }
 
+// ErrStopping is the cause with which the server cancels its requests' contexts at the
+// end of a graceful shutdown. A request whose response has not begun is then answered by
+// the daemon; any other cause means that the caller is gone.
+var ErrStopping = errors.New("the daemon stops")
+
 // SetShutdownDeadline makes the handler refuse new requests whose deadlines are
 // later.
 func (h *Handler) SetShutdownDeadline(deadline time.Time) { h.shutdownDeadline.Store(&deadline) }
@@ -137,9 +142,6 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.disableKeepAlives.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	q := &request{h: h, w: w, r: r, arrived: time.Now(), info: h.Protocol.ParseRequest(r.Header)}
 	defer q.finish()
 	if q.admit() {
@@ -211,7 +213,7 @@
 		timeout = min(timeout, q.route.Timeout)
 	}
 	q.deadline = q.arrived.Add(timeout)
-	if shutdown := q.h.shutdownDeadline.Load(); shutdown != nil && q.deadline.After(*shutdown) {
+	if q.outlastsShutdown() {
 		return q.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 	}
 	limit := q.table.Limits.BodyBytes
@@ -237,10 +239,19 @@
 		return q.refuse(http.StatusServiceUnavailable, reasonNoMemory, upstreamRetryAfter)
 	case err != nil:
 		return q.reject(http.StatusBadRequest, reasonBodyBroken)
+	case q.outlastsShutdown(): // the shutdown may have started meanwhile
+		return q.refuse(http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 	}
 	return true
 }
 
+// outlastsShutdown reports whether the request's deadline is after the end of a
+// shutdown that has started.
+func (q *request) outlastsShutdown() bool {
+	shutdown := q.h.shutdownDeadline.Load()
+	return shutdown != nil && q.deadline.After(*shutdown)
+}
+
 // headerBytes returns the approximate size of the request line and header.
 func headerBytes(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -65,12 +65,7 @@
 	if a.callerGone() {
 		return callerDisconnected
 	}
-	switch {
-	case a.endedByBlock():
-		err = errBlocked
-	case a.q.ctx.Err() != nil:
-		err = a.q.ctx.Err() // the connection was closed at the deadline
-	}
+	err = a.endCause(err)
 	a.recordCrash(err)
 	return a.brokenResponse("response broke off: " + err.Error())
 }
@@ -82,8 +77,7 @@
 	if q.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(response.body)))
 	}
-	q.w.WriteHeader(response.status)
-	q.outcome.setStatus(response.status)
+	q.writeHeader(response.status)
 	if _, err := q.w.Write(response.body); err != nil {
 		q.outcome.setEnded(outcomeCallerDisconnected, err.Error())
 	}
@@ -105,8 +99,7 @@
 	if read != nil {
 		q.h.Protocol.CopyResponseHeader(q.w.Header(), a.response.Header)
 	}
-	q.w.WriteHeader(a.response.Status)
-	q.outcome.setStatus(a.response.Status)
+	q.writeHeader(a.response.Status)
 	if _, err := q.w.Write(read); err != nil {
 		return a.callerWriteFailed(err)
 	}
@@ -126,13 +119,25 @@
 			return delivered
 		}
 		if err != nil {
-			a.recordCause(err)
-			q.logAttempt(a)
-			return q.abort(reasonBrokenResponse)
+			return a.restBroken(err)
 		}
 	}
 }
 
+// restBroken handles a response that broke off after its header was relayed.
+func (a *attempt) restBroken(err error) result {
+	if a.callerGone() {
+		a.q.outcome.aborted = true
+		return callerDisconnected
+	}
+	a.recordCause(a.endCause(err))
+	a.q.logAttempt(a)
+	if a.q.stopping() {
+		return a.q.abort(reasonStopping)
+	}
+	return a.q.abort(reasonBrokenResponse)
+}
+
 // callerWriteFailed handles a failed write to the caller.
 func (a *attempt) callerWriteFailed(err error) result {
 	a.result = balancer.Abandoned
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -221,8 +220,7 @@
 	s.started = true
 	q.outcome.firstEventLatency = time.Since(q.arrived)
 	q.h.Protocol.CopyResponseHeader(q.w.Header(), a.response.Header)
-	q.w.WriteHeader(a.response.Status)
-	q.outcome.setStatus(a.response.Status)
+	q.writeHeader(a.response.Status)
 }
 
 // streamEnded handles the end of a complete stream. pending is what a stream without
@@ -249,14 +247,7 @@
 	if a.callerGone() {
 		return callerDisconnected
 	}
-	switch {
-	case a.endedByBlock():
-		err = errBlocked
-	case q.ctx.Err() != nil:
-		err = q.ctx.Err() // the connection was closed at the deadline
-	case errors.Is(context.Cause(a.ctx), errStreamIdle):
-		err = errStreamIdle
-	}
+	err = a.endCause(err)
 	a.recordCrash(err)
 	a.recordCause(err)
 	a.cause += " after " + strconv.Itoa(q.outcome.stream.events) + " events"
