Answer requests of serve at the end of a planned stop

The daemon closed its connections at the bound while the requests' handlers still waited. A call with an idempotency key does not end with its caller's context, so that it had no answer and its claim no outcome either.

Change: the contexts of all requests descend from one of the daemon's, which ends with the cause ErrStopping shortly before the bound. The gateway tells it from a caller that leaves: 503 shutting_down if the request has not run, otherwise 502 outcome_unknown. A claimed call ends too, and is recorded as unknown. A daemon that had to end requests does not announce its leaving, as before.

TestStopAnswersRequestsThatWait (internal/dev) failed before and passes, also under the race detector. Ruled out by reading: the administration listener, whose requests are short and end after the callers'.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,7 +68,14 @@
 	Seed uint64
 }
 
-const defaultShutdownBound = 2 * time.Minute
+const (
+	defaultShutdownBound = 2 * time.Minute
+	// finalAnswerShare is the share of the shutdown bound, and maxFinalAnswerTime the
+	// longest time, by which the requests in progress end before their connections
+	// close, so that the daemon's own answers reach their callers.
+	finalAnswerShare   = 0.1
+	maxFinalAnswerTime = time.Second
+)
 
 // Daemon is one process of the system.
 type Daemon struct {
@@ -92,6 +99,9 @@
 	cacheBudget *rate.Limiter
 	applying    sync.Mutex // serializes changes of the request path's snapshot
 	callers     *http.Server
+	// requests is the parent of the contexts of all requests, and endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns a daemon that works once Run is called.
@@ -123,6 +133,8 @@
 	d.watcher = configlog.NewWatcher(cfg.Platform, cfg.ID, cfg.Region, d.rng(), d.configurationHooks())
 	d.proposer = configlog.NewProposer(cfg.Platform, administration.Merger{}, d.rng)
 	d.callers = callerhttp.NewServer(d.gateway, cfg.Caller)
+	d.requests, d.endRequests = context.WithCancelCause(context.Background())
+	d.callers.BaseContext = func(net.Listener) context.Context { return d.requests }
 	return d
 }
 
@@ -213,7 +225,8 @@
 	return nil
 }
 
-// shutdown waits for requests in progress, up to the bound.
+// shutdown waits for requests in progress, up to the bound. Shortly before it, those that
+// remain end with an answer of the daemon's own.
 func (d *Daemon) shutdown() {
 	d.cfg.Log.Event(telemetry.ShutdownStarted).Int("in_progress", d.gateway.InProgress()).Msg("")
 	d.gateway.Retire()
@@ -221,17 +234,23 @@
 	d.gateway.StopAccepting()
 	bound, cancel := context.WithTimeout(context.Background(), d.cfg.ShutdownBound)
 	defer cancel()
-	err := d.callers.Shutdown(bound)
-	cut := 0
-	if err != nil {
-		cut = d.gateway.InProgress()
-		_ = d.callers.Close()
+	finalAnswerTime := min(time.Duration(finalAnswerShare*float64(d.cfg.ShutdownBound)), maxFinalAnswerTime)
+	waiting, stopWaiting := context.WithTimeout(bound, d.cfg.ShutdownBound-finalAnswerTime)
+	defer stopWaiting()
+	ended, cut := 0, 0
+	if d.callers.Shutdown(waiting) != nil {
+		ended = d.gateway.InProgress()
+		d.endRequests(gateway.ErrStopping)
+		if d.callers.Shutdown(bound) != nil {
+			cut = d.gateway.InProgress()
+			_ = d.callers.Close() // the bound is over
+		}
 	}
 	d.claims.Close(bound)
-	if cut == 0 {
+	if ended == 0 {
 		d.cluster.leave()
 	}
-	d.cfg.Log.Event(telemetry.ShutdownComplete).Int("cut", cut).Msg("")
+	d.cfg.Log.Event(telemetry.ShutdownComplete).Int("ended", ended).Int("cut", cut).Msg("")
 }
 
 // Roster returns the daemons that this one knows.
--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -64,6 +64,8 @@
 	Peers func(id domain.DaemonID, transport ports.PeerTransport) ports.PeerTransport
 	// Seed feeds the daemons' random choices. Zero takes random ones.
 	Seed uint64
+	// ShutdownBound is how long a planned stop of a daemon may take. Default 30 s.
+	ShutdownBound time.Duration
 }
 
 // Fleet is a running deployment.
@@ -128,6 +130,9 @@
 	if o.Speed == 0 {
 		o.Speed = 1
 	}
+	if o.ShutdownBound == 0 {
+		o.ShutdownBound = 30 * time.Second
+	}
 	if o.Log == nil {
 		o.Log = func(string) *telemetry.Log { return telemetry.NopLog() }
 	}
@@ -312,7 +317,7 @@
 		Platform:      client,
 		Upstream:      engineclient.Options{Transport: sending},
 		Seed:          f.options.seed(i),
-		ShutdownBound: 30 * time.Second,
+		ShutdownBound: f.options.ShutdownBound,
 		Log:           f.options.Log(string(id)),
 		Metrics:       metrics,
 	})
--- /dev/null
+++ b/internal/dev/stop_test.go
@@ -0,0 +1,54 @@
+package dev
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/standin/engine"
+	"github.com/auburndyke/auburndyke/internal/standin/service"
+)
+
+// Guards against a planned stop that closes the connections of requests which have no
+// answer at its bound: generations at silent engines and calls to a silent service,
+// with and without an idempotency key.
+func TestStopAnswersRequestsThatWait(t *testing.T) {
+	fleet := startFleet(t, Options{Daemons: 2, Edit: wideOpen, ShutdownBound: 2 * time.Second})
+	for _, e := range fleet.Engines {
+		e.SetFaults(engine.Faults{StopAnswering: true})
+	}
+	for _, s := range fleet.Services {
+		s.SetFaults(service.Faults{StopAnswering: true})
+	}
+	stopping := fleet.Members[0]
+	var work sync.WaitGroup
+	check := func(what string, got answer, err error) {
+		if err != nil || got.status != http.StatusBadGateway && got.status != http.StatusServiceUnavailable && got.status != http.StatusGatewayTimeout {
+			t.Errorf("%s: %v, %+v", what, err, got)
+		}
+		if got.status == http.StatusServiceUnavailable && got.outcome != string(domain.OutcomeNotRun) {
+			t.Errorf("%s: refused, but may have run: %+v", what, got)
+		}
+	}
+	const generations, calls = 8, 4
+	for i := range generations {
+		work.Go(func() {
+			got, err := stream(t.Context(), stopping.URL, testKey, "guest-question", generationBody(fmt.Sprintf("caller %d", i), 60))
+			check("generation", got, err)
+		})
+	}
+	for i := range calls {
+		work.Go(func() {
+			got, err := book(t.Context(), stopping.URL, fmt.Sprintf("booking-%d", i))
+			check("booking", got, err)
+		})
+	}
+	waitFor(t, 5*time.Second, "requests in progress", func() bool { return stopping.Gateway().InProgress() == generations+calls })
+	assert.NilError(t, stopping.Stop())
+	work.Wait()
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -54,6 +55,7 @@
 	j.enqueue("service/" + c.Service)
 	observer := newObserver(j, nil)
 	response, failure := j.runCall(ctx, c, observer)
+	failure = stopped(ctx, failure)
 	permit.Release(observer.spent())
 	observer.finish(failure)
 	return response, failure
@@ -143,9 +145,15 @@
 		return nil, domain.NotRun(domain.CodeClaimUnavailable, "the claim was granted too late to send the call")
 	}
 	// The call goes on when its caller disconnects: the caller's retry then
-	// gets the recorded answer instead of an unknown outcome.
+	// gets the recorded answer instead of an unknown outcome. It ends when the
+	// daemon stops, so that its outcome is recorded as unknown.
 	callCtx, cancelCall := context.WithTimeout(context.WithoutCancel(ctx), claimedCallTimeout)
 	defer cancelCall()
+	defer context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), ErrStopping) {
+			cancelCall()
+		}
+	})()
 	response, outcome := j.exchangeCall(callCtx, c, o, choice, backend)
 	state, answer := settlementOf(response, outcome)
 	j.settle(ctx, decision.Grant, state, answer)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -81,6 +83,22 @@
 	return g
 }
 
+// ErrStopping is the cause with which the contexts of requests end when a planned stop
+// is over. The requests' callers are then still there, and get an answer.
+var ErrStopping = errors.New("the daemon is shutting down")
+
+// stopped returns the failure of a request whose context has ended by ErrStopping, and
+// otherwise the given one.
+func stopped(ctx context.Context, failure *domain.Failure) *domain.Failure {
+	if failure == nil || failure.Code != domain.CodeCallerGone || !errors.Is(context.Cause(ctx), ErrStopping) {
+		return failure
+	}
+	if failure.Outcome == domain.OutcomeNotRun {
+		return domain.NotRun(domain.CodeShuttingDown, "the daemon is shutting down; another one serves this request")
+	}
+	return &domain.Failure{Code: domain.CodeOutcomeUnknown, Outcome: failure.Outcome, Message: "the daemon shut down before the answer was complete"}
+}
+
 // SetUnready makes the gateway refuse requests and say why.
 func (g *Gateway) SetUnready(reason string) { g.unready.Store(&reason) }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -32,7 +32,7 @@
 	}
 	j.enqueue("model/" + string(r.Model))
 	observer := newObserver(j, sink)
-	failure = j.runGeneration(ctx, r, observer)
+	failure = stopped(ctx, j.runGeneration(ctx, r, observer))
 	permit.Release(observer.spent())
 	observer.finish(failure)
 	return failure
