Find parts that crash upstreams at any early point of the response

Cause: a crash was evidence against a prompt only until the response's first event; and a daemon told its peers of a crash without a header only if it had seen two, so that a fleet in which such requests come at each daemon in turn learned nothing.

Change: a crash behind the first to third event is weak evidence; the fourth event or the end shows that a prompt is sound; a relayed body that breaks off counts too; weak evidence against a part that is not known to be sound goes to peers with the next round. The simulation now keeps requests until the fourth event, so that it meets these stages.

--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -6,9 +6,10 @@
 // part of their prompts, so that blocking a customer, a route or a common first part
 // would harm sound callers.
 //
-// A crash is evidence against the parts of a request whose response had not got as far
-// as an event. A response with a header and no event weighs more than one without a
-// header, which most likely waited in the upstream's queue. Crashes of several requests
+// A crash is evidence against the parts of a request whose response had not shown yet
+// that they are harmless. A response with a header and no event weighs more than one
+// without a header, which most likely waited in the upstream's queue, and than one with a
+// few events. Crashes of several requests
 // at one upstream count once. Crashes that no request is to blame for look the same, so
 // one is never enough; and any part that a response has got past is sound: it clears
 // the evidence of earlier crashes, and for soundTTL more evidence is needed against it.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// begunWeight and queuedWeight are the scores of a crash.
+	// begunWeight and otherWeight are the scores of a crash at these stages.
 	begunWeight  = 0.5
-	queuedWeight = 0.25
+	otherWeight = 0.25
 
 	// A crash counts in full for fullWeightAge, and then less and less until
 	// crashTTL.
@@ -28,8 +28,9 @@
 type Stage uint8
 
 const (
-	// Queued responses had no header.
-	Queued Stage = iota
+	// Other responses had no header, and most likely waited in the upstream's queue, or
+	// had got past their beginning.
+	Other Stage = iota
 	// Begun responses had a header and no event.
 	Begun
 )
@@ -38,7 +39,7 @@
 	if s == Begun {
 		return begunWeight
 	}
-	return queuedWeight
+	return otherWeight
 }
 
 // suspect is a part with evidence against it.
@@ -52,13 +53,20 @@
 	refused *atomic.Int64
 }
 
-// reportable reports whether the evidence is strong enough that peers have to know it.
-// Most requests that wait at an upstream when it crashes have only sound parts.
-func (s *suspect) reportable() bool {
+// strong reports whether the evidence is so strong that peers have to know it at once.
+// Most requests that an upstream has when it crashes have only sound parts.
+func (s *suspect) strong() bool {
 	evidence := s.evidence()
 	return len(evidence) > 1 || slices.ContainsFunc(evidence, func(c crash) bool { return c.stage == Begun })
 }
 
+// reportable reports whether peers have to know the evidence. Each of them may see only
+// one of many crashes, so that a weak one counts as well, unless the part is known to be
+// sound.
+func (s *suspect) reportable(knownSound bool) bool {
+	return s.strong() || !knownSound && len(s.evidence()) > 0
+}
+
 // evidence returns the crashes since the part was last sound, oldest first.
 func (s *suspect) evidence() []crash {
 	i := 0
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -27,6 +27,11 @@
 	eventToEvent  = 10
 	lateTicks     = 400
 	crashAfter    = 5 // ticks from a deadly request's header to the crash
+	// begunTicks and soundTicks are the ticks from a response's header to its first
+	// event, up to which it has just begun, and to its fourth, which shows that its
+	// request is sound.
+	begunTicks = headerToEvent
+	soundTicks = headerToEvent + 3*eventToEvent
 )
 
 type simRequest struct {
@@ -139,7 +144,7 @@
 			f.crash(n, now, u)
 			return
 		}
-		if n >= r.header+headerToEvent+eventToEvent {
+		if n >= r.header+soundTicks {
 			f.trackers[r.daemon].Sound(now, r.parts)
 			continue
 		}
@@ -155,11 +160,10 @@
 	for _, r := range requests {
 		t := f.trackers[r.daemon]
 		switch {
-		case n >= r.header+headerToEvent:
-		case n >= r.header:
+		case n >= r.header && n < r.header+begunTicks:
 			t.Crash(now, u.id, r.sent, Begun, r.parts)
 		case t.Unknown(now, r.parts):
-			t.Crash(now, u.id, r.sent, Queued, r.parts)
+			t.Crash(now, u.id, r.sent, Other, r.parts)
 		}
 	}
 	for _, r := range requests {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -28,11 +28,11 @@
 	// soundTTL is how long a part counts as sound after a response got past it.
 	soundTTL = time.Minute
 
-	// begunHold and queuedHold are the shortest first blocks: a trial that fails
-	// costs an engine with all its streams. queuedHold applies without any response
+	// begunHold and otherHold are the shortest first blocks: a trial that fails
+	// costs an engine with all its streams. otherHold applies without any response
 	// that had begun, since sound parts are then likelier.
 	begunHold  = time.Minute
-	queuedHold = 10 * time.Second
+	otherHold = 10 * time.Second
 	maxHold    = 15 * time.Minute
 
 	// Limits on what is kept. Beyond them the oldest suspect and crashes go, and a
@@ -128,7 +128,12 @@
 func (t *Tracker) Unknown(now time.Time, parts []Part) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.ContainsFunc(parts, func(p Part) bool { return now.Sub(t.sound[p].at) >= soundTTL })
+	return slices.ContainsFunc(parts, func(p Part) bool { return !t.knownSound(now, p) })
+}
+
+// knownSound reports whether a response got past the part lately. The caller holds mu.
+func (t *Tracker) knownSound(now time.Time, part Part) bool {
+	return now.Sub(t.sound[part].at) < soundTTL
 }
 
 // Sound records that a response got past these parts.
@@ -180,7 +185,7 @@
 		t.setSound(now, part, known)
 		return false
 	}
-	needed, matters := t.neededScore(now, part, s), false
+	needed, matters, urgent := t.neededScore(now, part, s), false, s.strong()
 	known.at = at
 	t.setSound(now, part, known)
 	for i := range s.crashes {
@@ -189,7 +194,7 @@
 		}
 	}
 	if matters || t.neededScore(now, part, s) > needed {
-		t.reportSound(now, part)
+		t.reportSound(now, part, urgent)
 	}
 	if !s.blocked() || s.score(now) >= t.neededScore(now, part, s) {
 		return false
@@ -239,7 +244,7 @@
 		s.crashes[known].own = s.crashes[known].own || c.own
 		return false
 	}
-	if s.reportable() {
+	if s.strong() {
 		t.notify()
 	}
 	t.judge(now, part, s)
@@ -277,7 +282,7 @@
 // hold returns the length of a part's block. Each daemon draws its own, so that not all
 // try the part again at the same time.
 func (t *Tracker) hold(s *suspect) time.Duration {
-	hold := queuedHold
+	hold := otherHold
 	if slices.ContainsFunc(s.evidence(), func(c crash) bool { return c.stage == Begun }) {
 		hold = begunHold
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -51,7 +51,7 @@
 		return func(r *recorder) { r.crash(s, upstream, Begun, []Part{deadly}) }
 	}
 	queued := func(s float64, upstream domain.UpstreamID) func(*recorder) {
-		return func(r *recorder) { r.crash(s, upstream, Queued, []Part{deadly}) }
+		return func(r *recorder) { r.crash(s, upstream, Other, []Part{deadly}) }
 	}
 	sound := func(s float64) func(*recorder) {
 		return func(r *recorder) { r.Sound(at(s), []Part{deadly}) }
@@ -252,3 +252,31 @@
 		assert.Assert(t, r.blocks(s, deadly), "at %v s", s)
 	}
 }
+
+// Guards against a part that crashes upstreams without end because each daemon sees one
+// crash, of a kind that is weak evidence, and keeps it to itself.
+func TestDaemonsShareWeakEvidence(t *testing.T) {
+	var daemons []*recorder
+	for seed := range uint64(8) {
+		daemons = append(daemons, newTracker(seed))
+	}
+	crashes := 0
+	for n := range 20 { // every 4 s, at the next daemon in turn
+		seconds := float64(4 * n)
+		for i, d := range daemons {
+			d.Sound(at(seconds+float64(i)/10), []Part{shared})
+		}
+		d := daemons[n%len(daemons)]
+		if d.blocks(seconds+1, shared, deadly) {
+			continue
+		}
+		crashes++
+		d.crash(seconds+1, domain.UpstreamID(string(rune('a'+n))), Other, []Part{shared, deadly})
+		for round := range 6 {
+			exchange(at(seconds+1+float64(round)/2), daemons...)
+		}
+		assert.Check(t, !d.blocks(seconds+3, shared, other), "after %d crashes", crashes)
+	}
+	// The users allow three requests from 4 s after the fifth crash on.
+	assert.Assert(t, crashes <= 5+3, "%d crashes", crashes)
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -65,8 +65,9 @@
 	var crashes []datedCrash
 	var sound []datedSound
 	for part, s := range t.suspects {
+		reportable := s.reportable(t.knownSound(now, part))
 		for _, c := range s.evidence() {
-			if s.reportable() && now.Sub(c.learned) < reportTime {
+			if reportable && now.Sub(c.learned) < reportTime {
 				crashes = append(crashes, datedCrash{CrashReport{Part: part, Upstream: c.upstream, Stage: c.stage, Age: toAge(now, c.at), SentAge: toAge(now, c.sent)}, c.learned})
 			}
 		}
@@ -107,7 +108,7 @@
 			at := fromAge(now, c.Age)
 			added := t.addCrash(now, c.Part, crash{upstream: c.Upstream, stage: min(c.Stage, Begun), sent: fromAge(now, c.SentAge), at: at, learned: now})
 			if added || at.Before(t.sound[c.Part].at) {
-				t.reportSound(now, c.Part)
+				t.reportSound(now, c.Part, c.Stage >= Begun)
 			}
 			changed = changed || added
 		}
@@ -116,13 +117,15 @@
 }
 
 // reportSound tells peers that a suspected part is sound, if this daemon knows it and
-// no report of that is under way.
-func (t *Tracker) reportSound(now time.Time, part Part) {
+// no report of that is under way. It is urgent if the peers may block the part soon.
+func (t *Tracker) reportSound(now time.Time, part Part, urgent bool) {
 	known := t.sound[part]
-	if now.Sub(known.at) >= soundTTL || now.Sub(known.reportedAt) < reportTime {
+	if !t.knownSound(now, part) || now.Sub(known.reportedAt) < reportTime {
 		return
 	}
 	known.reportedAt = now
 	t.sound[part] = known
-	t.notify()
+	if urgent {
+		t.notify()
+	}
 }
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -17,7 +17,7 @@
 const (
 	// soundEvents is the number of events of a stream after which its prompt counts as
 	// harmless to its upstream.
-	soundEvents = 2
+	soundEvents = 4
 	// crashProbeTimeout bounds the connection that shows whether an upstream has
 	// crashed. It covers a round trip to another region.
 	crashProbeTimeout = 100 * time.Millisecond
@@ -62,19 +62,20 @@
 }
 
 // recordCrash records evidence against the prompt if the upstream crashed before the
-// response's first event. An upstream that broke off only this response still accepts
-// connections; one that was leaving has ended for another reason.
+// response had shown that the prompt is harmless. An upstream that broke off only this
+// response still accepts connections; one that was leaving has ended for another reason.
 func (a *attempt) recordCrash(err error) {
 	q := a.q
-	if len(q.parts) == 0 || a.events.Load() > 0 || !connectionEnded(err) || a.choice.Upstream.Draining {
+	events := a.events.Load()
+	if len(q.parts) == 0 || events >= soundEvents || !connectionEnded(err) || a.choice.Upstream.Draining {
 		return
 	}
-	stage := quarantine.Queued
-	if a.response != nil {
+	stage := quarantine.Other
+	if a.response != nil && events == 0 {
 		stage = quarantine.Begun
 	}
-	// Requests that wait at an upstream are many, and most have only sound parts.
-	if stage == quarantine.Queued && !q.h.Quarantine.Unknown(time.Now(), q.parts) {
+	// Requests in the other stages are many, and most have only sound parts.
+	if stage == quarantine.Other && !q.h.Quarantine.Unknown(time.Now(), q.parts) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(q.ctx, crashProbeTimeout)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -39,6 +39,37 @@
 	return n
 }
 
+// Guards against a part that crashes upstreams at another point of the response than
+// right behind its header, and is not found.
+func TestCrashingPartIsFoundAtAnyPointOfTheResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		behaviour standin.Behaviour
+		path      string
+	}{
+		"before the header":       {standin.Behaviour{DeadlyWithoutHeader: true}, "/resume/"},
+		"behind the header":       {standin.Behaviour{}, "/resume/"},
+		"behind the first event":  {standin.Behaviour{DeadlyEvents: 1}, "/resume/"},
+		"behind the third event":  {standin.Behaviour{DeadlyEvents: 3}, "/resume/"},
+		"in a body":               {standin.Behaviour{DeadlyEvents: 1}, "/again/"},
+		"at a single attempt":     {standin.Behaviour{DeadlyEvents: 1}, "/events/"},
+		"unsent, single attempts": {standin.Behaviour{DeadlyWithoutHeader: true}, "/events/"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startRelay(t, 14)
+			c.behaviour.Events, c.behaviour.DeadlyPart = 12, deadlyPart
+			s.setBehaviour(c.behaviour)
+			assert.Equal(t, s.prompt("/resume/", "a0", sharedPart).status, http.StatusOK)
+			for i := range 12 {
+				s.prompt(c.path, fmt.Sprintf("d%d", i), sharedPart, deadlyPart)
+			}
+			// The users allow no more than five crashes and three requests behind them.
+			assert.Assert(t, s.crashes() <= 5, "%d upstreams crashed", s.crashes())
+			got := s.prompt("/resume/", "b0", sharedPart)
+			assert.Check(t, got.err == nil && got.status == http.StatusOK && got.body == wantEvents("b0", 1, 12), "%+v", got)
+		})
+	}
+}
+
 // Guards against requests with one common part that crash one upstream after the other.
 func TestCrashingPartEndsFewUpstreams(t *testing.T) {
 	s := startRelay(t, 12)
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -130,7 +130,9 @@
 		a.q.outcome.aborted = true
 		return callerDisconnected
 	}
-	a.recordCause(a.endCause(err))
+	err = a.endCause(err)
+	a.recordCrash(err)
+	a.recordCause(err)
 	a.q.logAttempt(a)
 	if a.q.stopping() {
 		return a.q.abort(reasonStopping)
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -22,7 +22,7 @@
 	DaemonReady      = Event{"AD1002", "daemon_ready", zerolog.InfoLevel, "A configuration is in force and the daemon accepts requests."}
 	DaemonUnready    = Event{"AD1003", "daemon_unready", zerolog.WarnLevel, "The daemon does not accept requests; reason says why."}
 	ShutdownStarted  = Event{"AD1004", "shutdown_started", zerolog.InfoLevel, "A planned stop began; requests in progress continue."}
-	ShutdownComplete = Event{"AD1005", "shutdown_complete", zerolog.InfoLevel, "The daemon stopped; cut is the number of requests that the bound interrupted."}
+	ShutdownComplete = Event{"AD1005", "shutdown_complete", zerolog.InfoLevel, "The daemon stopped; ended is the number of requests that were in progress when the time was over, which the daemon answered itself if their responses had not begun; cut is the number of those that still had no answer at the end."}
 
 	CertificatesLoaded   = Event{"AD1006", "certificates_loaded", zerolog.InfoLevel, "Changed TLS files were read and serve new connections."}
 	CertificatesRejected = Event{"AD1007", "certificates_rejected", zerolog.WarnLevel, "Changed TLS files could not be used; the last good ones stay in use."}
@@ -89,7 +89,7 @@
 
 	UpstreamExceededBound = Event{"AD8013", "upstream_exceeded_bound", zerolog.WarnLevel, "A response exceeded one of the bounds on what an upstream may send; its connection is closed."}
 
-	UpstreamCrashed = Event{"AD8014", "upstream_crashed", zerolog.WarnLevel, "An upstream ended before the first event of a response; begun says whether its header had arrived, parts which parts of the prompt other requests may share."}
+	UpstreamCrashed = Event{"AD8014", "upstream_crashed", zerolog.WarnLevel, "An upstream ended before the fourth event of a response; begun says whether the header had arrived and no event, parts which parts of the prompt other requests may share."}
 
 	UpstreamLeaving = Event{"AD8015", "upstream_leaving", zerolog.InfoLevel, "An upstream says in a response that it is leaving; the daemon sends it no more requests until it has started again."}
 	UpstreamPaused  = Event{"AD8016", "upstream_paused", zerolog.InfoLevel, "An upstream refused a request and asked for a pause; pause_ms is how long the daemon sends it nothing, ignored a pause that can't be read."}
