Abort the connection of a caller that seems to be gone

Cause: the server cancels the request's context when the caller ends its side. The handler gave the request up and returned, and net/http completes a response whose handler returns: 200 with Content-Length 0, or the last chunk. Ruled out: the upstream's side.

Change: a request that ends because its caller is gone aborts the connection, wherever that is found.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -163,12 +163,13 @@
 }
 
 // finish logs the end of the request and closes the connection if the response is
-// incomplete.
+// incomplete. A caller that seems to be gone may have ended only its own side of the
+// connection; without an abort, the server would complete the response.
 func (q *request) finish() {
 	q.h.bodies.release(q.bodyReserved)
 	q.logFinish()
 	q.h.Metrics.finished(q)
-	if q.outcome.aborted {
+	if q.outcome.aborted || q.outcome.ended == outcomeCallerDisconnected {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -127,7 +127,6 @@
 // restBroken handles a response that broke off after its header was relayed.
 func (a *attempt) restBroken(err error) result {
 	if a.callerGone() {
-		a.q.outcome.aborted = true
 		return callerDisconnected
 	}
 	err = a.endCause(err)
@@ -144,7 +143,6 @@
 func (a *attempt) callerWriteFailed(err error) result {
 	a.result = balancer.Abandoned
 	a.q.outcome.setEnded(outcomeCallerDisconnected, err.Error())
-	a.q.outcome.aborted = true
 	return callerDisconnected
 }
 
