Take a stream that ends before its first event for broken off

Change: a stream whose end is that of its connection has broken off if it had no event, unless its caller resumes it. The attempt is repeated where the route allows it, and is evidence if the upstream has crashed.

Open: such a stream that is cut between two events, or such a body that is cut anywhere, can't be told from a complete one.

--- a/internal/adapters/upstreamhttp/exchange.go
+++ b/internal/adapters/upstreamhttp/exchange.go
@@ -70,6 +70,9 @@
 	Header http.Header
 	// Length is the announced length of the body, or -1.
 	Length int64
+	// Unframed tells that the body has neither a length nor chunks, so that only the end
+	// of the connection ends it.
+	Unframed bool
 	// Fresh tells that the connection was opened for this request.
 	Fresh bool
 
@@ -136,6 +139,7 @@
 		return nil, true, err
 	}
 	a.Status, a.Header, a.Length, a.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
+	a.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	a.keepAlive = keepAliveTime(resp.Header.Get("Keep-Alive"))
 	a.reusable = !resp.Close && writeErr == nil
 	return a, true, nil
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -91,7 +91,7 @@
 // connectionEnded reports whether an error means that the upstream closed or reset the
 // connection.
 func connectionEnded(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errNoEvents) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -41,6 +41,8 @@
 var (
 	// errStreamIdle means that a stream paused for too long.
 	errStreamIdle = errors.New("stream is idle for too long")
+	// errNoEvents means that a stream whose end is that of its connection had no event.
+	errNoEvents = errors.New("connection ended before the stream's first event")
 	// errNoProgress means that a stream sent more than maxFillerBytes without an
 	// event.
 	errNoProgress = errors.New("stream sends bytes but no events")
@@ -79,6 +81,9 @@
 		var err error
 		event, err = readEvent(reader, event[:0])
 		if err == io.EOF && len(event) == 0 {
+			if a.endedUnbegun() {
+				return a.streamBroken(errNoEvents)
+			}
 			return a.streamEnded(pending)
 		}
 		if err == nil {
@@ -114,6 +119,13 @@
 	}
 }
 
+// endedUnbegun reports whether the stream has ended with its connection before its first
+// event: its upstream has most likely ended, and nothing else marks the end. A caller
+// that resumes a stream may have all its events already.
+func (a *attempt) endedUnbegun() bool {
+	return a.response.Unframed && a.events.Load() == 0 && a.q.info.LastEventID == ""
+}
+
 // isFiller reports whether a block of lines has no field: it consists of comments and
 // blank lines, which keep a connection open but are no event.
 func isFiller(block []byte) bool {
