Keep the header of responses that are relayed without a buffer

Cause: two faults. The memory for responses was reserved until a long response had ended, although what had been read of it was relayed long before. And relayRest took an empty buffer to mean that the header had been written, which it also is if there was no memory for the first byte. Ruled out: the upstream's answers, which have all fields.

Change: there is one way to relay a response that is not kept, which always writes the header, with the length if the upstream states one, and releases the memory once its bytes are written. A response that is relayed so to its end counts as sound for its prompt. When memory is short, responses are relayed as they arrive: refusing them would lose work that has run.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,6 +103,9 @@
 // limit.
 func (h *Handler) SetResponseMemoryLimit(bytes int64) { h.responses.limit.Store(bytes) }
 
+// ResponseMemory returns the bytes that are reserved for responses.
+func (h *Handler) ResponseMemory() int64 { return h.responses.used.Load() }
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -33,13 +33,14 @@
 // relayResponse relays a response that is not a stream.
 func (a *attempt) relayResponse() result {
 	if a.response.Length > maxBufferedBytes {
-		return a.relayLarge()
+		return a.relayUnbuffered(nil, 0)
 	}
-	body, reserved, err := a.q.h.responses.readUpTo(a.response, maxBufferedBytes)
-	defer a.q.h.responses.release(reserved)
+	memory := &a.q.h.responses
+	body, reserved, err := memory.readUpTo(a.response, maxBufferedBytes)
 	if errors.Is(err, errTooLarge) {
-		return a.relayRest(body)
+		return a.relayUnbuffered(body, reserved)
 	}
+	defer memory.release(reserved)
 	if err != nil {
 		return a.bodyReadFailed(err)
 	}
@@ -83,24 +84,20 @@
 	}
 }
 
-// relayLarge relays a response of known large size as it arrives.
-func (a *attempt) relayLarge() result {
-	header := a.q.w.Header()
-	a.q.h.Protocol.CopyResponseHeader(header, a.response.Header)
-	header.Set("Content-Length", strconv.FormatInt(a.response.Length, 10))
-	return a.relayRest(nil)
-}
-
-// relayRest relays the bytes that were read of a response, and the rest of it. A
-// response that breaks off here closes the caller's connection, so that it does
-// not look complete.
-func (a *attempt) relayRest(read []byte) result {
+// relayUnbuffered relays the header of a response, the bytes that were read of its body,
+// whose reserved memory it releases, and the rest of it as it arrives. A response that
+// breaks off here closes the caller's connection, so that it does not look complete.
+func (a *attempt) relayUnbuffered(read []byte, reserved int64) result {
 	q := a.q
-	if read != nil {
-		q.h.Protocol.CopyResponseHeader(q.w.Header(), a.response.Header)
+	header := q.w.Header()
+	q.h.Protocol.CopyResponseHeader(header, a.response.Header)
+	if a.response.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(a.response.Length, 10))
 	}
 	q.writeHeader(a.response.Status)
-	if _, err := q.w.Write(read); err != nil {
+	_, err := q.w.Write(read)
+	q.h.responses.release(reserved)
+	if err != nil {
 		return a.callerWriteFailed(err)
 	}
 	buf := make([]byte, copyBufferSize)
@@ -116,6 +113,7 @@
 		}
 		if err == io.EOF {
 			a.result = balancer.OK
+			a.recordSound()
 			return delivered
 		}
 		if err != nil {
