Bound the memory of unfinished events and headers all together

Cause: single responses were bounded (32 KB of header, 256 KB of event), but not their sum. 500 streams whose upstream sends an event of 250 KB that does not end took 248 MB of heap in the new test, where the smallest VM has 112 MB.

Change: headers over 8 KB, events over 4 KB and comments over 4 KB that wait for the first event reserve what they take from the memory for responses, a tenth of the VM's, which buffered bodies share already. An attempt that gets none breaks off, and its upstream is not blamed, as other streams may hold the memory. Sound responses of usual size reserve nothing. The limit is a package of its own, memlimit.

Not bounded in common: 16 KB of copy buffer for each long body, and 64 KB for each load report, of which few are read at a time.

--- a/internal/adapters/upstreamhttp/exchange.go
+++ b/internal/adapters/upstreamhttp/exchange.go
@@ -103,6 +103,7 @@
 	a, sent, err := p.exchange(c, r)
 	if err != nil {
 		stop()
+		c.bounded.release()
 		_ = c.Close() // its state is unknown
 		if cause := ctx.Err(); cause != nil {
 			err = cause
@@ -181,7 +182,7 @@
 	defer c.bounded.unlimit()
 	method := &http.Request{Method: r.Method}
 	for range maxStray {
-		c.bounded.limit(maxHeaderBytes, ErrHeaderTooLong)
+		c.bounded.limit(maxHeaderBytes, ErrHeaderTooLong, true)
 		resp, err := readFinal(c.reader, method)
 		if err != nil {
 			return nil, c.bounded.cause(err)
@@ -192,7 +193,7 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrForeignAnswer
 		}
-		c.bounded.limit(maxStrayBytes, ErrStrayTooLong)
+		c.bounded.limit(maxStrayBytes, ErrStrayTooLong, false)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, eris.Wrap(err, "skipping an answer to another request")
 		}
@@ -229,6 +230,7 @@
 // otherwise by closing it, which cancels the work of most upstreams.
 func (a *Answer) Close() {
 	live := a.stop()
+	a.conn.bounded.release()
 	if live && a.complete && a.reusable && a.requestWritten() && a.conn.reader.Buffered() == 0 {
 		a.pool.put(a.conn, a.keepAlive)
 		return
--- a/internal/adapters/upstreamhttp/fuzz_test.go
+++ b/internal/adapters/upstreamhttp/fuzz_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/memlimit"
 )
 
 // bytesConn is a connection from which an upstream's bytes are read.
@@ -38,7 +40,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		source := bytes.NewReader(data)
-		bounded := &boundedReader{inner: source}
+		bounded := &boundedReader{inner: source, memory: &memlimit.Limit{}}
 		c := &conn{Conn: bytesConn{read: source}, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes)}
 		answer, _, err := NewPool(Options{}).exchange(c, &Request{
 			Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
--- a/internal/adapters/upstreamhttp/pool.go
+++ b/internal/adapters/upstreamhttp/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/auburndyke/auburndyke/internal/memlimit"
 )
 
 const (
@@ -40,12 +42,16 @@
 type Options struct {
 	DialTimeout time.Duration
 	MaxIdle     int
+	// Memory bounds the memory of long headers, and of what else its owner counts.
+	// Nil means no limit.
+	Memory *memlimit.Limit
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	dialer  net.Dialer
 	maxIdle int
+	memory  *memlimit.Limit
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // oldest first
@@ -64,6 +70,7 @@
 			Control: setUserTimeout,
 		},
 		maxIdle: cmp.Or(o.MaxIdle, defaultMaxIdle),
+		memory:  cmp.Or(o.Memory, &memlimit.Limit{}),
 		idle:    make(map[string][]*conn),
 	}
 }
@@ -116,7 +123,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	bounded := &boundedReader{inner: inner}
+	bounded := &boundedReader{inner: inner, memory: p.memory}
 	return &conn{Conn: inner, address: address, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes)}, true, nil
 }
 
@@ -191,6 +198,9 @@
 	}
 }
 
+// Memory returns the limit on the memory of long headers.
+func (p *Pool) Memory() *memlimit.Limit { return p.memory }
+
 // Stats returns the connections opened and the requests that reused one.
 func (p *Pool) Stats() (opened, reused uint64) {
 	p.mu.Lock()
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -8,7 +8,7 @@
 
 const (
 	// begunWeight and otherWeight are the scores of a crash at these stages.
-	begunWeight  = 0.5
+	begunWeight = 0.5
 	otherWeight = 0.25
 
 	// A crash counts in full for fullWeightAge, and then less and less until
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -31,9 +31,9 @@
 	// begunHold and otherHold are the shortest first blocks: a trial that fails
 	// costs an engine with all its streams. otherHold applies without any response
 	// that had begun, since sound parts are then likelier.
-	begunHold  = time.Minute
+	begunHold = time.Minute
 	otherHold = 10 * time.Second
-	maxHold    = 15 * time.Minute
+	maxHold   = 15 * time.Minute
 
 	// Limits on what is kept. Beyond them the oldest suspect and crashes go, and a
 	// quarter of the sound parts, which then only count as unknown.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -269,7 +269,7 @@
 	switch {
 	case cause != nil:
 		err = cause
-	case errors.Is(err, errUnavailable):
+	case errors.Is(err, errUnavailable), errors.Is(err, upstreamhttp.ErrNoMemory):
 		a.result = balancer.Abandoned
 	case sent:
 		a.recordCrash(err)
@@ -289,6 +289,9 @@
 	switch {
 	case cause != nil:
 		return cause
+	case errors.Is(err, errNoEventMemory):
+		a.result = balancer.Abandoned // other streams may hold the memory
+		return err
 	case a.q.ctx.Err() != nil:
 		return a.q.ctx.Err() // the connection was closed at the deadline
 	case errors.Is(context.Cause(a.ctx), errStreamIdle):
@@ -322,6 +325,8 @@
 		return "event"
 	case errors.Is(err, errNoProgress):
 		return "filler"
+	case errors.Is(err, errNoEventMemory), errors.Is(err, upstreamhttp.ErrNoMemory):
+		return "memory"
 	}
 	return ""
 }
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -166,7 +166,7 @@
 // incomplete. A caller that seems to be gone may have ended only its own side of the
 // connection; without an abort, the server would complete the response.
 func (q *request) finish() {
-	q.h.bodies.release(q.bodyReserved)
+	q.h.bodies.Release(q.bodyReserved)
 	q.logFinish()
 	q.h.Metrics.finished(q)
 	if q.outcome.aborted || q.outcome.ended == outcomeCallerDisconnected {
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/memlimit"
 )
 
 // Guards against events that are changed, lost or joined while they are read, against an
@@ -18,10 +20,14 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		reader := bufio.NewReaderSize(bytes.NewReader(data), 16)
+		reader := &eventReader{reader: bufio.NewReaderSize(bytes.NewReader(data), 16), memory: bodyMemory{&memlimit.Limit{}}}
+		defer func() {
+			reader.release()
+			assert.Equal(t, reader.memory.Used(), int64(0))
+		}()
 		var read []byte
 		for {
-			event, err := readEvent(reader, nil)
+			event, err := reader.next()
 			assert.Assert(t, len(event) <= maxEventBytes+16)
 			if err == io.EOF && len(event) == 0 {
 				assert.Equal(t, string(read), string(data), "the stream ended before its bytes")
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -2,9 +2,10 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/auburndyke/auburndyke/internal/memlimit"
 )
 
 var (
@@ -16,30 +17,15 @@
 const minReadBytes = 4 << 10
 
 // bodyMemory bounds the total size of bodies in memory: of requests, which are kept
-// until the request ends since it may be retried, and of responses that are read in
-// full before they are relayed.
-type bodyMemory struct {
-	limit atomic.Int64 // zero means no limit
-	used  atomic.Int64
-}
-
-// reserve reserves n bytes. It reports whether they were available.
-func (m *bodyMemory) reserve(n int64) bool {
-	used := m.used.Add(n)
-	if limit := m.limit.Load(); limit > 0 && used > limit {
-		m.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (m *bodyMemory) release(n int64) { m.used.Add(-n) }
+// until the request ends since it may be retried, and of what is kept of responses until
+// it is relayed.
+type bodyMemory struct{ *memlimit.Limit }
 
 // read reads a body of at most limit bytes; length is -1 if unknown. The
 // returned number of bytes stays reserved, also after an error.
-func (m *bodyMemory) read(body io.Reader, length, limit int64) (data []byte, reserved int64, err error) {
+func (m bodyMemory) read(body io.Reader, length, limit int64) (data []byte, reserved int64, err error) {
 	if length > 0 {
-		if !m.reserve(length) {
+		if !m.Reserve(length) {
 			return nil, 0, errNoMemory
 		}
 		data = make([]byte, length)
@@ -57,14 +43,14 @@
 // reservingReader reserves memory for what it reads.
 type reservingReader struct {
 	inner    io.Reader
-	memory   *bodyMemory
+	memory   bodyMemory
 	reserved int64
 }
 
 func (r *reservingReader) Read(p []byte) (int, error) {
 	n, err := r.inner.Read(p)
 	if n > 0 {
-		if !r.memory.reserve(int64(n)) {
+		if !r.memory.Reserve(int64(n)) {
 			return 0, errNoMemory
 		}
 		r.reserved += int64(n)
@@ -75,11 +61,11 @@
 // readUpTo reads a body to its end. If it is longer than limit bytes, or no memory is
 // left for it, readUpTo returns what it has read and errTooLarge. The returned number
 // of bytes stays reserved, also after an error.
-func (m *bodyMemory) readUpTo(body io.Reader, limit int) (data []byte, reserved int64, err error) {
+func (m bodyMemory) readUpTo(body io.Reader, limit int) (data []byte, reserved int64, err error) {
 	for {
 		if len(data) == cap(data) {
 			grown := min(max(2*cap(data), minReadBytes), limit)
-			if len(data) >= limit || !m.reserve(int64(grown-cap(data))) {
+			if len(data) >= limit || !m.Reserve(int64(grown-cap(data))) {
 				return data, reserved, errTooLarge
 			}
 			reserved += int64(grown - cap(data))
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,3 +60,55 @@
 	time.Sleep(500 * time.Millisecond)
 	assert.Assert(t, s.handler.ResponseMemory() < 64<<10, "%d bytes are reserved", s.handler.ResponseMemory())
 }
+
+// Guards against unfinished events and headers that take the memory of the daemon all
+// together, although each of them is within its bound. The bound is that of the garbage
+// collector on the smallest VM, 0.6 of 112 MB.
+func TestUnfinishedResponsesShareOneMemoryLimit(t *testing.T) {
+	const (
+		smallestVM = 112 << 20
+		heapBound  = 64 << 20
+		callers    = 500
+	)
+	for name, c := range map[string]struct{ path, prefix string }{
+		"events":   {"/events/", soundHead + "\r\nid: 1\ndata: " + strings.Repeat("x", 250<<10)},
+		"comments": {"/events/", soundHead + "\r\n" + strings.Repeat(": "+strings.Repeat("x", 1<<10)+"\n\n", 15)},
+		"headers":  {"/once/", "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 30<<10)},
+		"bodies":   {"/once/", soundHead + "Content-Length: 260000\r\n\r\n" + strings.Repeat("x", 250<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startRelay(t, 1)
+			s.handler.SetResponseMemoryLimit(smallestVM / 10)
+			s.registerRaw([]*rawUpstream{startRaw(t, c.prefix, "x", 100*time.Millisecond)})
+			runtime.GC()
+			var before runtime.MemStats
+			runtime.ReadMemStats(&before)
+			// The route's timeout ends the requests.
+			var load sync.WaitGroup
+			for i := range callers {
+				load.Go(func() { s.abandon(s.request(http.MethodPost, c.path, fmt.Sprintf("r%d", i), "x")) })
+			}
+			var most uint64
+			for end := time.Now().Add(2200 * time.Millisecond); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				most = max(most, m.HeapAlloc-min(before.HeapAlloc, m.HeapAlloc))
+			}
+			load.Wait()
+			t.Logf("heap at most %d KB larger", most>>10)
+			assert.Check(t, most < heapBound, "heap of %d MB", most>>20)
+			assert.Equal(t, s.handler.ResponseMemory(), int64(0))
+		})
+	}
+}
+
+// abandon sends a request and reads its response, whatever becomes of it.
+func (s *fixture) abandon(r *http.Request) {
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return // the daemon has closed the connection
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
+	"github.com/auburndyke/auburndyke/internal/memlimit"
 	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -69,7 +70,7 @@
 
 // New returns a Handler that refuses requests until SetTable is called.
 func New(o Options) *Handler {
-	h := &Handler{Options: o}
+	h := &Handler{Options: o, bodies: bodyMemory{&memlimit.Limit{}}, responses: bodyMemory{o.Pool.Memory()}}
 	if h.Quarantine == nil {
 		h.Quarantine = quarantine.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), h.PartChanged)
 	}
@@ -96,15 +97,16 @@
 
 // SetBodyMemoryLimit bounds the total size of the request bodies in memory. Zero
 // means no limit.
-func (h *Handler) SetBodyMemoryLimit(bytes int64) { h.bodies.limit.Store(bytes) }
+func (h *Handler) SetBodyMemoryLimit(bytes int64) { h.bodies.Set(bytes) }
 
-// SetResponseMemoryLimit bounds the total size of the responses that are read in full
-// before they are relayed. Responses beyond it are relayed as they arrive. Zero means no
-// limit.
-func (h *Handler) SetResponseMemoryLimit(bytes int64) { h.responses.limit.Store(bytes) }
+// SetResponseMemoryLimit bounds the total size of what is kept of responses: those that
+// are read in full before they are relayed, and unfinished events and headers that are
+// longer than usual. Beyond it, responses are relayed as they arrive, and such events and
+// headers break their attempts off. Zero means no limit.
+func (h *Handler) SetResponseMemoryLimit(bytes int64) { h.responses.Set(bytes) }
 
 // ResponseMemory returns the bytes that are reserved for responses.
-func (h *Handler) ResponseMemory() int64 { return h.responses.used.Load() }
+func (h *Handler) ResponseMemory() int64 { return h.responses.Used() }
 
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -35,12 +35,12 @@
 	if a.response.Length > maxBufferedBytes {
 		return a.relayUnbuffered(nil, 0)
 	}
-	memory := &a.q.h.responses
+	memory := a.q.h.responses
 	body, reserved, err := memory.readUpTo(a.response, maxBufferedBytes)
 	if errors.Is(err, errTooLarge) {
 		return a.relayUnbuffered(body, reserved)
 	}
-	defer memory.release(reserved)
+	defer memory.Release(reserved)
 	if err != nil {
 		return a.bodyReadFailed(err)
 	}
@@ -96,7 +96,7 @@
 	}
 	q.writeHeader(a.response.Status)
 	_, err := q.w.Write(read)
-	q.h.responses.release(reserved)
+	q.h.responses.Release(reserved)
 	if err != nil {
 		return a.callerWriteFailed(err)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -13,10 +11,6 @@
 )
 
 const (
-	// eventBufferSize is the size of the read buffer for events.
-	eventBufferSize = 4 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 256 << 10
 	// maxFillerBytes bounds the comments and blank lines between two events.
 	maxFillerBytes = 16 << 10
 	// streamIdleGaps is the multiple of the route's longest inter-token gap after
@@ -61,8 +55,8 @@
 // caller, so that another upstream can resume after the last one.
 func (a *attempt) relayStream() result {
 	q := a.q
-	reader := bufio.NewReaderSize(a.response, eventBufferSize)
-	var event []byte
+	reader := newEventReader(a.response, q.h.responses)
+	defer reader.release()
 	first := true
 	if err := a.response.SetReadDeadline(q.deadline); err != nil {
 		return a.streamBroken(err)
@@ -78,8 +72,7 @@
 		if filler == 0 {
 			idle.reset()
 		}
-		var err error
-		event, err = readEvent(reader, event[:0])
+		event, err := reader.next()
 		if err == io.EOF && len(event) == 0 {
 			if a.endedUnbegun() {
 				return a.streamBroken(errNoEvents)
@@ -97,6 +90,9 @@
 				return a.streamBroken(errNoProgress)
 			}
 			if !q.outcome.stream.started {
+				if err := reader.keep(len(event)); err != nil {
+					return a.streamBroken(err)
+				}
 				pending = append(pending, event...)
 				continue
 			}
@@ -126,17 +122,6 @@
 	return a.response.Unframed && a.events.Load() == 0 && a.q.info.LastEventID == ""
 }
 
-// isFiller reports whether a block of lines has no field: it consists of comments and
-// blank lines, which keep a connection open but are no event.
-func isFiller(block []byte) bool {
-	for line := range bytes.Lines(block) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
-			return false
-		}
-	}
-	return true
-}
-
 // write writes a part of a stream to the caller and flushes it.
 func (a *attempt) write(part []byte) error {
 	if _, err := a.q.w.Write(part); err != nil {
@@ -159,37 +144,6 @@
 	return q.deadline
 }
 
-// readEvent appends one event with its terminating blank line to buf. At the end
-// of the stream it returns io.EOF and an empty event.
-func readEvent(r *bufio.Reader, buf []byte) ([]byte, error) {
-	for {
-		line, err := r.ReadSlice('\n')
-		buf = append(buf, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-		case err == io.EOF && len(buf) > 0:
-			return buf, io.ErrUnexpectedEOF
-		case err != nil:
-			return buf, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return buf, nil
-		}
-		if len(buf) > maxEventBytes {
-			return buf, bufio.ErrTooLong
-		}
-	}
-}
-
-// eventID returns the id field of an event, or an empty string.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
-
 // relayEvent writes one event to the caller and flushes it.
 func (a *attempt) relayEvent(event []byte) error {
 	q := a.q
