Bound the headers of upstreams in serve

The transport to engines and plain services kept net/http's default of 10 MB a header, so that an upstream which sends a header without end took 10 MB a request for as long as the response header timeout.

Change: 32 KB, as in edge. Events, lines and bodies were bounded already, one by one (by reading); their sum is not, which stays open.

--- a/internal/adapters/httpsend/httpsend.go
+++ b/internal/adapters/httpsend/httpsend.go
@@ -20,6 +20,10 @@
 	"github.com/rotisserie/eris"
 )
 
+// maxResponseHeaderBytes bounds the header of a response. The default of net/http is
+// 10 MB, which a few upstreams in trouble would fill.
+const maxResponseHeaderBytes = 32 << 10
+
 var errSealed = eris.New("connection is closed for writing after a failed request")
 
 // DialFunc opens connections.
@@ -74,10 +78,13 @@
 		DialContext:           o.dial,
 		ResponseHeaderTimeout: o.ResponseHeaderTimeout,
 		IdleConnTimeout:       o.IdleConnTimeout,
-		MaxIdleConns:          o.MaxIdleConns,
-		MaxIdleConnsPerHost:   o.MaxIdleConns,
-		MaxConnsPerHost:       o.MaxConns,
-		DisableCompression:    true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+
+		MaxIdleConns:        o.MaxIdleConns,
+		MaxIdleConnsPerHost: o.MaxIdleConns,
+		MaxConnsPerHost:     o.MaxConns,
+		DisableCompression:  true,
 	}
 	if o.TLS != nil {
 		transport.DialTLSContext = o.dialTLS
