--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -10,10 +10,11 @@
 // A crash is evidence against the parts of a request whose response had not shown yet
 // that they are harmless. A response with a header and no event weighs more than one
 // without a header, which most likely waited in the upstream's queue, and than one with a
-// few events. Crashes of several requests
-// at one upstream count once. Crashes that no request is to blame for look the same, so
-// one is never enough; and any part that a response has got past is sound: it clears
-// the evidence of earlier crashes, and for soundTTL more evidence is needed against it.
+// few events. Crashes of several requests at one upstream count once. Crashes that no
+// request is to blame for look the same, so one is never enough; and any part that a
+// response has got past is sound: it clears the evidence of earlier crashes, and for
+// soundTTL more evidence is needed against it. Crashes during the loss of many upstreams
+// are no evidence against a whole request.
 //
 // A part is blocked from a score of blockScore on, for a time that doubles with each
 // relapse and is drawn anew by each daemon, so that one daemon tries the part first
