Keep the stand-in's memory out of the daemon's in endless tests

The stand-in in the same process wrote each of 500 connections a copy of its 250 KB, twice, and held it while the write was blocked; the heap counts both.

Change: the connections share the bytes behind the head. The bound, the number of callers and what is sent stay as they are, so the test is as strict on the daemon.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -39,25 +39,32 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	u := &rawUpstream{address: l.Addr().String()}
+	// All connections share the bytes behind the head, so that the memory of the upstream
+	// does not count as the daemon's.
+	head := prefix[:min(len(prefix), len(soundHead))]
+	rest := []byte(prefix[len(head):])
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go u.serve(c, prefix, part, pause)
+			go u.serve(c, head, rest, part, pause)
 		}
 	}()
 	return u
 }
 
-func (u *rawUpstream) serve(c net.Conn, prefix, part string, pause time.Duration) {
+func (u *rawUpstream) serve(c net.Conn, head string, rest []byte, part string, pause time.Duration) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
-	_, err = io.WriteString(c, strings.ReplaceAll(prefix, "ID", r.Header.Get("X-Attempt-Id")))
+	_, err = io.WriteString(c, strings.ReplaceAll(head, "ID", r.Header.Get("X-Attempt-Id")))
+	if err == nil {
+		_, err = c.Write(rest)
+	}
 	for err == nil {
 		var n int
 		n, err = io.WriteString(c, part)
