--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -39,9 +39,9 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	u := &rawUpstream{address: l.Addr().String()}
-	// All connections share the bytes behind the head, so that the memory of the upstream
-	// does not count as the daemon's.
-	head := prefix[:min(len(prefix), len(soundHead))]
+	// All connections share the bytes behind the head, in which no id stands, so that the
+	// memory of the upstream does not count as the daemon's.
+	head := prefix[:min(len(prefix), maxRawHead)]
 	rest := []byte(prefix[len(head):])
 	go func() {
 		for {
@@ -89,6 +89,9 @@
 	s.balancer.Update(time.Now(), entries, func(string) balancer.Engine { return balancer.Engine{} })
 }
 
+// maxRawHead is the part of a raw upstream's prefix that may hold ids.
+const maxRawHead = 1 << 10
+
 const soundHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Replica-Seal: s\r\n"
 
 // Guards against upstreams in trouble whose bytes without end take the memory of the
