--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -451,8 +451,8 @@
 		case !same:
 			return nil
 		case other.Whole() && !part.Whole():
-			// The part is not known to be sound, so that other requests with it wait
-			// until one that is at an upstream already gets past it.
+			// The part is not known to be sound, so that other requests with it are
+			// refused as well, until one that is at an upstream gets past it.
 		default:
 			b.with = append(b.with, other)
 		}
