Read duties, scaling and loads of four figures from the platform

Cause: platform.parseLoad accepted exactly three figures. Upstreams that share their machines send four, so every load report of such a deployment was dropped without a log line and the balancer knew nothing of requests of other daemons. The settings for duties and the scaling of services were ignored.

Change: loads of three or four figures are read; others are counted and logged at a bounded rate (AD8017). No daemon makes such a call yet. docs/design/0001 describes the parts that build on this.

Ruled out: taking the fourth figure into account for the choice of an upstream at the same time; it changes many times a second and needs a measurement of its own.

Result: go test ./platform/... ./internal/relay ./internal/telemetry ./internal/cli passes.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -42,6 +42,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkTime is how long work takes on the upstream's machine at the moment, in percent
+	// of the usual. It changes many times a second. Zero means that it is not reported.
+	WorkTime int
 }
 
 // Balancer tracks the upstreams and the requests that this daemon sent to them.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -157,6 +157,9 @@
 		Str("zone", string(s.Zone)).Str("callers", s.CallerAddress).
 		Str("readiness", s.ReadinessAddress).Str("internal", s.InternalAddress).Strs("seeds", s.Seeds).
 		Str("platform", s.PlatformAddress).Send()
+	for _, finding := range s.Findings {
+		e.deps.Log.Event(telemetry.SettingsFinding).Str("finding", finding).Send()
+	}
 	callers, err := net.Listen("tcp", s.CallerAddress)
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -49,4 +49,33 @@
 	// for all daemons together: a share of the requests, plus a fixed number.
 	RetryRatio float64
 	RetrySlack float64
+	// Duties are the calls to the platform's API that one daemon makes for all.
+	Duties DutySettings
+	// Findings are parts of the settings that can't be used. The daemon serves
+	// without them.
+	Findings []string
 }
+
+// DutySettings say which calls one daemon makes to the platform's API for the whole
+// fleet. The zero value means none.
+type DutySettings struct {
+	// APIAddress is the IP:port of the platform's API.
+	APIAddress string
+	// Metering reports the usage of customers, and Ordering orders upstreams.
+	Metering, Ordering bool
+	// CallRate is the number of calls a second that the API accepts from all daemons
+	// together. Zero means unknown.
+	CallRate float64
+	// LeaseTime is the time within which two daemons must not act by turns.
+	LeaseTime time.Duration
+	// UsageWindow is the length of one window of a usage report, which is due UsageDue
+	// after its end.
+	UsageWindow, UsageDue time.Duration
+	// UsageTolerance is the relative error of a count that the platform tolerates.
+	UsageTolerance float64
+	// Fencing means that the API refuses calls with an outdated fencing token.
+	Fencing bool
+}
+
+// Any reports whether the daemon may have to make such calls.
+func (d DutySettings) Any() bool { return d.Metering || d.Ordering }
--- a/internal/httproute/config.go
+++ b/internal/httproute/config.go
@@ -87,6 +87,22 @@
 type Service struct {
 	Name   string
 	Engine *Engine
+	// Scaling says how many upstreams may be ordered. Nil means that none are.
+	Scaling *Scaling
+}
+
+// Scaling bounds the orders of a service's upstreams.
+type Scaling struct {
+	// Min and Max bound the number of upstreams in each zone.
+	Min, Max int
+	// StartTime is how long after an order new upstreams serve.
+	StartTime time.Duration
+	// ZonePrices are the prices of a second of an upstream, by the zones in which the
+	// service runs.
+	ZonePrices map[domain.AvailabilityZone]float64
+	// ReclaimablePrice is the share of the price of upstreams that the platform may take
+	// back. Zero means that there are none.
+	ReclaimablePrice float64
 }
 
 // Limits bounds what a caller may send and how long its connection may be idle. A zero
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -195,6 +195,7 @@
 		leaving, pause := reservation.ObserveAvailability(time.Now(), a.info.Availability)
 		q.h.logAvailability(a.choice.Upstream.ID, q.id(), leaving, pause, a.info)
 	}
+	q.h.recordInvalidLoad(a.choice.Upstream.ID, a.info.InvalidLoad)
 	if a.info.HasLoad {
 		reservation.ObserveLoad(time.Now(), a.info.Load)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -21,6 +21,7 @@
 	crashes      metrics.Counter
 	refusedSound metrics.Counter
 	pauses       metrics.Counter
+	invalidLoads metrics.Counter
 }
 
 // NewMetrics registers the metrics of a relay.
@@ -35,6 +36,7 @@
 		crashes:      set.Counter("auburndyke_prompt_crashes_total"),
 		refusedSound: set.Counter("auburndyke_sound_prompts_refused_total"),
 		pauses:       set.Counter("auburndyke_upstream_pauses_total"),
+		invalidLoads: set.Counter("auburndyke_invalid_upstream_loads_total"),
 	}
 }
 
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -57,6 +57,8 @@
 	// Load is set when HasLoad is.
 	Load    balancer.Load
 	HasLoad bool
+	// InvalidLoad is a load that can't be read. It has no effect.
+	InvalidLoad string
 }
 
 // Protocol defines the headers of a platform.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,7 @@
 	responses        bodyMemory
 	unsized          unsizedRate
 	open             openAttempts
+	invalidLoads     loadLog
 }
 
 // New returns a Handler that refuses requests until SetTable is called.
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -94,6 +94,10 @@
 	UpstreamLeaving = Event{"AD8015", "upstream_leaving", zerolog.InfoLevel, "An upstream says in a response that it is leaving; the daemon sends it no more requests until it has started again."}
 	UpstreamPaused  = Event{"AD8016", "upstream_paused", zerolog.InfoLevel, "An upstream refused a request and asked for a pause; pause_ms is how long the daemon sends it nothing, ignored a pause that can't be read."}
 
+	UpstreamLoadInvalid = Event{"AD8017", "upstream_load_invalid", zerolog.WarnLevel, "An upstream sends a load that can't be read and has no effect; total counts all of them. At most one line in ten seconds."}
+
+	SettingsFinding = Event{"AD1012", "settings_finding", zerolog.WarnLevel, "A part of the settings can't be used; the daemon serves without it."}
+
 	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
 
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
@@ -102,7 +106,7 @@
 // Catalogue lists every event in code order.
 var Catalogue = []Event{
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
-	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected, PanicContained, ProcessPaused,
+	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected, PanicContained, ProcessPaused, SettingsFinding,
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled, PartBlocked, PartUnblocked,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
@@ -111,7 +115,7 @@
 	LeaseChanged, PlacementDecision, OrderFailed,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
-	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid,
 }
 
 // Log writes numbered events as JSON lines.
