--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -71,6 +71,13 @@
 	PlacementDecision = Event{"AD6002", "placement_decision", zerolog.InfoLevel, "An order to an engine was decided; reason says why."}
 	OrderFailed       = Event{"AD6003", "order_failed", zerolog.WarnLevel, "An engine did not accept an order."}
 
+	UsageCollected     = Event{"AD6010", "usage_collected", zerolog.InfoLevel, "The counts of a window were collected; silent is the number of daemons whose counts are not known in full, reported says whether the window is reported."}
+	UsageReported      = Event{"AD6011", "usage_reported", zerolog.InfoLevel, "The usage of a window was reported; calls is how many calls this daemon made for it, after_ms the time since the window's end."}
+	UsageMissed        = Event{"AD6012", "usage_missed", zerolog.ErrorLevel, "The usage of a window was not reported while the report was due."}
+	UsageCallFailed    = Event{"AD6013", "usage_call_failed", zerolog.WarnLevel, "A call to the store or to the platform's API for the usage of a window failed; it is repeated until the report is due."}
+	UsageCountsDropped = Event{"AD6014", "usage_counts_dropped", zerolog.WarnLevel, "Counts of usage were invalid or exceeded a bound and are lost; total counts all of them. At most one line in ten seconds."}
+	ClockStepHeld      = Event{"AD6015", "clock_step_held", zerolog.WarnLevel, "The wall clock was stepped; usage is counted by the earlier clock for hold_ms."}
+
 	AdminChange  = Event{"AD7001", "admin_change", zerolog.InfoLevel, "An operator changed something through the administration API."}
 	AdminRefused = Event{"AD7002", "admin_refused", zerolog.WarnLevel, "An administration call was refused: not authenticated or out of scope."}
 
@@ -113,6 +120,7 @@
 	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed,
+	UsageCollected, UsageReported, UsageMissed, UsageCallFailed, UsageCountsDropped, ClockStepHeld,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
 	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid,
