Exchange usage between daemons in datagrams

Counts have to reach the holder of the duties and the daemons that keep copies. The messages have a number of elements that no other datagram has, as those with evidence do. A daemon that does not meter ignores them and sends none.

--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -207,6 +208,7 @@
 		}
 	}
 	n.lastHeard = lastHeard
+	n.zonePeers = slices.Clone(zone)
 	n.group = newGroup(n.Address, zone)
 	if len(n.group.readers) == 0 {
 		n.awaitsReader = false
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -57,7 +57,7 @@
 	Updated() <-chan struct{}
 }
 
-// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Evidence and
+// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Evidence, Usage and
 // PlatformReadRate are required.
 type Config struct {
 	Daemon    string
@@ -84,8 +84,10 @@
 	Tables map[string]Table
 	// Evidence is exchanged with peers. Nil means that none is.
 	Evidence Evidence
-	Rand     *rand.Rand
-	Log      *telemetry.Log
+	// Usage is exchanged with peers. Nil means that none is.
+	Usage Usage
+	Rand  *rand.Rand
+	Log   *telemetry.Log
 }
 
 // Node exchanges messages with peers.
@@ -95,6 +97,8 @@
 	state *State
 	lags  map[string]lag
 	group group
+	// zonePeers are the addresses of the daemons of the zone in the directory.
+	zonePeers []string
 	// directorySize is the number of daemons in the directory at its last read.
 	directorySize int
 	// lastHeard is when each daemon of the directory was last heard from, or
@@ -178,6 +182,12 @@
 		}
 		return nil
 	}
+	if message, ok := decodeUsage(data); ok {
+		if n.Usage != nil {
+			n.Usage.Receive(message)
+		}
+		return nil
+	}
 	m, err := decode(data)
 	if err != nil {
 		return err
@@ -212,6 +222,10 @@
 	if n.Evidence != nil {
 		updated = n.Evidence.Updated()
 	}
+	var usageUpdated <-chan struct{}
+	if n.Usage != nil {
+		usageUpdated = n.Usage.Updated()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -223,8 +237,11 @@
 			n.contained("sending reports", func() { n.sendGossip(now, socket) })
 			n.contained("announcing tables", func() { n.announceToGroup(now, socket) })
 			n.contained("sending evidence", func() { n.sendEvidence(now, socket, gossipFanOut) })
+			n.contained("updating the peers of usage", n.updateUsagePeers)
 		case <-updated:
 			n.contained("sending evidence", func() { n.sendEvidence(time.Now(), socket, evidenceFanOut) })
+		case <-usageUpdated:
+			n.contained("sending usage", func() { n.sendUsage(socket) })
 		case <-n.changed:
 			n.announceToGroup(time.Now(), socket)
 			n.passOn(time.Now(), socket)
