Count requests that began to run in the relay

An optional hook is called at the first event of a stream, and for other requests when the upstream's response arrives, unless that says that the request has not run. Requests without a customer are not counted.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -199,6 +199,9 @@
 	if a.info.HasLoad {
 		reservation.ObserveLoad(time.Now(), a.info.Load)
 	}
+	if !a.info.NotRun && q.route.Type != httproute.Stream {
+		q.countUsage()
+	}
 	switch {
 	case a.info.NotRun:
 		return a.refused()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,8 +35,8 @@
 	returnMargin = 20 * time.Millisecond
 )
 
-// Options configures a Handler. All fields but OnListOutdated and Quarantine are
-// required.
+// Options configures a Handler. All fields but OnListOutdated, Quarantine and CountUsage
+// are required.
 type Options struct {
 	Protocol Protocol
 	Balancer *balancer.Balancer
@@ -51,6 +51,9 @@
 	// handler decides by its own requests. The tracker must pass its changes to
 	// Handler.PartChanged.
 	Quarantine *quarantine.Tracker
+	// CountUsage counts a request of a customer that began to run. Nil means that nothing is
+	// counted.
+	CountUsage func(domain.CustomerID)
 }
 
 // Handler is the HTTP handler for callers.
@@ -270,5 +273,12 @@
 	return size
 }
 
+// countUsage counts that an upstream began to run the request.
+func (q *request) countUsage() {
+	if q.h.CountUsage != nil && q.customer != "" {
+		q.h.CountUsage(q.customer)
+	}
+}
+
 // remaining returns the time until the request's deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -107,6 +107,7 @@
 		}
 		if first {
 			first = false
+			q.countUsage()
 			a.choice.Reservation().FirstEvent(time.Now())
 		}
 		if err := a.relayEvent(event); err != nil {
