Wire the metering of usage into edge

With metering in the settings a daemon counts, copies and answers; it reports if it is given a Duty, a table and the API. Without the setting it sends no message and makes no call.

Three daemons in one process report the requests of all of them to the stand-in API (go test -run Usage ./internal/edge).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/relay"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
+	"github.com/auburndyke/auburndyke/internal/usage"
 )
 
 const (
@@ -87,8 +88,10 @@
 	Daemons peers.Directory
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
-	Log          *telemetry.Log
-	Metrics      *telemetry.Metrics
+	// Usage is what the daemon needs to report usage. Nil means that it only counts.
+	Usage   *UsageDeps
+	Log     *telemetry.Log
+	Metrics *telemetry.Metrics
 }
 
 // Edge is one daemon.
@@ -100,6 +103,8 @@
 	pool     *upstreamhttp.Pool
 	shutdown shutdownState
 	callers  callerConns
+	// usage counts the requests of customers. Nil means that none are counted.
+	usage *usage.Meter
 	// requests is the parent of the contexts of all requests, and endRequests ends it.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -131,6 +136,7 @@
 		},
 	}
 	e.settings.Store(s)
+	e.meterUsage(s)
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	return e
 }
@@ -232,6 +238,9 @@
 		})
 	})
 	addLoop(&g, e.watchSettings)
+	if e.usage != nil {
+		addLoop(&g, e.usage.Run)
+	}
 	addLoop(&g, func(group context.Context) error { return e.awaitShutdown(group, ctx) })
 	return g.Run()
 }
@@ -347,7 +356,7 @@
 		return nil
 	}
 	return peers.New(peers.Config{
-		Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
+		Usage: e.peerUsage(), Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
 		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, PlatformReadRate: s.PlatformReadRate,
 		FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
