Space out takeovers and report no old window as missed

A new holder whose read of the rows failed read them again 20 times a second, and rows of windows whose due time had passed were counted as missed. The read is repeated after 0.5 s, and such windows are left to the holder of their time. Tests check both.

--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -250,6 +250,7 @@
 	for w := range f.api.reports {
 		assert.Assert(t, w >= from+2, "window %d is reported late", w-from)
 	}
+	assert.Assert(t, f.daemons[0].meter.missed.Count() > 0, "missed windows are not counted")
 	calls := f.api.calls
 	f.run(4*time.Second, nil)
 	assert.Assert(t, f.api.calls <= calls+1, "reported windows are reported again")
@@ -276,6 +277,20 @@
 	f.checkReports(from+1, before)
 }
 
+// Guards against a holder that calls the store many times a second while it is down.
+func TestCallsToTheStoreAreSpaced(t *testing.T) {
+	f := newSimFleet(t, 13, 3, 1)
+	f.run(7*time.Second, f.traffic(20, 2))
+	f.table.down = true
+	for _, holder := range []string{"d-0", "d-1"} {
+		f.hold(holder)
+		f.table.reads, f.table.commits = 0, 0
+		f.run(5*time.Second, nil)
+		calls := f.table.reads + f.table.commits
+		assert.Assert(t, calls > 0 && calls <= 25, "%s made %d calls in 5 s", holder, calls)
+	}
+}
+
 // Guards against rows that stay in the store for ever.
 func TestOldRowsAreRemoved(t *testing.T) {
 	f := newSimFleet(t, 11, 3, 1)
--- a/internal/usage/meter.go
+++ b/internal/usage/meter.go
@@ -76,6 +76,8 @@
 	// holding is set while the daemon holds the duties and has read the rows of earlier
 	// windows.
 	holding bool
+	// nextTakeOver is when these rows may be read again, by the boot clock.
+	nextTakeOver time.Duration
 	// firstRow is the earliest window that is known to have a row, or zero.
 	firstRow int64
 	outbox   []Datagram
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -67,8 +67,9 @@
 
 // takeOver starts a term in which the daemon holds the duties. rows holds the rows of the
 // latest windows, by window. Counts that were collected in an earlier term and are not in
-// a row are forgotten: another holder may have collected others.
-func (r *reporter) takeOver(current int64, rows map[int64]map[domain.CustomerID]int64, due func(window int64) time.Duration) {
+// a row are forgotten: another holder may have collected others. Windows whose reports
+// were due are left to the holder of that time.
+func (r *reporter) takeOver(now time.Duration, current int64, rows map[int64]map[domain.CustomerID]int64, due func(window int64) time.Duration) {
 	for w, report := range r.windows {
 		if report.phase < calling {
 			delete(r.windows, w)
@@ -79,6 +80,11 @@
 			r.windows[w] = &windowReport{phase: calling, counts: counts, due: due(w)}
 		}
 	}
+	for _, report := range r.windows {
+		if now >= report.due {
+			report.phase = ended
+		}
+	}
 	r.removeFrom = current - keptRows - removedSpan
 }
 
--- a/internal/usage/run.go
+++ b/internal/usage/run.go
@@ -97,8 +97,15 @@
 // takeOver reads the rows of the latest windows, which are reported as they are.
 func (m *Meter) takeOver(ctx context.Context) error {
 	m.mu.Lock()
-	now, _ := m.now()
+	now, boot := m.now()
+	wait := boot < m.nextTakeOver
+	if !wait {
+		m.nextTakeOver = boot + retryInterval
+	}
 	m.mu.Unlock()
+	if wait {
+		return nil
+	}
 	current := m.windowAt(now)
 	var windows []int64
 	for w := current - m.reportedWindows(); w <= current; w++ {
@@ -110,8 +117,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now, boot := m.now()
-	m.reporter.takeOver(current, rows, func(window int64) time.Duration { return m.endOf(window, now, boot) + m.Due })
+	now, boot = m.now()
+	m.reporter.takeOver(boot, current, rows, func(window int64) time.Duration { return m.endOf(window, now, boot) + m.Due })
 	clear(m.collections)
 	for w := range rows {
 		m.seeRow(w)
--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -196,6 +196,9 @@
 func (f *simFleet) checkReports(from, before int64) {
 	f.t.Helper()
 	assert.Equal(f.t, len(f.api.violations), 0, "%v", f.api.violations)
+	for _, d := range f.daemons {
+		assert.Equal(f.t, d.meter.missed.Count(), int64(0), "%s says that a window is missed", d.name)
+	}
 	for w := from; w < before; w++ {
 		counts, reported := f.api.reports[w]
 		assert.Assert(f.t, reported, "window %d is not reported", w-from)
@@ -217,10 +220,11 @@
 	// answer, and delayWrites makes them take effect only when applyLate is called.
 	down, loseWrites, delayWrites bool
 	late                          [][]ports.Write
-	commits                       int
+	reads, commits                int
 }
 
 func (t *simTable) Get(_ context.Context, keys ...string) ([]ports.Row, error) {
+	t.reads++
 	if t.down {
 		return nil, ports.ErrUnavailable
 	}
