Collect as long after a takeover as after a window's end

A holder that took over during a collection asked each of 330 daemons about once, and one that took over 8 s after a window's end not all of them. The collection now lasts 3.5 s from the takeover, bounded by 1 s before the report is due, and its batches grow when the time is short. A row that an earlier holder may have reported is not counted as missed.

--- a/internal/usage/collection.go
+++ b/internal/usage/collection.go
@@ -2,26 +2,33 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// collectTime is how long after the end of a window its counts are collected.
+	// collectTime is how long after the end of a window its counts are collected, or after
+	// the takeover by a daemon that became the holder later. It covers a query of each of
+	// 330 daemons and a repetition to those that did not answer.
 	collectTime = 3500 * time.Millisecond
-	// minCollectTime is how long they are collected at least, by a daemon that became the
-	// holder later. It covers a query of each of 330 daemons.
-	minCollectTime = 2 * time.Second
-	// dueMargin is how long before the report is due the collection ends at the latest.
-	dueMargin = 2 * time.Second
+	// dueMargin is how long before the report is due the collection ends at the latest. It
+	// covers the write of the row and a call.
+	dueMargin = time.Second
 	// queryInterval is the time between two queries of a daemon.
 	queryInterval = 500 * time.Millisecond
 	// queryTick is the time between two batches of queries, and queryBatch their size. The
 	// answers to a batch, about six datagrams each at 60 requests a second, fit into the
 	// receive buffer of a socket (about 90 datagrams) and into a link of 10 Mbit/s; 330
-	// daemons are queried within 1.7 s. Batches of 16 brought up to 119 datagrams at once.
+	// daemons are queried within 1.6 s. Batches of 16 brought up to 119 datagrams at once.
 	queryTick  = 50 * time.Millisecond
 	queryBatch = 10
+	// maxQueryBatch is the size of the batches if a daemon became the holder so late that
+	// smaller ones would not reach all others. Some answers may then be lost.
+	maxQueryBatch = 40
+	// firstQueryShare is the share of the collection's time within which all are queried
+	// for the first time.
+	firstQueryShare = 0.45
 )
 
 // collection is the collection of the counts of one window. Times are those of the boot
@@ -29,7 +36,9 @@
 type collection struct {
 	window int64
 	// ends is when the collection ends without the daemons that have not answered.
-	ends    time.Duration
+	ends time.Duration
+	// batch is the number of queries in a queryTick.
+	batch   int
 	daemons map[string]*asked
 }
 
@@ -51,10 +60,12 @@
 // report is due at another.
 func newCollection(now time.Duration, window int64, ended, due time.Duration, daemons []string) *collection {
 	c := &collection{window: window, daemons: make(map[string]*asked)}
-	c.ends = max(min(max(ended+collectTime, now+minCollectTime), due-dueMargin), now)
+	c.ends = max(min(max(ended, now)+collectTime, due-dueMargin), now)
 	for _, d := range daemons {
 		c.daemons[d] = &asked{}
 	}
+	ticks := max(firstQueryShare*float64(c.ends-now)/float64(queryTick), 1)
+	c.batch = min(max(int(math.Ceil(float64(len(daemons))/ticks)), queryBatch), maxQueryBatch)
 	return c
 }
 
@@ -101,7 +112,7 @@
 	}
 	// Those that were asked least often come first, so that none waits for the others.
 	slices.SortStableFunc(out, func(a, b query) int { return c.daemons[a.to].queries - c.daemons[b.to].queries })
-	out = out[:min(len(out), queryBatch)]
+	out = out[:min(len(out), c.batch)]
 	for _, q := range out {
 		c.daemons[q.to].at = now
 		c.daemons[q.to].queries++
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -45,6 +45,9 @@
 	// next is when the next step may be made.
 	next  time.Duration
 	calls int
+	// adopted is set for a row that was there at the takeover, which an earlier holder may
+	// have reported.
+	adopted bool
 }
 
 // step is what a holder has to do for a window.
@@ -77,7 +80,7 @@
 	}
 	for w, counts := range rows {
 		if r.windows[w] == nil {
-			r.windows[w] = &windowReport{phase: calling, counts: counts, due: due(w)}
+			r.windows[w] = &windowReport{phase: calling, counts: counts, due: due(w), adopted: true}
 		}
 	}
 	for _, report := range r.windows {
@@ -185,7 +188,9 @@
 	for window, w := range r.windows {
 		if w.phase != ended && now >= w.due {
 			w.phase = ended
-			missed = append(missed, window)
+			if !w.adopted || w.calls > 0 {
+				missed = append(missed, window)
+			}
 		}
 		if window < oldest {
 			delete(r.windows, window)
