Check a duty call again on its open connection

Cause: opening a connection takes up to 0.7 s, and longer if the VM is suspended meanwhile. The term of the caller may end in that time.

--- a/internal/ports/duties.go
+++ b/internal/ports/duties.go
@@ -10,6 +10,9 @@
 type DutyCall struct {
 	Holder domain.DaemonID
 	Token  domain.FencingToken
+	// Check fails when the daemon may no longer act. It is called immediately before
+	// the call is sent, on an open connection. Nil always passes.
+	Check func() error
 }
 
 // UsageReport is the usage of all customers in one window.
