Let one daemon of a fleet hold the duties

Cause: the platform's API takes the calls of duties from one daemon at a time, and nothing decided which daemon makes them.

Change: duty.Candidates decides who competes for lease/duties: the first three in rendezvous order of the daemons heard from in the last 10 s. A daemon that the store refuses, or that stops, makes room for the next one. duty.Pace spaces the calls. duty.Holder runs both with the lease, and Do and Held let other components act: after a takeover LeaseTime after the write, by the boot clock, checked again on the connection. Daemons exchange the first candidates in datagrams of under 200 bytes; peers.Node tells whether the directory has been read.

Ruled out: counting only daemons heard from directly.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,8 +88,10 @@
 	Daemons peers.Directory
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
-	Log          *telemetry.Log
-	Metrics      *telemetry.Metrics
+	// Duties are used only if the settings name duties.
+	Duties  DutyDeps
+	Log     *telemetry.Log
+	Metrics *telemetry.Metrics
 }
 
 // Edge is one daemon.
@@ -101,6 +103,7 @@
 	pool     *upstreamhttp.Pool
 	shutdown shutdownState
 	callers  callerConns
+	duties   dutyRunner
 	// requests is the parent of the contexts of all requests, and endRequests ends it.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -132,6 +135,7 @@
 		},
 	}
 	e.settings.Store(s)
+	e.duties = newDuties(s, d)
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	return e
 }
@@ -208,6 +212,7 @@
 	})
 	e.handler.OnListOutdated = upstreams.Refresh
 	node = e.newPeerNode(contact, map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
+	e.duties.start(node, func(f func(context.Context) error) { addLoop(&g, f) })
 	addLoop(&g, configuration.Run)
 	addLoop(&g, upstreams.Run)
 	if node != nil {
@@ -350,7 +355,7 @@
 	return peers.New(peers.Config{
 		Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
 		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, PlatformReadRate: s.PlatformReadRate,
-		FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
+		Duties: e.duties.candidates(), FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -55,6 +55,7 @@
 	closeAt := time.Now().Add(timeout - shutdownMargin)
 	deadline := closeAt.Add(-finalAnswerTime)
 	e.shutdown.started.Store(true)
+	e.duties.stop()
 	e.handler.DisableKeepAlives()
 	e.deps.Log.Event(telemetry.ShutdownStarted).Int("active", e.handler.Active()).Int64("bound_ms", timeout.Milliseconds()).Send()
 	if !backoff.Sleep(ctx, lameDuck) {
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -207,6 +207,9 @@
 		}
 	}
 	n.lastHeard = lastHeard
+	if n.directoryReadAt.IsZero() {
+		n.directoryReadAt = now
+	}
 	n.group = newGroup(n.Address, zone)
 	if len(n.group.readers) == 0 {
 		n.awaitsReader = false
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/auburndyke/auburndyke/internal/duty"
 	"github.com/auburndyke/auburndyke/internal/quarantine"
 )
 
@@ -186,3 +187,30 @@
 	}
 	return &m, nil
 }
+
+// candidateMessage says which daemons may hold the duties. Its number of elements tells
+// it from the other datagrams.
+type candidateMessage struct {
+	_         struct{} `cbor:",toarray"`
+	Sightings []duty.Sighting
+}
+
+func encodeCandidates(sightings []duty.Sighting) ([]byte, error) {
+	data, err := cbor.Marshal(&candidateMessage{Sightings: sightings})
+	if err != nil {
+		return nil, eris.Wrap(err, "encoding candidates")
+	}
+	if len(data) > maxMessageBytes {
+		return nil, eris.Errorf("candidates have %d bytes, more than the limit of %d", len(data), maxMessageBytes)
+	}
+	return data, nil
+}
+
+// decodeCandidates returns false for datagrams of other kinds.
+func decodeCandidates(data []byte) ([]duty.Sighting, bool) {
+	var m candidateMessage
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return nil, false
+	}
+	return m.Sightings, true
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -57,7 +57,7 @@
 	Updated() <-chan struct{}
 }
 
-// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Evidence and
+// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Evidence, Duties and
 // PlatformReadRate are required.
 type Config struct {
 	Daemon    string
@@ -84,8 +84,11 @@
 	Tables map[string]Table
 	// Evidence is exchanged with peers. Nil means that none is.
 	Evidence Evidence
-	Rand     *rand.Rand
-	Log      *telemetry.Log
+	// Duties learns which daemons may hold the duties. Nil means that the fleet has
+	// none; no message about them is then sent.
+	Duties Duties
+	Rand   *rand.Rand
+	Log    *telemetry.Log
 }
 
 // Node exchanges messages with peers.
@@ -97,6 +100,8 @@
 	group group
 	// directorySize is the number of daemons in the directory at its last read.
 	directorySize int
+	// directoryReadAt is when the directory was first read, and zero before that.
+	directoryReadAt time.Time
 	// lastHeard is when each daemon of the directory was last heard from, or
 	// first listed, by address.
 	lastHeard map[string]time.Time
@@ -178,6 +183,12 @@
 		}
 		return nil
 	}
+	if sightings, ok := decodeCandidates(data); ok {
+		if n.Duties != nil {
+			n.Duties.Merge(time.Now(), sightings)
+		}
+		return nil
+	}
 	m, err := decode(data)
 	if err != nil {
 		return err
@@ -223,6 +234,7 @@
 			n.contained("sending reports", func() { n.sendGossip(now, socket) })
 			n.contained("announcing tables", func() { n.announceToGroup(now, socket) })
 			n.contained("sending evidence", func() { n.sendEvidence(now, socket, gossipFanOut) })
+			n.contained("sending candidates", func() { n.sendCandidates(now, socket) })
 		case <-updated:
 			n.contained("sending evidence", func() { n.sendEvidence(time.Now(), socket, evidenceFanOut) })
 		case <-n.changed:
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -71,6 +71,10 @@
 	PlacementDecision = Event{"AD6002", "placement_decision", zerolog.InfoLevel, "An order to an engine was decided; reason says why."}
 	OrderFailed       = Event{"AD6003", "order_failed", zerolog.WarnLevel, "An engine did not accept an order."}
 
+	DutyHolderChanged = Event{"AD6004", "duty_holder_changed", zerolog.InfoLevel, "This daemon has acquired the duties that one daemon has for all, or lost them; since says when, acts_after_ms how long it waits before its first act."}
+	DutyActRefused    = Event{"AD6005", "duty_act_refused", zerolog.WarnLevel, "An act was not started, or its call not sent, because the daemon's term had ended; total counts all of them. At most one line in ten seconds."}
+	DutyCallFailed    = Event{"AD6006", "duty_call_failed", zerolog.WarnLevel, "A call to the platform's API failed, was refused or took longer than the margin of the lease; total counts all of them. At most one line in ten seconds."}
+
 	AdminChange  = Event{"AD7001", "admin_change", zerolog.InfoLevel, "An operator changed something through the administration API."}
 	AdminRefused = Event{"AD7002", "admin_refused", zerolog.WarnLevel, "An administration call was refused: not authenticated or out of scope."}
 
@@ -112,7 +116,7 @@
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
 	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved,
 	DrainStep, DrainWarning,
-	LeaseChanged, PlacementDecision, OrderFailed,
+	LeaseChanged, PlacementDecision, OrderFailed, DutyHolderChanged, DutyActRefused, DutyCallFailed,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
 	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid,
