Merge the holder of the duties with the metering of usage

Cause: both parts add datagrams, events and dependencies of edge at the same places.

Change: both are kept; the metering uses the holder and the table of the duties unless a test replaces them. The test that datagram kinds are distinct covers the candidates as well.

Ruled out: one common datagram for both; their senders and rates differ.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/balancer"
+	"github.com/auburndyke/auburndyke/internal/bootclock"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/inventory"
 	"github.com/auburndyke/auburndyke/internal/peers"
@@ -89,7 +90,9 @@
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
 	// Usage is what the daemon needs to report usage. Nil means that it only counts.
-	Usage   *UsageDeps
+	Usage *UsageDeps
+	// Duties are used only if the settings name duties.
+	Duties  DutyDeps
 	Log     *telemetry.Log
 	Metrics *telemetry.Metrics
 }
@@ -104,7 +107,8 @@
 	shutdown shutdownState
 	callers  callerConns
 	// usage counts the requests of customers. Nil means that none are counted.
-	usage *usage.Meter
+	usage  *usage.Meter
+	duties dutyRunner
 	// requests is the parent of the contexts of all requests, and endRequests ends it.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -136,6 +140,7 @@
 		},
 	}
 	e.settings.Store(s)
+	e.duties = newDuties(s, d)
 	e.meterUsage(s)
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	return e
@@ -213,6 +218,7 @@
 	})
 	e.handler.OnListOutdated = upstreams.Refresh
 	node = e.newPeerNode(contact, map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
+	e.duties.start(node, func(f func(context.Context) error) { addLoop(&g, f) })
 	addLoop(&g, configuration.Run)
 	addLoop(&g, upstreams.Run)
 	if node != nil {
@@ -227,7 +233,7 @@
 	followers := map[string]*follow.Follower{tableConfiguration: configuration, tableUpstreams: upstreams}
 	addLoop(&g, func(ctx context.Context) error { return e.sweep(ctx, followers) })
 	addLoop(&g, func(ctx context.Context) error {
-		return e.watchPauses(ctx, bootTime, func() {
+		return e.watchPauses(ctx, bootclock.Now, func() {
 			if node != nil {
 				node.ForgetReaders()
 			}
@@ -358,7 +364,7 @@
 	return peers.New(peers.Config{
 		Usage: e.peerUsage(), Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
 		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, PlatformReadRate: s.PlatformReadRate,
-		FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
+		Duties: e.duties.candidates(), FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
 
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburndyke/auburndyke/internal/bootclock"
 	"github.com/auburndyke/auburndyke/internal/peers"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/usage"
@@ -30,7 +31,7 @@
 	}
 	o := usage.Options{
 		Daemon: string(s.Daemon), Address: s.InternalAddress, Window: s.Duties.UsageWindow, Due: s.Duties.UsageDue,
-		Wall: time.Now, Boot: bootTime, Log: e.deps.Log, Metrics: e.deps.Metrics,
+		Wall: time.Now, Boot: bootclock.Now, Log: e.deps.Log, Metrics: e.deps.Metrics,
 	}
 	if o.Window <= 0 {
 		o.Window = defaultUsageWindow
@@ -38,8 +39,11 @@
 	if o.Due <= 0 {
 		o.Due = defaultUsageDue
 	}
-	if d := e.deps.Usage; d != nil {
+	switch d := e.deps.Usage; {
+	case d != nil:
 		o.Duty, o.Table, o.API = d.Duty, d.Table, d.API
+	case e.duties.holder != nil:
+		o.Duty, o.Table, o.API = dutyCalls{e.duties.holder}, e.deps.Duties.Table, e.deps.Duties.API
 	}
 	e.usage = usage.New(o)
 	e.handler.CountUsage = e.usage.Count
--- a/internal/peers/usage_test.go
+++ b/internal/peers/usage_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/auburndyke/auburndyke/internal/duty"
 	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 	"github.com/auburndyke/auburndyke/internal/usage"
@@ -30,7 +31,9 @@
 	assert.NilError(t, err)
 	evidence, err := encodeEvidence(&quarantine.Report{})
 	assert.NilError(t, err)
-	for _, data := range [][]byte{message, plain, evidence} {
+	candidates, err := encodeCandidates([]duty.Sighting{{Rank: 3}})
+	assert.NilError(t, err)
+	for _, data := range [][]byte{message, plain, evidence, candidates} {
 		_, ok := decodeUsage(data)
 		assert.Assert(t, !ok)
 	}
@@ -40,6 +43,8 @@
 	assert.Assert(t, !ok)
 	_, err = decode(data)
 	assert.Assert(t, err != nil)
+	_, ok = decodeCandidates(data)
+	assert.Assert(t, !ok)
 	decoded, ok := decodeUsage(data)
 	assert.Assert(t, ok)
 	assert.Equal(t, decoded.Window, int64(7))
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -77,6 +77,9 @@
 	UsageCallFailed    = Event{"AD6013", "usage_call_failed", zerolog.WarnLevel, "A call to the store or to the platform's API for the usage of a window failed; it is repeated until the report is due."}
 	UsageCountsDropped = Event{"AD6014", "usage_counts_dropped", zerolog.WarnLevel, "Counts of usage were invalid or exceeded a bound and are lost; total counts all of them. At most one line in ten seconds."}
 	ClockStepHeld      = Event{"AD6015", "clock_step_held", zerolog.WarnLevel, "The wall clock was stepped; usage is counted by the earlier clock for hold_ms."}
+	DutyHolderChanged  = Event{"AD6004", "duty_holder_changed", zerolog.InfoLevel, "This daemon has acquired the duties that one daemon has for all, or lost them; since says when, acts_after_ms how long it waits before its first act."}
+	DutyActRefused     = Event{"AD6005", "duty_act_refused", zerolog.WarnLevel, "An act was not started, or its call not sent, because the daemon's term had ended; total counts all of them. At most one line in ten seconds."}
+	DutyCallFailed     = Event{"AD6006", "duty_call_failed", zerolog.WarnLevel, "A call to the platform's API failed, was refused or took longer than the margin of the lease; total counts all of them. At most one line in ten seconds."}
 
 	AdminChange  = Event{"AD7001", "admin_change", zerolog.InfoLevel, "An operator changed something through the administration API."}
 	AdminRefused = Event{"AD7002", "admin_refused", zerolog.WarnLevel, "An administration call was refused: not authenticated or out of scope."}
@@ -119,7 +122,7 @@
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
 	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved,
 	DrainStep, DrainWarning,
-	LeaseChanged, PlacementDecision, OrderFailed,
+	LeaseChanged, PlacementDecision, OrderFailed, DutyHolderChanged, DutyActRefused, DutyCallFailed,
 	UsageCollected, UsageReported, UsageMissed, UsageCallFailed, UsageCountsDropped, ClockStepHeld,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
