Bound the memory of callers' headers and their connections

Charge each header to one account before net/http decodes it, and close connections without a complete request when the account or the listener is full. The connections of all listeners of edge share a fifth of the memory, headers a tenth.

--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/auburndyke/auburndyke/internal/connlimit"
 )
 
 // timeoutMargin multiplies the timeouts of the configuration, so that a caller that
@@ -25,7 +27,7 @@
 // longer than the current configuration allows. The timeouts of http.Server can't
 // change after its start.
 type callerListener struct {
-	net.Listener
+	guardedListener
 	timeouts func() connTimeouts
 	conns    *callerConns
 }
@@ -46,13 +48,13 @@
 }
 
 func (l callerListener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
+	inner, id, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	l.conns.acceptedAt.Store(&now)
-	return &callerConn{Conn: inner, timeouts: l.timeouts, conns: l.conns}, nil
+	return &callerConn{Conn: inner, timeouts: l.timeouts, conns: l.conns, guard: l.guard, group: l.group, id: id}, nil
 }
 
 // callerConn is the connection of one caller.
@@ -60,9 +62,18 @@
 	net.Conn
 	timeouts func() connTimeouts
 	conns    *callerConns
+	guard    *connGuard
+	group    int
+	id       connlimit.ID
 	// serving is set from a request's first byte until the connection is idle.
 	serving atomic.Bool
 
+	// meterMu protects the meter: the server reads ahead while a handler begins.
+	meterMu sync.Mutex
+	meter   connlimit.Meter
+	// decoded is set while a handler has the request.
+	decoded bool
+
 	mu    sync.Mutex
 	timer *time.Timer
 	// timerGeneration counts the calls of setTimeout, so that an earlier timer which
@@ -70,16 +81,56 @@
 	timerGeneration int
 }
 
-// Read starts the header timeout at the first byte of a request.
+// Read starts the header timeout at the first byte of a request, and charges what has
+// arrived of the header before the server decodes it.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.serving.Swap(true) {
+	if n == 0 {
+		return n, err
+	}
+	if !c.serving.Swap(true) {
 		c.conns.serving.Add(1)
+		c.guard.read(c.id)
 		c.setTimeout(c.timeouts().header)
 	}
+	c.meterMu.Lock()
+	defer c.meterMu.Unlock()
+	c.meter.Add(p[:n])
+	if !c.decoded && !c.charge() {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeaderMemory} // the server sends no response
+	}
 	return n, err
 }
 
+// charge charges the header as far as it has arrived. The caller holds meterMu.
+func (c *callerConn) charge() bool { return c.guard.charge(c.id, c.group, c.meter.Cost()) }
+
+// beginRequest records that a handler has the request. It reports false if the request
+// must not run, because its connection has been closed.
+func (c *callerConn) beginRequest(bodyLength int64) bool {
+	c.setTimeout(0)
+	if !c.serving.Swap(true) { // the header arrived together with the request before
+		c.conns.serving.Add(1)
+	}
+	c.meterMu.Lock()
+	defer c.meterMu.Unlock()
+	if !c.charge() || !c.guard.serve(c.id) {
+		return false
+	}
+	c.decoded = true
+	c.meter.Serve(bodyLength)
+	return true
+}
+
+// awaitRequest records that the connection is idle.
+func (c *callerConn) awaitRequest() {
+	c.meterMu.Lock()
+	defer c.meterMu.Unlock()
+	c.decoded = false
+	c.meter.Next()
+	c.guard.idle(c.id)
+}
+
 // setTimeout closes the connection after a timeout, unless setTimeout is called
 // again before. Zero only cancels the earlier timeout.
 func (c *callerConn) setTimeout(timeout time.Duration) {
@@ -101,6 +152,9 @@
 	current := c.timerGeneration == generation
 	c.mu.Unlock()
 	if current {
+		if c.serving.Load() {
+			c.guard.record(c.group, reasonHeaderTime)
+		}
 		_ = c.Conn.Close() // no response is pending
 	}
 }
@@ -114,9 +168,11 @@
 	switch state {
 	case http.StateIdle:
 		c.setTimeout(c.timeouts().idle)
+		c.awaitRequest()
 		c.endRequest()
 	case http.StateClosed, http.StateHijacked:
 		c.setTimeout(0)
+		c.guard.close(c.id)
 		c.endRequest()
 	}
 }
@@ -136,11 +192,12 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// stopHeaderTimeout cancels the header timeout when a request's handler begins.
-func stopHeaderTimeout(inner http.Handler) http.Handler {
+// onRequest cancels the header timeout when a request's handler begins. A request whose
+// connection has just been closed does not run.
+func onRequest(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
-			c.setTimeout(0)
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !c.beginRequest(r.ContentLength) {
+			panic(http.ErrAbortHandler)
 		}
 		inner.ServeHTTP(w, r)
 	})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,7 +17,6 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
 
 	"github.com/auburndyke/auburndyke/internal/adapters/upstreamhttp"
 	"github.com/auburndyke/auburndyke/internal/backoff"
@@ -65,6 +64,12 @@
 	assumedFleetSize = 330
 	// maxHeaderBytes bounds the header of a caller's request.
 	maxHeaderBytes = 64 << 10
+	// smallHeaderBytes bounds the header of probes, of peers and of readers of metrics,
+	// which send under 1 KB.
+	smallHeaderBytes = 8 << 10
+	// smallWriteTimeout bounds the responses to them. A peer gives up on the copy of a
+	// table after a few seconds.
+	smallWriteTimeout = 30 * time.Second
 	// callerDescriptorShare is the share of the file descriptors for callers. The
 	// rest is for upstreams, the store and peers.
 	callerDescriptorShare = 0.5
@@ -100,6 +105,7 @@
 	pool     *upstreamhttp.Pool
 	shutdown shutdownState
 	callers  callerConns
+	guard    *connGuard
 	// requests is the parent of the contexts of all requests, and endRequests ends it.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -130,6 +136,7 @@
 			inventory: inventory.New(removalGrace(s)),
 		},
 	}
+	e.guard = newConnGuard(connLimits(s), d.Log, d.Metrics)
 	e.settings.Store(s)
 	e.requests, e.endRequests = context.WithCancelCause(context.Background())
 	return e
@@ -164,10 +171,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
 	}
-	if s.FileDescriptors > 0 {
-		callers = netutil.LimitListener(callers, max(int(callerDescriptorShare*float64(s.FileDescriptors)), 1))
-	}
-	callers = callerListener{callers, e.callerTimeouts, &e.callers}
+	callers = callerListener{e.guard.listener(callers, groupCallers), e.callerTimeouts, &e.callers}
 	readiness, err := net.Listen("tcp", s.ReadinessAddress)
 	if err != nil {
 		_ = callers.Close() // never served
@@ -175,7 +179,7 @@
 	}
 	var g run.Group
 	addServer(&g, e.callerServer(), callers, e.closeCallerServer)
-	addServer(&g, &http.Server{Handler: e.readinessHandler(), ReadHeaderTimeout: headerTimeout}, readiness, closeServer)
+	e.addSmallServer(&g, e.readinessHandler(), readiness, groupReadiness)
 	var node *peers.Node
 	delegatedFor := func(table string) func(time.Time) time.Duration {
 		return func(now time.Time) time.Duration {
@@ -213,8 +217,8 @@
 		e.state.onChange = node.NotifyChange
 		addLoop(&g, node.Run)
 	}
-	for _, address := range []string{s.InternalAddress, s.ControlAddress} {
-		if err := e.addInternalServer(&g, address, node); err != nil {
+	for group, address := range map[int]string{groupInternal: s.InternalAddress, groupControl: s.ControlAddress} {
+		if err := e.addInternalServer(&g, address, group, node); err != nil {
 			return err
 		}
 	}
@@ -256,8 +260,8 @@
 func closeServer(s *http.Server) { _ = s.Close() } // the process exits
 
 func (e *Edge) callerServer() *http.Server {
-	return &http.Server{
-		Handler:           stopHeaderTimeout(e.handler),
+	s := &http.Server{
+		Handler:           onRequest(e.handler),
 		BaseContext:       func(net.Listener) context.Context { return e.requests },
 		ConnState:         onConnState,
 		ConnContext:       connContext,
@@ -265,6 +269,8 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	allowHeaderLines(s, maxHeaderBytes+headerSlop)
+	return s
 }
 
 // callerTimeouts returns the timeouts of the current configuration.
@@ -290,7 +296,7 @@
 
 // addInternalServer adds a server for metrics and for the table copies that peers
 // read.
-func (e *Edge) addInternalServer(g *run.Group, address string, node *peers.Node) error {
+func (e *Edge) addInternalServer(g *run.Group, address string, group int, node *peers.Node) error {
 	if address == "" {
 		return nil
 	}
@@ -306,10 +312,25 @@
 	if node != nil {
 		router.GET(peers.TablePath, node.ServeTable)
 	}
-	addServer(g, &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, l, closeServer)
+	e.addSmallServer(g, router, l, group)
 	return nil
 }
 
+// addSmallServer adds a server whose requests are small and have no body.
+func (e *Edge) addSmallServer(g *run.Group, handler http.Handler, l net.Listener, group int) {
+	timeouts := func() connTimeouts { return connTimeouts{} } // those of the server never change
+	addServer(g, &http.Server{
+		Handler:           onRequest(handler),
+		ConnState:         onConnState,
+		ConnContext:       connContext,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		WriteTimeout:      smallWriteTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    smallHeaderBytes,
+	}, callerListener{e.guard.listener(l, group), timeouts, &callerConns{}}, closeServer)
+}
+
 // sweep closes expired connections to upstreams, ends the blocks of prompt parts whose
 // time is over, and updates the metrics of these and of the platform's tables.
 func (e *Edge) sweep(ctx context.Context, followers map[string]*follow.Follower) error {
@@ -321,6 +342,7 @@
 			return nil
 		case now := <-ticker.C:
 			e.pool.Sweep(now)
+			e.guard.updateMetrics()
 			e.handler.Quarantine.Expire(now)
 			e.deps.Metrics.Gauge("auburndyke_blocked_parts").Update(float64(e.handler.Quarantine.BlockedParts()))
 			leaving, paused := e.state.balancer.Unavailable(now)
@@ -359,8 +381,10 @@
 	return slices.DeleteFunc(slices.Clone(s.Seeds), func(seed string) bool { return seed == s.ControlAddress })
 }
 
-// applyLimits sets the soft limit of the garbage collector and the limits for bodies.
+// applyLimits sets the soft limit of the garbage collector and the limits for bodies,
+// responses, headers and connections.
 func (e *Edge) applyLimits(s *Settings) {
+	e.guard.setLimits(connLimits(s))
 	e.handler.SetUnsizedResponseRate(unsizedLinkShare * s.LinkByteRate)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * gcMemoryShare))
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -47,6 +47,8 @@
 	PartBlocked   = Event{"AD2011", "part_blocked", zerolog.WarnLevel, "Requests with a part of a prompt, or all copies of one request (whole_request), are refused, because upstreams crashed that began to answer on it; score, crashes and own_crashes are the evidence, hold_ms how long it holds."}
 	PartUnblocked = Event{"AD2012", "part_unblocked", zerolog.WarnLevel, "Requests with a part of a prompt, or all copies of one request, are no longer refused; sound says that a response got past the part, refused how many requests the block refused."}
 
+	ConnectionClosed = Event{"AD2020", "connection_closed", zerolog.WarnLevel, "A caller's connection without a complete request was closed; reason says which limit was reached (header_memory, connections or header_time), listener whose, total how many were closed for that reason. At most one line in ten seconds for each reason."}
+
 	ConfigurationInForce  = Event{"AD3001", "configuration_in_force", zerolog.InfoLevel, "A revision was compiled and is in force on this daemon."}
 	ConfigurationRejected = Event{"AD3002", "configuration_rejected", zerolog.ErrorLevel, "A revision could not be compiled; the earlier one stays in force."}
 	ConfigurationPoll     = Event{"AD3003", "configuration_poll_failed", zerolog.WarnLevel, "The configuration head could not be read."}
@@ -108,7 +110,7 @@
 	DaemonStarting, DaemonReady, DaemonUnready, ShutdownStarted, ShutdownComplete,
 	CertificatesLoaded, CertificatesRejected, SettingsReloaded, SettingsRejected, PanicContained, ProcessPaused, SettingsFinding,
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
-	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled, PartBlocked, PartUnblocked,
+	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled, PartBlocked, PartUnblocked, ConnectionClosed,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
 	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved,
 	DrainStep, DrainWarning,
