Wait for memory of closed connections before giving it away

The account released what a closed connection held before its goroutine had ended, so that the memory was held twice. A smaller share for headers was ruled out: it would not admit a single header of the largest size. Keep the reservation until the server reports the end, and let a header that needs the memory wait for it.

TestSingleLegalHeader passes.

--- a/internal/connlimit/account.go
+++ b/internal/connlimit/account.go
@@ -32,6 +32,7 @@
 	reading state = iota // a header is expected for the first time, or is arriving
 	serving              // a header is complete and its request in progress
 	idle                 // between two requests
+	closing              // closed for its header, which the server still holds
 )
 
 type connection struct {
@@ -53,7 +54,9 @@
 	conns    map[ID]*connection
 	groups   map[int]int
 	reserved int64
-	last     ID
+	// leaving is the part of reserved that closing connections hold.
+	leaving int64
+	last    ID
 }
 
 // NewAccount returns an account without connections.
@@ -92,7 +95,7 @@
 func (a *Account) oldest(group int) *connection {
 	var found *connection
 	for _, c := range a.conns {
-		if c.group == group && c.state != serving && (found == nil || closesBefore(c, found)) {
+		if c.group == group && (c.state == reading || c.state == idle) && (found == nil || closesBefore(c, found)) {
 			found = c
 		}
 	}
@@ -107,27 +110,50 @@
 // Read records that a header begins to arrive on an idle connection.
 func (a *Account) Read(id ID, now time.Time) { a.enter(id, reading, now) }
 
+// Verdict is what becomes of a header.
+type Verdict int
+
+const (
+	// Granted means that the memory is reserved.
+	Granted Verdict = iota
+	// Wait means that the memory becomes available when connections that are being closed
+	// have ended. Charge must be called again then.
+	Wait
+	// Refused means that the connection must be closed.
+	Refused
+)
+
 // Charge records that the header of a connection, as far as it has arrived, costs so
 // much. If the memory is not available, unfinished headers that cost more are closed,
-// the largest first. If these do not suffice, or the connection is closed already, ok is
-// false, and the connection itself must be closed.
-func (a *Account) Charge(id ID, cost int64) (closed []ID, ok bool) {
+// the largest first. What they hold becomes available when Close is called for them.
+func (a *Account) Charge(id ID, cost int64) (closed []ID, v Verdict) {
 	c := a.conns[id]
-	if c == nil {
-		return nil, false
+	if c == nil || c.state == closing {
+		return nil, Refused
 	}
 	needed := max(cost-FreeCost, 0) - c.reserved()
-	if needed > 0 && a.limits.HeaderBytes > 0 && a.reserved+needed > a.limits.HeaderBytes {
-		if closed = a.heavier(c, cost, a.reserved+needed-a.limits.HeaderBytes); closed == nil {
-			return nil, false
+	if missing := a.reserved + needed - a.limits.HeaderBytes; needed > 0 && a.limits.HeaderBytes > 0 && missing > 0 {
+		if missing <= a.leaving {
+			return nil, Wait
+		}
+		if closed = a.heavier(c, cost, missing-a.leaving); closed == nil {
+			a.close(c)
+			return []ID{id}, Refused
 		}
 		for _, other := range closed {
-			a.Close(other)
+			a.close(a.conns[other])
 		}
+		return closed, Wait
 	}
 	a.reserved += needed
 	c.cost = cost
-	return closed, true
+	return nil, Granted
+}
+
+// close records that a connection is being closed.
+func (a *Account) close(c *connection) {
+	c.state = closing
+	a.leaving += c.reserved()
 }
 
 // heavier returns unfinished headers, the largest first, that cost more than the given
@@ -162,16 +188,15 @@
 
 // Idle records that a request has ended, and releases what its header held.
 func (a *Account) Idle(id ID, now time.Time) {
-	if c := a.conns[id]; c != nil {
-		a.reserved -= c.reserved()
-		c.cost = 0
+	if c := a.conns[id]; c != nil && c.state != closing {
+		a.release(c)
 		a.enter(id, idle, now)
 	}
 }
 
 func (a *Account) enter(id ID, s state, now time.Time) bool {
 	c := a.conns[id]
-	if c == nil {
+	if c == nil || c.state == closing {
 		return false
 	}
 	c.state, c.since = s, now
@@ -184,7 +209,16 @@
 	if c == nil {
 		return
 	}
-	a.reserved -= c.reserved()
+	a.release(c)
 	a.groups[c.group]--
 	delete(a.conns, id)
 }
+
+// release returns what a connection's header holds.
+func (a *Account) release(c *connection) {
+	if c.state == closing {
+		a.leaving -= c.reserved()
+	}
+	a.reserved -= c.reserved()
+	c.cost = 0
+}
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -112,35 +112,38 @@
 			return 0, false
 		}
 		if id, evicted, ok := g.account.Open(group, time.Now()); ok {
-			g.conns[id] = conn
 			g.evict(evicted, group, reasonConnections)
+			g.conns[id] = conn
 			return id, true
 		}
 		g.changed.Wait()
 	}
 }
 
-// charge records the cost of a header. It reports false if the connection must be
-// closed.
+// charge records the cost of a header. It waits for memory that connections hold which
+// are being closed, and reports false if the connection itself must be closed.
 func (g *connGuard) charge(id connlimit.ID, group int, cost int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	evicted, ok := g.account.Charge(id, cost)
-	g.evict(evicted, group, reasonHeaderMemory)
-	if !ok && g.conns[id] != nil {
-		g.evict([]connlimit.ID{id}, group, reasonHeaderMemory)
+	for {
+		closed, verdict := g.account.Charge(id, cost)
+		g.evict(closed, group, reasonHeaderMemory)
+		if verdict != connlimit.Wait {
+			return verdict == connlimit.Granted
+		}
+		g.changed.Wait()
 	}
-	return ok
 }
 
-// evict closes connections. The caller holds mu.
+// evict closes connections, and wakes those of them that wait. The caller holds mu.
 func (g *connGuard) evict(ids []connlimit.ID, group int, reason closeReason) {
 	for _, id := range ids {
-		g.account.Close(id)
 		_ = g.conns[id].Close() // no response has begun
-		delete(g.conns, id)
 		g.record(group, reason)
 	}
+	if len(ids) > 0 {
+		g.changed.Broadcast()
+	}
 }
 
 // record counts a closed connection, and logs some of them.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -239,6 +239,7 @@
 	var err error
 	q.body, q.bodyReserved, err = q.h.bodies.read(q.r.Body, q.r.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
+	q.r.Trailer = nil // not used, and bounded by nothing but its request's end
 	switch {
 	case errors.Is(err, errTooLarge):
 		return q.reject(http.StatusRequestEntityTooLarge, reasonBodyTooLarge)
