Keep the reservation of connections closed for a full listener

A connection that is closed because its listener is full released its reservation before its goroutine had ended. It now stops counting for the listener at once, so that no new caller waits for it, and keeps its reservation until it has ended.

--- a/internal/connlimit/account.go
+++ b/internal/connlimit/account.go
@@ -32,11 +32,14 @@
 	reading state = iota // a header is expected for the first time, or is arriving
 	serving              // a header is complete and its request in progress
 	idle                 // between two requests
-	closing              // closed for its header, which the server still holds
+	closing              // being closed, while the server still holds the header
 )
 
+const noGroup = -1
+
 type connection struct {
 	id    ID
+	// group is noGroup once the connection no longer counts.
 	group int
 	state state
 	// since is when the state began.
@@ -75,7 +78,7 @@
 
 // Open adds a connection. If its group is full, another one of the group is closed: the
 // one that has waited longest for its header, or else the one that has been idle for
-// longest. Without either, ok is false.
+// longest. It no longer counts for the group. Without either, ok is false.
 func (a *Account) Open(group int, now time.Time) (id ID, closed []ID, ok bool) {
 	if group < len(a.limits.Connections) && a.limits.Connections[group] > 0 && a.groups[group] >= a.limits.Connections[group] {
 		oldest := a.oldest(group)
@@ -83,7 +86,8 @@
 			return 0, nil, false
 		}
 		closed = []ID{oldest.id}
-		a.Close(oldest.id)
+		a.close(oldest)
+		a.leaveGroup(oldest)
 	}
 	a.last++
 	a.conns[a.last] = &connection{id: a.last, group: group, since: now}
@@ -210,10 +214,18 @@
 		return
 	}
 	a.release(c)
-	a.groups[c.group]--
+	a.leaveGroup(c)
 	delete(a.conns, id)
 }
 
+// leaveGroup makes room for another connection of the group.
+func (a *Account) leaveGroup(c *connection) {
+	if c.group != noGroup {
+		a.groups[c.group]--
+		c.group = noGroup
+	}
+}
+
 // release returns what a connection's header holds.
 func (a *Account) release(c *connection) {
 	if c.state == closing {
