--- a/internal/connlimit/account.go
+++ b/internal/connlimit/account.go
@@ -38,7 +38,7 @@
 const noGroup = -1
 
 type connection struct {
-	id    ID
+	id ID
 	// group is noGroup once the connection no longer counts.
 	group int
 	state state
