Ramp up upstreams that start or recover by their answers

Cause: a new upstream becomes the preferred one of its part of the prompts at once, with an empty cache and possibly several times as slow as usual. Every daemon sends it its full share, and each learns of the queue there only from later load reports. In the test's model, 60 daemons and 8 engines of which a new one is 5 times as slow for 10 s, 225 of 3430 requests had no first event within 2.5 s and the new engine had 56 requests in progress.

Change: an upstream in ramp-up gets a share of its usual requests, drawn by the hash of the request, which does not depend on the number of daemons. Answers, gaps, load reports and refusals change the share. The balancer adds a cost instead of refusing. It is enabled only for engines of which a load report had Load.WorkTime.

Passes with -race (41 s) and with -count=8.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -81,6 +81,9 @@
 	poolSize int
 	// firstPick is when the service got its first request.
 	firstPick time.Time
+	// reportsWorkTime is set once a load report has had Load.WorkTime. It enables ramp-ups.
+	reportsWorkTime bool
+	usual           usualPaces
 }
 
 // Engine describes the engines of a service. The zero value means a plain
@@ -148,8 +151,12 @@
 			// Before the first request all prefix caches are empty.
 			if s := b.services[e.Service]; s != nil && !s.firstPick.IsZero() {
 				u.joinedAt = now
+				u.ramp.start(now)
 			}
 		}
+		if u.State == inventory.Unlisted && e.State == inventory.Serving {
+			u.ramp.start(now)
+		}
 		u.Entry = e
 		u.said = b.availabilityOf(now, process{e.ID, e.Incarnation, e.Address})
 		u.rtt = b.site.rtt(e.Zone)
@@ -218,6 +225,11 @@
 	InFlight int
 	// ReportAge is the age of the upstream's load report; negative without one.
 	ReportAge time.Duration
+	// RampUp is the share of its usual requests that the upstream gets in its ramp-up;
+	// zero if it is in none.
+	RampUp float64
+	// HeldBack is the number of upstreams in ramp-up that were to get no request now.
+	HeldBack int
 
 	reservation *Reservation
 }
@@ -245,6 +257,9 @@
 	best.Eligible = len(candidates)
 	best.InFlight = picked.inFlight
 	best.ReportAge = picked.reportAge(now)
+	if s.rampsUp() && picked.ramp.active(now) {
+		best.RampUp = picked.ramp.current()
+	}
 	best.reservation = b.reserve(now, picked, s, q, best.UncachedTokens)
 	return best, true
 }
@@ -284,13 +299,15 @@
 	}
 	// The preferred upstream of a prompt is in the pool of its request.
 	samePool := func(u *upstream) bool { return u.inPool(best.PoolSize) == interactive }
-	preferred := rendezvous(candidates, prompt.affinity, samePool)
+	best.HeldBack = s.holdBack(now, prompt, candidates, samePool)
+	mayPrefer := func(u *upstream) bool { return samePool(u) && !u.heldBack }
+	preferred := rendezvous(candidates, prompt.affinity, mayPrefer)
 	holder := s.holder(now, candidates, prompt, interactive)
 	// Prompts that leave a full upstream go to one alternate, so that their shared
 	// parts are fetched once. At all other upstreams the cost assumes a prefill.
 	var alternate *upstream
 	if holder != nil {
-		alternate = rendezvous(candidates, prompt.affinity, func(u *upstream) bool { return u != preferred && samePool(u) })
+		alternate = rendezvous(candidates, prompt.affinity, func(u *upstream) bool { return u != preferred && mayPrefer(u) })
 	}
 	var picked *upstream
 	for _, u := range candidates {
@@ -317,6 +334,9 @@
 		if !samePool(u) {
 			cost += poolPenalty
 		}
+		if u.heldBack {
+			cost += heldBackCost
+		}
 		if picked == nil || cost < best.Cost {
 			best.Cost, best.UncachedTokens, best.FetchedTokens, best.FetchFrom, picked = cost, uncached, fetched, "", u
 			if fetched > 0 {
--- a/internal/balancer/overload_test.go
+++ b/internal/balancer/overload_test.go
@@ -41,10 +41,15 @@
 	waiting []*simRequest
 	cached  map[uint64]bool
 	at      time.Time
+	// workTime is the fourth load figure; zero if it is not reported.
+	workTime int
+	// slowUntil is until when steps take slowdown times as long.
+	slowUntil time.Time
+	slowdown  int
 }
 
 func (e *simEngine) load() Load {
-	return Load{Running: len(e.running), Waiting: len(e.waiting), Slots: simSlots}
+	return Load{Running: len(e.running), Waiting: len(e.waiting), Slots: simSlots, WorkTime: e.workTime}
 }
 
 // send adds a caller's request to the queue.
@@ -81,6 +86,9 @@
 		chunk -= part
 	}
 	took += time.Duration(simChunk-chunk) * time.Millisecond / simTokensPerMS
+	if e.at.Before(e.slowUntil) {
+		took *= time.Duration(e.slowdown)
+	}
 	e.at = e.at.Add(took)
 	kept := e.running[:0]
 	for _, r := range e.running {
--- a/internal/balancer/predict.go
+++ b/internal/balancer/predict.go
@@ -143,5 +143,9 @@
 func (r *Reservation) Progress(now time.Time, events int, took time.Duration) {
 	r.b.mu.Lock()
 	defer r.b.mu.Unlock()
-	r.s.predictor.gaps(r.u.inPool(r.s.poolSize)).add(now, gapTimeConstant, took, events)
+	gaps := r.s.predictor.gaps(r.u.inPool(r.s.poolSize))
+	if events > 0 && gaps.count >= minGaps {
+		r.s.observeRampUpGap(now, r.u, took/time.Duration(events), gaps.mean())
+	}
+	gaps.add(now, gapTimeConstant, took, events)
 }
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -89,5 +89,6 @@
 	u.report, u.reportAt, u.inFlightAtReport, u.prefillAtReport = load, now, u.inFlight, u.prefillTokens
 	if s := b.services[u.Service]; s != nil {
 		s.load.observe(load)
+		s.observeRampUpLoad(now, u, load)
 	}
 }
--- a/internal/balancer/reservation.go
+++ b/internal/balancer/reservation.go
@@ -32,6 +32,8 @@
 	started    time.Time
 	uncached   int
 	prefilling bool
+	// predicted is the time to the first event at the usual pace.
+	predicted time.Duration
 	// trying is set while this is the first request after a pause, without a response.
 	trying bool
 	once   sync.Once
@@ -43,6 +45,7 @@
 	r.beginTry()
 	if !q.Prompt.empty() {
 		r.prefilling = true
+		r.predicted = u.predictFirstEvent(now, s, uncached)
 		u.prefillTokens += uncached
 		u.cache.add(&q.Prompt)
 		s.speed.observeSize(uncached)
@@ -59,6 +62,7 @@
 	}
 	r.s.speed.observe(r.uncached, now.Sub(r.started))
 	r.s.predictor.observeFirstEvent(now, r.route, now.Sub(r.started))
+	r.s.observeRampUpAnswer(now, r.u, now.Sub(r.started), r.predicted)
 	r.endPrefill()
 }
 
@@ -85,6 +89,9 @@
 		r.endTry()
 		r.endPrefill()
 		r.u.health.observe(now, result)
+		if r.u.health.ejected(now) {
+			r.u.ramp.recover(r.u.health.ejectedUntil)
+		}
 		if result == Refused {
 			// Whatever load it reports, it takes no requests. This is passed on to
 			// peers as well.
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -42,6 +42,9 @@
 	joinedAt   time.Time
 	switchedAt time.Time
 	health     health
+	ramp       rampUp
+	// heldBack is set during a pick if the ramp-up keeps the request from the upstream.
+	heldBack bool
 	// said is what its process has said about new requests.
 	said *availability
 	// inFlight is the number of requests of this daemon at the upstream.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -36,6 +36,8 @@
 		Str("fetched_from", c.FetchFrom).
 		Int64("cost_ms", c.Cost.Milliseconds()).
 		Int64("report_age_ms", c.ReportAge.Milliseconds()).
+		Float64("ramp_up", c.RampUp).
+		Int("held_back", c.HeldBack).
 		Int("attempt", len(q.tried)+1).
 		Send()
 }
