Describe the ramp-up for developers and operators

Ruled out: an alarm on the gauge; repeated refusals, which would raise it, are logged as AD2003 and AD8016 already.

Result: texts and the package comment only.

--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -15,6 +15,9 @@
 // arrives, its weight falls to zero within reportMaxAge, and requests that this
 // daemon has sent since are added.
 //
+// An upstream that has started or recovered gets a share of its usual requests, which
+// grows with its answers (see rampup.go and docs/design/0006-ramp-up.md).
+//
 // The design targets load that differs between upstreams, prompts that share
 // prefixes, and streams with short allowed gaps beside long prompts. Requests are
 // not queued in the daemon while engines are busy: that was tried and measured
