Test the ramp-up without peers and under random events

Cause: no test showed what the ramp-up does while load reports do not reach other daemons, or that every sequence of events leaves a request its upstream.

Ruled out: a silence of 1 s or 1.2 s instead of 2 s.

Change: TestRampUpWithoutPeers, TestRampUpPicksWheneverEligible (rapid).

--- a/internal/balancer/rampup_sim_test.go
+++ b/internal/balancer/rampup_sim_test.go
@@ -42,6 +42,8 @@
 	// steps are the changes by the time since the start, in order.
 	steps []rampSimStep
 	seed  uint64
+	// alone is set if the daemons do not exchange load reports.
+	alone bool
 	// reports is false in a run in which engines do not report Load.WorkTime.
 	reports bool
 }
@@ -200,7 +202,9 @@
 		}
 		for ; !start.Add(nextExchange).After(c.at); nextExchange += rampSimExchange {
 			s.advance(start.Add(nextExchange))
-			s.exchange()
+			if !s.alone {
+				s.exchange()
+			}
 			if nextExchange > s.measureFrom && s.mostRampUp() {
 				out.rampUp = nextExchange - s.measureFrom
 			}
--- a/internal/balancer/rampup_test.go
+++ b/internal/balancer/rampup_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/inventory"
@@ -40,6 +41,84 @@
 	}
 }
 
+// Guards against a ramp-up that is worse than none while daemons do not hear of each other's
+// load reports: at a new engine that is 5 times as slow as usual for 10 s, and at one that is
+// fast at once.
+func TestRampUpWithoutPeers(t *testing.T) {
+	for _, slow := range []time.Duration{10 * time.Second, 0} {
+		without, with := rampSim{
+			engines: 8, initial: 7, daemons: 20, perSecond: 55, prefixes: 60, affected: []int{7}, alone: true,
+			steps: []rampSimStep{{rampSimEvent, func(s *rampSimState) {
+				s.listed = 8
+				s.restart(7, slow)
+				s.list()
+			}}},
+		}.compare(t)
+		assert.Assert(t, with.late <= without.late+with.all/200)
+		assert.Assert(t, 2*with.early < without.early)
+		assert.Assert(t, with.rest > 0)
+		if slow == 0 {
+			// Silence alone raises the share from startingShare to 1 in 14 s.
+			assert.Assert(t, with.rest > 0.3*without.rest)
+		}
+	}
+}
+
+// Guards against a pick that fails, or a share outside its bounds, after any sequence of
+// results, reports and changes of the list: a request gets an upstream whenever it would get
+// one without ramp-ups.
+func TestRampUpPicksWheneverEligible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := engines(5)
+		b := newBalancer(entries)
+		now := start
+		var open []*Reservation
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				q := review(uint64(rapid.IntRange(1, 9).Draw(t, "shared")), uint64(i+100))
+				for _, e := range entries {
+					if rapid.IntRange(0, 3).Draw(t, "tried") == 0 {
+						q.Tried = append(q.Tried, e.ID)
+					}
+				}
+				candidates := len(eligible(b.services["model"].upstreams, now, q.Tried))
+				c, ok := b.Pick(now, q)
+				assert.Equal(t, ok, candidates > 0)
+				if ok {
+					assert.Assert(t, c.HeldBack < candidates)
+					assert.Assert(t, c.RampUp >= 0 && c.RampUp <= 1)
+					open = append(open, c.Reservation())
+				}
+			case 2:
+				if len(open) > 0 {
+					open[0].FirstEvent(now)
+					open[0].Progress(now, 5, time.Duration(rapid.IntRange(1, 2000).Draw(t, "gaps"))*time.Millisecond)
+					open[0].Done(now, Result(rapid.IntRange(0, int(Abandoned)).Draw(t, "result")))
+					open = open[1:]
+				}
+			case 3:
+				u := rapid.SampledFrom(entries).Draw(t, "reporter")
+				b.ObserveLoad(now, u.ID, Load{Running: rapid.IntRange(0, 64).Draw(t, "running"), Waiting: rapid.IntRange(0, 64).Draw(t, "waiting"), WorkTime: 100})
+			case 4:
+				u := b.upstreams[rapid.SampledFrom(entries).Draw(t, "peer").ID]
+				b.MergeReports(map[uint32]LoadReport{u.hash32(): {Load{Running: rapid.IntRange(0, 64).Draw(t, "running")}, now}})
+			case 5:
+				j := rapid.IntRange(0, len(entries)-1).Draw(t, "entry")
+				entries[j].State = rapid.SampledFrom([]inventory.State{inventory.Serving, inventory.Unlisted, inventory.Draining}).Draw(t, "state")
+				entries[j].Incarnation += domain.Incarnation(rapid.IntRange(0, 1).Draw(t, "start"))
+				b.Update(now, entries, engineWithKV(400_000))
+			}
+			for _, u := range b.upstreams {
+				if u.ramp.active(now) {
+					assert.Assert(t, u.ramp.share >= startingShare && u.ramp.current() <= 1)
+				}
+			}
+		}
+	})
+}
+
 // Guards against leaving a new engine idle that is fast at once.
 func TestRampUpFastStart(t *testing.T) {
 	without, with := rampSim{
