Ramp up only where upstreams announce a slow start

The fourth load figure, which enabled it, says nothing about slow starts.

Ruled out: enabling the ramp-up of single upstreams instead of that of their service. A registration that is written late in the slow start may announce nothing, and recoveries from refusals are never announced.

A service of engines ramps up once a registration of it has had one; reportsWorkTime is gone. A SlowStart that changes is no new start, since the incarnation and the address alone decide that. In the simulations the initial engines announce a slow start before the first request, so that starts at full speed are still tested.

The fleet of 330 daemons was not run.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -81,9 +81,10 @@
 	poolSize int
 	// firstPick is when the service got its first request.
 	firstPick time.Time
-	// reportsWorkTime is set once a load report has had Load.WorkTime. It enables ramp-ups.
-	reportsWorkTime bool
-	usual           usualPaces
+	// announcesSlowStart is set once a registration of the service has had a SlowStart. It
+	// enables ramp-ups: where upstreams start at full speed, holding them back costs callers.
+	announcesSlowStart bool
+	usual              usualPaces
 }
 
 // Engine describes the engines of a service. The zero value means a plain
@@ -168,6 +169,9 @@
 			s = &service{}
 			b.services[e.Service] = s
 		}
+		if e.SlowStart > 0 {
+			s.announcesSlowStart = true
+		}
 		s.hasEngines = engine.KVTokens > 0
 		s.tokenFetchTime = engine.TokenFetchTime
 		s.eventTokens = engine.EventTokens
--- a/internal/balancer/rampup.go
+++ b/internal/balancer/rampup.go
@@ -187,13 +187,10 @@
 }
 
 // rampsUp reports whether the service's upstreams ramp up.
-func (s *service) rampsUp() bool { return s.hasEngines && s.reportsWorkTime }
+func (s *service) rampsUp() bool { return s.hasEngines && s.announcesSlowStart }
 
 // observeRampUpLoad takes a load report of an upstream.
 func (s *service) observeRampUpLoad(now time.Time, u *upstream, l Load) {
-	if l.WorkTime > 0 {
-		s.reportsWorkTime = true
-	}
 	if inProgress := l.Running + l.Waiting; u.ramp.active(now) {
 		u.ramp.observeLoad(now, inProgress, s.usual.inProgress.value)
 	} else {
--- a/internal/balancer/rampup_sim_test.go
+++ b/internal/balancer/rampup_sim_test.go
@@ -44,8 +44,9 @@
 	seed  uint64
 	// alone is set if the daemons do not exchange load reports.
 	alone bool
-	// reports is false in a run in which engines do not report Load.WorkTime.
-	reports bool
+	// announced is set in a run in which engines announce a slow start: all of them when the
+	// simulation starts, later those that start slowly.
+	announced bool
 }
 
 type rampSimStep struct {
@@ -162,16 +163,18 @@
 	}
 	for i := range state.entries {
 		state.entries[i].Slots = simSlots
-		e := &simEngine{cached: make(map[uint64]bool), at: start}
-		if s.reports {
-			e.workTime = 100
+		if s.announced {
+			state.entries[i].SlowStart = time.Second
 		}
-		state.sim = append(state.sim, e)
+		state.sim = append(state.sim, &simEngine{cached: make(map[uint64]bool), at: start, workTime: 100})
 	}
 	for range s.daemons {
 		state.fleet = append(state.fleet, New(Site{}))
 	}
 	state.list()
+	for i := range state.entries {
+		state.entries[i].SlowStart = 0
+	}
 	rng := rand.New(rand.NewPCG(7, s.seed))
 	end := s.measureFrom + rampSimMeasured
 	var at time.Duration
@@ -316,7 +319,7 @@
 func (s rampSim) compare(t *testing.T) (without, with rampOutcome) {
 	t.Helper()
 	without = s.runAll()
-	s.reports = true
+	s.announced = true
 	with = s.runAll()
 	t.Logf("without: %v", without)
 	t.Logf("with:    %v", with)
@@ -329,4 +332,7 @@
 	clear(s.sim[i].cached)
 	s.entries[i].Incarnation++
 	s.sim[i].slowUntil, s.sim[i].slowdown = s.now.Add(slowFor), 5
+	if s.announced {
+		s.entries[i].SlowStart = slowFor
+	}
 }
--- a/internal/balancer/rampup_test.go
+++ b/internal/balancer/rampup_test.go
@@ -70,6 +70,7 @@
 func TestRampUpPicksWheneverEligible(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		entries := engines(5)
+		entries[0].SlowStart = time.Second
 		b := newBalancer(entries)
 		now := start
 		var open []*Reservation
@@ -108,6 +109,7 @@
 				j := rapid.IntRange(0, len(entries)-1).Draw(t, "entry")
 				entries[j].State = rapid.SampledFrom([]inventory.State{inventory.Serving, inventory.Unlisted, inventory.Draining}).Draw(t, "state")
 				entries[j].Incarnation += domain.Incarnation(rapid.IntRange(0, 1).Draw(t, "start"))
+				entries[j].SlowStart = time.Duration(rapid.IntRange(0, 10).Draw(t, "slow")) * time.Second
 				b.Update(now, entries, engineWithKV(400_000))
 			}
 			for _, u := range b.upstreams {
@@ -223,7 +225,7 @@
 	assert.Assert(t, with.refused <= without.refused+10)
 }
 
-// rampingUp returns a balancer whose last upstream has just started.
+// rampingUp returns a balancer whose last upstream has just started and announces a slow start.
 func rampingUp(t *testing.T, n int) (*Balancer, []inventory.Entry) {
 	t.Helper()
 	entries := engines(n)
@@ -231,11 +233,56 @@
 	r := mustPick(t, b, start, review(1, 1)).Reservation()
 	r.ObserveLoad(start, Load{Running: 1, Slots: 64, WorkTime: 100})
 	r.Done(start, OK)
+	entries[n-1].SlowStart = 10 * time.Second
 	b.Update(start, entries, engineWithKV(400_000))
 	assert.Equal(t, b.RampingUp(start), 1)
 	return b, entries
 }
 
+// Guards against a ramp-up where no upstream has announced a slow start or at a plain service,
+// against one that ends with the announcement, and against an announced time that counts as a
+// start of the upstream when it changes.
+func TestRampUpEnabledBySlowStart(t *testing.T) {
+	for _, kvTokens := range []int{400_000, 0} {
+		entries := engines(6)
+		b := New(Site{})
+		update := func(n int) { b.Update(start, entries[:n], engineWithKV(kvTokens)) }
+		update(3)
+		r := mustPick(t, b, start, review(1, 1)).Reservation()
+		r.ObserveLoad(start, Load{Running: 1, Slots: 64, WorkTime: 140})
+		r.Done(start, OK)
+		update(4)
+		assert.Equal(t, b.RampingUp(start), 0)
+
+		known := b.upstreams[entries[1].ID]
+		state := *known
+		for _, left := range []time.Duration{8 * time.Second, 4 * time.Second, 12 * time.Second, 0} {
+			entries[1].SlowStart = left
+			update(4)
+			assert.Equal(t, b.upstreams[entries[1].ID], known)
+			assert.Equal(t, known.SlowStart, left)
+			assert.Equal(t, known.ramp, state.ramp)
+			assert.Equal(t, known.joinedAt, state.joinedAt)
+		}
+		before := b.RampingUp(start)
+		update(5)
+		if kvTokens == 0 {
+			assert.Equal(t, b.RampingUp(start), 0)
+			continue
+		}
+		assert.Equal(t, b.RampingUp(start), before+1)
+
+		entries[4].SlowStart = 5 * time.Second
+		update(5)
+		ramp := &b.upstreams[entries[4].ID].ramp
+		ramp.observePace(start, 1)
+		share := ramp.share
+		entries[4].SlowStart = 4 * time.Second
+		update(5)
+		assert.Equal(t, b.upstreams[entries[4].ID].ramp.share, share)
+	}
+}
+
 // Guards against a ramp-up that refuses a request: one that only a starting upstream can take
 // goes there, however many it has.
 func TestRampUpNeverRefuses(t *testing.T) {
@@ -299,6 +346,7 @@
 // leaves them to the other daemons.
 func TestRampUpAfterRestartOfDaemon(t *testing.T) {
 	entries := engines(4)
+	entries[0].SlowStart = time.Second
 	b := newBalancer(entries)
 	for i, e := range entries {
 		b.ObserveLoad(start, e.ID, Load{Running: i, Slots: 64, WorkTime: 100})
@@ -331,13 +379,15 @@
 }
 
 // Guards against requests at the usual rate right after an ejection, and against a ramp-up
-// for a service whose upstreams report three figures.
+// for a service whose upstreams announce no slow start, also if they report four figures.
 func TestRampUpAfterRefusal(t *testing.T) {
-	for _, workTime := range []int{0, 100} {
-		b := newBalancer(engines(4))
+	for _, slowStart := range []time.Duration{0, time.Second} {
+		entries := engines(4)
+		entries[3].SlowStart = slowStart
+		b := newBalancer(entries)
 		for range 2 {
 			r := mustPick(t, b, start, review(1, 1)).Reservation()
-			r.ObserveLoad(start, Load{Running: 1, Slots: 64, WorkTime: workTime})
+			r.ObserveLoad(start, Load{Running: 1, Slots: 64, WorkTime: 100})
 			r.Done(start, OK)
 		}
 		first := mustPick(t, b, start, review(1, 2))
@@ -351,7 +401,7 @@
 			}
 			c.Reservation().Done(now, Abandoned)
 		}
-		if workTime == 0 {
+		if slowStart == 0 {
 			assert.Equal(t, b.RampingUp(now), 0)
 			assert.Equal(t, chosen, 100)
 		} else {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -21,6 +21,9 @@
 	// Incarnation is the start time of the upstream's process. A process has none of
 	// the requests and caches of an earlier incarnation.
 	Incarnation domain.Incarnation
+	// SlowStart is how much longer the upstream says that it stays slow after its
+	// start. It falls from one registration of an incarnation to the next.
+	SlowStart time.Duration
 	// TableVersion is the version of the platform's table at which the registration
 	// was written.
 	TableVersion ports.Version
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/ports"
 )
 
 const grace = 2 * time.Second
@@ -148,3 +149,17 @@
 	assert.Equal(t, at, start.Add(grace+time.Second))
 	assert.Assert(t, v.Expire(at), "an upstream that has not registered again is gone")
 }
+
+// Guards against an announced slow start that is not brought up to date, and against one that
+// changes the state of the upstream.
+func TestSlowStartChanges(t *testing.T) {
+	v := New(grace)
+	for i, left := range []time.Duration{9 * time.Second, 4 * time.Second, 0} {
+		r := registration("a", 1)
+		r.SlowStart, r.TableVersion = left, ports.Version(i+1)
+		v.Register(r)
+		assert.DeepEqual(t, v.Entries(), []Entry{{Registration: r, State: Serving}})
+		_, pending := v.NextExpiry()
+		assert.Assert(t, !pending)
+	}
+}
