Ask for half of the usual requests at a sound engine again

Cause: TestRampUpWithoutPeers first asked that an engine that is fast at once gets half of its usual requests without exchanged load reports. It failed with 37%, and the bound was lowered to 30%. That an upstream that is well is not left idle calls for 50%.

The other checks of the test are unchanged.

--- a/internal/balancer/rampup_test.go
+++ b/internal/balancer/rampup_test.go
@@ -58,8 +58,11 @@
 		assert.Assert(t, 2*with.early < without.early)
 		assert.Assert(t, with.rest > 0)
 		if slow == 0 {
+			// Guards against leaving an upstream idle that is well.
 			// Silence alone raises the share from startingShare to 1 in 14 s.
-			assert.Assert(t, with.rest > 0.3*without.rest)
+			t.Run("half_of_usual_requests", func(t *testing.T) {
+				assert.Assert(t, with.rest > 0.5*without.rest, "%.0f of %.0f requests", with.rest, without.rest)
+			})
 		}
 	}
 }
