--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -71,6 +71,11 @@
 	PlacementDecision = Event{"AD6002", "placement_decision", zerolog.InfoLevel, "An order to an engine was decided; reason says why."}
 	OrderFailed       = Event{"AD6003", "order_failed", zerolog.WarnLevel, "An engine did not accept an order."}
 
+	UpstreamsOrdered    = Event{"AD6020", "upstreams_ordered", zerolog.InfoLevel, "The holder of the duties ordered a whole number of upstreams (desired, after before) for a service in a zone; reason says why, demand_slots, peak_slots, need, need_without_zone and counted are the figures that decided."}
+	UpstreamOrderFailed = Event{"AD6021", "upstream_order_failed", zerolog.WarnLevel, "An order of upstreams had no success: refused (the zone has none), not_done, or unanswered, which counts as done; it is repeated or goes to other zones. At most one line in five seconds for each zone and outcome."}
+	OrderingLoad        = Event{"AD6022", "ordering_load", zerolog.InfoLevel, "The load of a service became known or unknown to the holder; unknown says why, and is empty when it is known. While it is unknown the number of upstreams stays as it is."}
+	OrderingShort       = Event{"AD6023", "ordering_short", zerolog.WarnLevel, "No zone can take the upstreams that the need of a service calls for, or, with short false, some zone can again."}
+
 	AdminChange  = Event{"AD7001", "admin_change", zerolog.InfoLevel, "An operator changed something through the administration API."}
 	AdminRefused = Event{"AD7002", "admin_refused", zerolog.WarnLevel, "An administration call was refused: not authenticated or out of scope."}
 
@@ -113,6 +118,7 @@
 	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed,
+	UpstreamsOrdered, UpstreamOrderFailed, OrderingLoad, OrderingShort,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
 	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid,
