--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -52,7 +52,7 @@
 	writer := diode.NewWriter(out, logBuffer, 0, func(missed int) { dropped.Inc(int64(missed)) })
 	defer func() { err = errors.Join(err, writer.Close()) }()
 	store := platform.NewStore(s.PlatformAddress)
-	e := edge.New(s, edge.Deps{
+	deps := edge.Deps{
 		Protocol: platform.Protocol{},
 		Decoders: edge.Decoders{
 			IsConfig:     platform.IsConfig,
@@ -65,6 +65,9 @@
 		ReadSettings:  read,
 		Log:           telemetry.NewLog(writer, zerolog.InfoLevel, string(s.Daemon)),
 		Metrics:       metrics,
-	})
-	return e.Run(ctx)
+	}
+	if s.Duties.Any() {
+		deps.DutyAPI = platform.NewAPI(s.Duties.APIAddress)
+	}
+	return edge.New(s, deps).Run(ctx)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,7 +24,9 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/inventory"
+	"github.com/auburndyke/auburndyke/internal/ordering"
 	"github.com/auburndyke/auburndyke/internal/peers"
+	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/relay"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
@@ -85,6 +87,10 @@
 	// Daemons is the directory in which daemons find each other. Nil means that the
 	// daemon has no peers.
 	Daemons peers.Directory
+	// DutyAPI is the platform's API for calls that one daemon makes for all, and Duty
+	// says when this daemon may make them. While either is nil, it makes none.
+	DutyAPI ports.Duties
+	Duty    ordering.Duty
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
 	Log          *telemetry.Log
@@ -231,6 +237,7 @@
 			}
 		})
 	})
+	e.addOrdering(&g, node)
 	addLoop(&g, e.watchSettings)
 	addLoop(&g, func(group context.Context) error { return e.awaitShutdown(group, ctx) })
 	return g.Run()
--- a/internal/ordering/demand.go
+++ b/internal/ordering/demand.go
@@ -25,6 +25,9 @@
 	trendWindow = 3 * time.Second
 	// reactionTime covers the delay of reports and the time until an order is sent.
 	reactionTime = 2 * time.Second
+	// burstTime is how long a burst lasts that is not worth an order, with the delay of the
+	// moving average of work.
+	burstTime = 4 * time.Second
 	// maxForecast bounds the forecast, as a multiple of the present demand.
 	maxForecast = 2.0
 	// minHoldTime and holdStarts give the time for which the highest demand counts: the
@@ -74,7 +77,8 @@
 	at       time.Time
 	demand   float64
 	forecast float64
-	// lasting is the lowest demand since an upstream that serves now was ordered.
+	// lasting is the lowest demand of the last burst time and start time. A burst that is
+	// over before new upstreams serve does not show in it.
 	lasting float64
 	// byLoad and byWork are the two estimates of which demand is the larger.
 	byLoad, byWork float64
@@ -110,7 +114,7 @@
 			h.knownSince = now
 		}
 		r.forecast = h.forecast(r, in.Scaling.StartTime)
-		r.lasting = h.lowest(r, in.Scaling.StartTime+reactionTime).demand
+		r.lasting = h.lowest(r, in.Scaling.StartTime+burstTime).demand
 	}
 	first := 0
 	for first < len(h.readings) && now.Sub(h.readings[first].at) >= holdTime(in.Scaling) {
--- a/internal/ordering/orderer.go
+++ b/internal/ordering/orderer.go
@@ -36,8 +36,8 @@
 	// daemon has not ordered any in. A zone that is cut off for some seconds is then not
 	// taken for an empty one, in which an order of one upstream would end the others.
 	rememberTime = 30 * time.Second
-	// learnTime is how long after its start a daemon takes the most upstreams that it sees
-	// for the number that the service has without orders.
+	// learnTime is how long after the first start of all daemons the most upstreams that a
+	// daemon sees are taken for the number that the service has without orders.
 	learnTime = time.Minute
 	// adoptTime is how long after an order a larger number of serving upstreams is taken
 	// for the result of someone else's order.
@@ -186,27 +186,31 @@
 	// raisedAt and loweredAt are when upstreams were last ordered and given up.
 	raisedAt, loweredAt time.Time
 	// firstSeen is when the service was first observed, and reference the number of
-	// upstreams that it has without orders, or that the demand has called for since.
+	// upstreams that it has without orders, or that the demand has called for since. A
+	// daemon that started later does not know it and goes by the largest that may be
+	// ordered.
 	firstSeen time.Time
 	reference int
 }
 
 // Orderer decides which orders the holder sends. It is not safe for concurrent use.
 type Orderer struct {
-	interval  time.Duration
-	services  map[string]*service
-	heldSince time.Time
-	nextCall  time.Time
+	interval   time.Duration
+	firstStart bool
+	services   map[string]*service
+	heldSince  time.Time
+	nextCall   time.Time
 }
 
 // NewOrderer returns an Orderer. callRate is the number of calls a second that the API
-// accepts for all duties, or zero if it is not known.
-func NewOrderer(callRate float64) *Orderer {
+// accepts for all duties, or zero if it is not known. firstStart says that all daemons
+// start together for the first time, so that nobody has ordered yet.
+func NewOrderer(callRate float64, firstStart bool) *Orderer {
 	rate := assumedCallRate
 	if callRate > 0 {
 		rate = rateShare * callRate
 	}
-	return &Orderer{interval: time.Duration(float64(time.Second) / rate), services: make(map[string]*service)}
+	return &Orderer{interval: time.Duration(float64(time.Second) / rate), firstStart: firstStart, services: make(map[string]*service)}
 }
 
 // Observe takes over what the daemon knows now and plans the orders. held says whether
@@ -234,7 +238,7 @@
 				subject.forget()
 			}
 		}
-		s.observe(now, in)
+		s.observe(now, in, o.firstStart)
 		s.plan = nil
 		if held {
 			s.replan(now, o.heldSince)
@@ -249,7 +253,7 @@
 	return out
 }
 
-func (s *service) observe(now time.Time, in Input) {
+func (s *service) observe(now time.Time, in Input, firstStart bool) {
 	s.in = in
 	r := s.history.observe(now, in)
 	if !in.Outdated {
@@ -268,11 +272,15 @@
 	if s.firstSeen.IsZero() {
 		s.firstSeen = now
 	}
-	if now.Sub(s.firstSeen) < learnTime {
+	switch {
+	case !firstStart:
+		// Others may have given upstreams up before this daemon started.
+		s.reference = in.Scaling.Max * len(in.Scaling.ZonePrices)
+	case now.Sub(s.firstSeen) < learnTime:
 		s.reference = max(s.reference, len(in.Upstreams))
 	}
 	if r.unknown == "" {
-		s.reference = max(s.reference, s.need(r, 1).demand)
+		s.reference = max(s.reference, s.need(r, 1/orderReserve).demand)
 	}
 	peak, _ := s.history.peak()
 	s.status = Status{Service: in.Service, Unknown: r.unknown, Demand: r.demand, ByLoad: r.byLoad, ByWork: r.byWork, Peak: peak}
--- a/internal/ordering/played_test.go
+++ b/internal/ordering/played_test.go
@@ -30,6 +30,8 @@
 	// reportedShare is the share of the upstreams with a recent report.
 	reportedShare = 0.75
 	allUpstreams  = 140
+	// playedBurst is the factor of a burst.
+	playedBurst = 2.7
 )
 
 func playedScaling() httproute.Scaling {
@@ -71,7 +73,9 @@
 	// no orders are sent at all.
 	held    func(at time.Duration) int
 	daemons []*Orderer
-	rng     *rand.Rand
+	// startsAt is when the second daemon starts.
+	startsAt time.Duration
+	rng      *rand.Rand
 
 	occupied []float64 // demand of each step
 	capacity []float64
@@ -91,7 +95,7 @@
 func newPlayed(demand func(time.Duration) float64) *played {
 	p := &played{
 		scaling: playedScaling(), desired: make(map[domain.AvailabilityZone]int), demand: demand, rng: rand.New(rand.NewPCG(5, 9)),
-		held: func(time.Duration) int { return 0 }, daemons: []*Orderer{NewOrderer(4), NewOrderer(4)}, lowest: allUpstreams,
+		held: func(time.Duration) int { return 0 }, daemons: []*Orderer{NewOrderer(4, true), NewOrderer(4, true)}, lowest: allUpstreams,
 		reports: func(time.Duration) bool { return true }, listed: func(time.Duration) bool { return true },
 	}
 	zones := []domain.AvailabilityZone{"a", "b", "c", "d", "e", "f"}
@@ -210,6 +214,9 @@
 	now := time.Unix(0, 0).Add(p.at)
 	in := p.input()
 	for i, d := range p.daemons {
+		if i == 1 && p.at < p.startsAt {
+			continue
+		}
 		held := p.held(p.at) == i
 		d.Observe(now, held, []Input{in})
 		if !held {
@@ -276,6 +283,15 @@
 	assert.Assert(t, p.lowest < allUpstreams, "nothing was given up")
 }
 
+// Guards against upstreams that are never given up on a day that is long compared with
+// the start of an upstream.
+func TestLongDay(t *testing.T) {
+	p := play(t, 20*time.Minute, func() *played {
+		return newPlayed(func(at time.Duration) float64 { return swing(0.05, 0.35)(at / 14) })
+	})
+	assert.Assert(t, p.lowest < allUpstreams/2, "too few were given up")
+}
+
 // Guards against a shortage while engines crash and return all the time, and against
 // orders in place of each of them.
 func TestSwingWithCrashes(t *testing.T) {
@@ -292,7 +308,7 @@
 	for second := 0; second < 42; second += 3 {
 		from := 2*playedDay + time.Duration(second)*time.Second
 		play(t, 4*playedDay, func() *played {
-			return newPlayed(with(swing(0.08, 0.35), burstReserve, from, from+6*time.Second))
+			return newPlayed(with(swing(0.08, 0.35), playedBurst, from, from+6*time.Second))
 		})
 	}
 }
@@ -308,7 +324,7 @@
 	for _, zone := range []domain.AvailabilityZone{"a", "f"} {
 		for _, away := range []time.Duration{8 * time.Second, 50 * time.Second} {
 			play(t, 5*playedDay, func() *played {
-				p := newPlayed(with(swing(0.08, 0.3), burstReserve, 92*time.Second, 97*time.Second))
+				p := newPlayed(with(swing(0.08, 0.3), playedBurst, 92*time.Second, 97*time.Second))
 				p.lostZone, p.lostFrom, p.lostTo = zone, 90*time.Second, 90*time.Second+away
 				return p
 			})
@@ -319,7 +335,7 @@
 // Guards against a lost order that is never repeated, in either direction.
 func TestOrderIsLost(t *testing.T) {
 	p := play(t, 5*playedDay, func() *played {
-		p := newPlayed(with(swing(0.08, 0.35), burstReserve, 95*time.Second, 101*time.Second))
+		p := newPlayed(with(swing(0.08, 0.35), playedBurst, 95*time.Second, 101*time.Second))
 		p.answer = func(time.Duration, *Order) (Outcome, time.Duration) {
 			switch p.orders % 3 {
 			case 0:
@@ -339,7 +355,7 @@
 // against a response without effect.
 func TestOrderArrivesLate(t *testing.T) {
 	play(t, 5*playedDay, func() *played {
-		p := newPlayed(with(swing(0.08, 0.35), burstReserve, 95*time.Second, 101*time.Second))
+		p := newPlayed(with(swing(0.08, 0.35), playedBurst, 95*time.Second, 101*time.Second))
 		p.answer = func(time.Duration, *Order) (Outcome, time.Duration) {
 			if p.orders%2 == 0 {
 				return Unanswered, 3 * time.Second
@@ -376,7 +392,7 @@
 // one takes effect after the change.
 func TestHolderChanges(t *testing.T) {
 	p := play(t, 6*playedDay, func() *played {
-		p := newPlayed(with(swing(0.08, 0.35), burstReserve, 97*time.Second, 103*time.Second))
+		p := newPlayed(with(swing(0.08, 0.35), playedBurst, 97*time.Second, 103*time.Second))
 		// Each holder acts for 20 s, then nobody for 6 s.
 		p.held = func(at time.Duration) int {
 			if at%(26*time.Second) >= 20*time.Second {
@@ -395,6 +411,31 @@
 	assert.Assert(t, p.lowest < allUpstreams, "nothing was given up")
 }
 
+// Guards against a new holder that started at night and takes the upstreams of the night
+// for all that the service has.
+func TestHolderStartedAtNight(t *testing.T) {
+	for second := 0; second < 42; second += 7 {
+		from := 170*time.Second + time.Duration(second)*time.Second
+		play(t, 6*playedDay, func() *played {
+			p := newPlayed(with(swing(0.05, 0.3), playedBurst, from, from+6*time.Second))
+			// The fewest upstreams serve at the end of each day.
+			p.startsAt = 4*playedDay - 5*time.Second
+			p.daemons[1] = NewOrderer(4, false)
+			p.held = func(at time.Duration) int {
+				switch {
+				case at < p.startsAt:
+					return 0
+				case at < p.startsAt+7*time.Second:
+					return -1
+				default:
+					return 1
+				}
+			}
+			return p
+		})
+	}
+}
+
 // Guards against an unknown load that is taken for none.
 func TestReportsStop(t *testing.T) {
 	away := func(at time.Duration) bool { return at < 60*time.Second || at >= 120*time.Second }
--- a/internal/ordering/runner.go
+++ b/internal/ordering/runner.go
@@ -28,7 +28,8 @@
 	Held() bool
 }
 
-// Config sets up a Runner. All fields but CallRate are required.
+// Config sets up a Runner. All fields but CallRate and
+// FirstStart are required.
 type Config struct {
 	Duty Duty
 	API  ports.Duties
@@ -37,8 +38,10 @@
 	// CallRate is the number of calls a second that the API accepts for all duties. Zero
 	// means unknown.
 	CallRate float64
-	Log      *telemetry.Log
-	Metrics  *telemetry.Metrics
+	// FirstStart means that all daemons start together for the first time.
+	FirstStart bool
+	Log        *telemetry.Log
+	Metrics    *telemetry.Metrics
 }
 
 // Runner sends the orders of an Orderer while the daemon holds the duties.
@@ -60,7 +63,7 @@
 // NewRunner returns a Runner.
 func NewRunner(c Config) *Runner {
 	return &Runner{
-		Config: c, orderer: NewOrderer(c.CallRate), logged: make(map[string]Status), failureLogged: make(map[failureKey]time.Time),
+		Config: c, orderer: NewOrderer(c.CallRate, c.FirstStart), logged: make(map[string]Status), failureLogged: make(map[failureKey]time.Time),
 	}
 }
 
