Give no zone a smaller number than it is known to have

Cause: the minimum or a small remainder was ordered in a zone of which nothing was listed, because it was cut off or its upstreams still registered after the first start. The platform would have ended the others there.

Change: a zone without any upstream keeps the number that it had. A zone gets no order of a new holder until its number has not grown for the start time and 3 s. Failed calls are repeated after at most 2 s. Tests for missing upstreams, the loss of the largest zone, zones in use, a holder that starts at night, and the log lines.

Ruled out: remembering zones for longer instead; a new holder would then order by numbers that the one before it had given up.

Result: go test -race ./internal/ordering passes.

--- a/internal/ordering/orderer.go
+++ b/internal/ordering/orderer.go
@@ -31,7 +31,7 @@
 	// minRetry and maxRetry bound the time after which an order without an answer is
 	// repeated. It doubles with each failure.
 	minRetry = 500 * time.Millisecond
-	maxRetry = 5 * time.Second
+	maxRetry = 2 * time.Second
 	// rememberTime is how long the number of upstreams in a zone is remembered that this
 	// daemon has not ordered any in. A zone that is cut off for some seconds is then not
 	// taken for an empty one, in which an order of one upstream would end the others.
@@ -128,18 +128,14 @@
 	// missingSince is since when fewer serve than were ordered. Zero means that none are
 	// missing.
 	missingSince time.Time
+	// grewAt is when more served than before, or when the zone was first observed.
+	grewAt time.Time
 }
 
 // observe records the number of serving upstreams.
 func (s *subject) observe(now time.Time, serving int) {
 	s.serving = serving
-	for len(s.recent) > 0 && s.recent[len(s.recent)-1].n <= serving {
-		s.recent = s.recent[:len(s.recent)-1]
-	}
-	s.recent = append(s.recent, count{now, serving})
-	for now.Sub(s.recent[0].at) >= rememberTime {
-		s.recent = s.recent[1:]
-	}
+	s.remember(now, serving)
 	if s.ordered >= 0 && serving > s.ordered && now.Sub(s.sentAt) >= adoptTime {
 		s.forget()
 	}
@@ -150,9 +146,38 @@
 	}
 }
 
+// remember keeps the most upstreams that served lately. A zone with none is cut off, since
+// orders leave at least the minimum: what it had is remembered until it returns.
+func (s *subject) remember(now time.Time, serving int) {
+	if len(s.recent) == 0 || serving > s.recent[0].n {
+		s.grewAt = now
+	}
+	if serving == 0 && len(s.recent) > 0 {
+		s.recent = append(s.recent[:0], count{now, s.recent[0].n})
+		return
+	}
+	for len(s.recent) > 0 && s.recent[len(s.recent)-1].n <= serving {
+		s.recent = s.recent[:len(s.recent)-1]
+	}
+	s.recent = append(s.recent, count{now, serving})
+	for now.Sub(s.recent[0].at) >= rememberTime {
+		s.recent = s.recent[1:]
+	}
+}
+
 // forget drops what was ordered.
 func (s *subject) forget() {
-	*s = subject{ordered: -1, answered: -1, recent: s.recent, serving: s.serving, missingSince: s.missingSince}
+	*s = subject{ordered: -1, answered: -1, recent: s.recent, serving: s.serving, missingSince: s.missingSince, grewAt: s.grewAt}
+}
+
+// settled reports whether it is known how many upstreams the zone has. After the first
+// start they register one by one; the number of an order in between would end the rest.
+func (s *subject) settled(now time.Time, startTime time.Duration) bool {
+	wait := startTime + startGrace
+	if s.base() == 0 {
+		wait = max(wait, learnTime)
+	}
+	return s.ordered >= 0 || now.Sub(s.grewAt) >= wait
 }
 
 // overdue reports whether upstreams have been missing for longer than they take to start.
@@ -334,7 +359,7 @@
 		base, awaited := subject.base(), subject.awaited(now, s.in.Scaling.StartTime)
 		serving := r.serving[name]
 		out = append(out, &zonePlan{
-			name: name, price: price, ordered: true, base: base, desired: base, have: min(serving, base) + awaited,
+			name: name, price: price, ordered: subject.settled(now, s.in.Scaling.StartTime), base: base, desired: base, have: min(serving, base) + awaited,
 			complete: serving >= base, overdue: subject.overdue(now, s.in.Scaling.StartTime), refused: now.Before(subject.refusedUntil),
 			floor: int(math.Ceil(zoneReserve * s.history.zonePeak(name) / (math.Max(r.slots, 1) * usableShare))),
 		})
--- a/internal/ordering/orderer_test.go
+++ b/internal/ordering/orderer_test.go
@@ -1,11 +1,15 @@
 package ordering
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
@@ -152,19 +156,111 @@
 }
 
 // Guards against the order of a few upstreams in a zone that is cut off, which would end
-// all others there when it returns.
+// all others there when it returns, however long that takes.
 func TestZoneThatIsCutOffKeepsItsNumber(t *testing.T) {
 	o := NewOrderer(100, true)
-	now := observe(o, start, 2*learnTime, twoZones(10, 4))
-	in := twoZones(10, 8)
-	in.Upstreams = in.Upstreams[10:]
-	for end := now.Add(rememberTime - time.Second); now.Before(end); now = now.Add(tickInterval) {
+	now := observe(o, start, 2*learnTime, twoZones(10, 1))
+	lost, back := twoZones(10, 1), twoZones(10, 1)
+	lost.Upstreams = lost.Upstreams[10:]
+	back.Upstreams = back.Upstreams[9:]
+	for step, in := range []Input{lost, back} {
+		for end := now.Add([]time.Duration{3 * time.Minute, rememberTime - time.Second}[step]); now.Before(end); now = now.Add(tickInterval) {
+			o.Observe(now, true, []Input{in})
+			if next := o.Next(now); next != nil && next.Zone == "a" {
+				assert.Assert(t, next.Desired >= 10, "%+v", next)
+			}
+		}
+	}
+}
+
+// Guards against an accepted order without effect that is never repeated, and against
+// a remainder that waits for it.
+func TestMissingUpstreamsAreOrderedAgainAndElsewhere(t *testing.T) {
+	o := NewOrderer(100, true)
+	in := twoZones(4, 10)
+	now := observe(o, start, 10*time.Second, in)
+	first := o.Next(now)
+	assert.Assert(t, first != nil)
+	o.Done(now, first, Accepted)
+	repeated, elsewhere := false, false
+	for end := now.Add(time.Minute); now.Before(end); now = now.Add(tickInterval) {
 		o.Observe(now, true, []Input{in})
-		if next := o.Next(now); next != nil {
-			assert.Assert(t, next.Desired >= 10, "%+v", next)
-			o.Done(now, next, Accepted)
+		next := o.Next(now)
+		if next == nil {
+			continue
+		}
+		repeated = repeated || next.Zone == first.Zone && next.Reason == reasonMissing
+		elsewhere = elsewhere || next.Zone != first.Zone && next.Reason == reasonDemand
+		o.Done(now, next, Accepted)
+	}
+	assert.Assert(t, repeated)
+	assert.Assert(t, elsewhere)
+}
+
+// planOf returns six zones with n upstreams each, whose prices grow with their names.
+func planOf(n, floor int) []*zonePlan {
+	var out []*zonePlan
+	for i, name := range []domain.AvailabilityZone{"a", "b", "c", "d", "e", "f"} {
+		out = append(out, &zonePlan{
+			name: name, price: float64(i + 1), ordered: true, complete: true, base: n, have: n, desired: n, floor: floor,
+		})
+	}
+	return out
+}
+
+// Guards against a plan that puts most upstreams into the cheapest zone and can't serve a
+// burst without it, and against one that ignores prices.
+func TestPlanServesBurstWithoutAnyZone(t *testing.T) {
+	scaling := httproute.Scaling{Min: 1, Max: 48}
+	for demand := 50.0; demand <= 800; demand += 50 {
+		zones := planOf(1, 0)
+		n := needOf(demand, demand, 16, 288)
+		assert.Assert(t, raise(zones, n, scaling), "%v", demand)
+		assert.Assert(t, total(zones) >= n.burst)
+		assert.Assert(t, total(zones)-largest(zones) >= n.withoutZone, "%d without %d", total(zones), largest(zones))
+		assert.Assert(t, zones[0].desired >= zones[5].desired)
+	}
+	zones := planOf(10, 0)
+	zones[0].have, zones[0].desired, zones[0].base = 40, 40, 40
+	n := needOf(180, 180, 16, 288)
+	for range 200 {
+		for _, z := range zones {
+			z.base = z.desired
 		}
+		lower(zones, n, scaling)
 	}
+	assert.Assert(t, total(zones) < 90, "nothing was given up")
+	assert.Assert(t, total(zones)-largest(zones) >= n.withoutZone, "%d without %d", total(zones), largest(zones))
+}
+
+// Guards against upstreams that are taken from the zone in which callers are, because it
+// is the most expensive one.
+func TestZoneInUseKeepsItsUpstreams(t *testing.T) {
+	zones := planOf(20, 1)
+	zones[5].floor = 20
+	lower(zones, needOf(1, 1, 16, 288), httproute.Scaling{Min: 1, Max: 48})
+	assert.Equal(t, zones[5].desired, 20)
+	assert.Assert(t, zones[4].desired < 20)
+}
+
+// Guards against an order while upstreams still register after the first start, whose
+// number would end those that come later.
+func TestNothingIsOrderedWhileUpstreamsRegister(t *testing.T) {
+	o := NewOrderer(100, true)
+	now := start
+	for n := range 10 {
+		for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(tickInterval) {
+			in := twoZones(n, 10)
+			if n < 5 {
+				in.Upstreams = in.Upstreams[n:]
+			}
+			o.Observe(now, true, []Input{in})
+			assert.Assert(t, o.Next(now) == nil)
+		}
+	}
+	now = observe(o, now, 10*time.Second, twoZones(10, 10))
+	next := o.Next(now)
+	assert.Assert(t, next != nil && next.Desired > 10, "%+v", next)
 }
 
 // Guards against more calls than the API accepts.
@@ -230,9 +326,8 @@
 		Duty: duty, API: api, Inputs: func(time.Time) []Input { return []Input{in} }, CallRate: 1e6, FirstStart: true,
 		Log: telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
 	})
-	for range 3 {
-		r.step(t.Context())
-	}
+	observe(r.orderer, time.Now().Add(-20*time.Second), 20*time.Second-tickInterval, in)
+	r.step(t.Context())
 	assert.Equal(t, len(api.orders), 0)
 	duty.refuses = false
 	time.Sleep(minRetry + 100*time.Millisecond)
@@ -243,3 +338,43 @@
 	r.step(t.Context())
 	assert.Equal(t, len(api.orders), 1)
 }
+
+// Guards against an order whose log line does not say why it was made, a failure without
+// a line, and lines about one failure with each repeat.
+func TestOrdersAreLoggedWithTheirFigures(t *testing.T) {
+	var out bytes.Buffer
+	in := twoZones(20, 10) // the maximum, all busy
+	r := NewRunner(Config{
+		Duty: &term{held: true}, API: &recorder{}, Inputs: func(time.Time) []Input { return []Input{in} },
+		CallRate: 1e6, FirstStart: true, Log: telemetry.NewLog(&out, zerolog.InfoLevel, "edge-1"), Metrics: telemetry.NewMetrics(),
+	})
+	observe(r.orderer, time.Now().Add(-20*time.Second), 20*time.Second-tickInterval, in)
+	r.step(t.Context())
+	r.step(t.Context())
+	assert.Equal(t, strings.Count(out.String(), "AD6023"), 1, out.String())
+
+	out.Reset()
+	in = twoZones(4, 10)
+	r = NewRunner(r.Config)
+	observe(r.orderer, time.Now().Add(-20*time.Second), 20*time.Second-tickInterval, in)
+	r.step(t.Context())
+	var line struct {
+		Event, Service, Zone, Reason string
+		Desired, Before, Serving     int
+		Demand                       float64 `json:"demand_slots"`
+		Always                       int     `json:"need_always"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(strings.SplitN(out.String(), "\n", 2)[0]), &line), out.String())
+	assert.Equal(t, line.Reason, reasonDemand)
+	assert.Equal(t, line.Before, 4)
+	assert.Assert(t, line.Desired > 4)
+	assert.Equal(t, line.Demand, 80.0)
+	assert.Equal(t, line.Always, 13) // 1.35 * 80 / 8.5, rounded up
+
+	out.Reset()
+	order := &Order{Reason: reasonDemand}
+	for range 10 {
+		r.reportOrder(time.Now(), order, Unanswered, ports.ErrUnknownOutcome)
+	}
+	assert.Equal(t, strings.Count(out.String(), "AD6021"), 1, out.String())
+}
--- a/internal/ordering/plan.go
+++ b/internal/ordering/plan.go
@@ -63,7 +63,8 @@
 	refused bool
 	// floor is the smallest number that is left when upstreams are given up.
 	floor int
-	// ordered means that upstreams may be ordered in the zone.
+	// ordered means that upstreams may be ordered in the zone: it has a price, and it is
+	// known how many it has.
 	ordered bool
 	// desired is the result.
 	desired int
--- a/internal/ordering/played_test.go
+++ b/internal/ordering/played_test.go
@@ -414,12 +414,13 @@
 // Guards against a new holder that started at night and takes the upstreams of the night
 // for all that the service has.
 func TestHolderStartedAtNight(t *testing.T) {
-	for second := 0; second < 42; second += 7 {
-		from := 170*time.Second + time.Duration(second)*time.Second
-		play(t, 6*playedDay, func() *played {
-			p := newPlayed(with(swing(0.05, 0.3), playedBurst, from, from+6*time.Second))
-			// The fewest upstreams serve at the end of each day.
-			p.startsAt = 4*playedDay - 5*time.Second
+	const days = 14 // one long day in days of playedDay
+	for second := 0; second < 200; second += 40 {
+		from := days*playedDay + 130*time.Second + time.Duration(second)*time.Second
+		play(t, 2*days*playedDay, func() *played {
+			p := newPlayed(with(func(at time.Duration) float64 { return swing(0.05, 0.3)(at / days) }, playedBurst, from, from+6*time.Second))
+			// The fewest upstreams serve a little after the end of a day.
+			p.startsAt = days*playedDay + 10*time.Second
 			p.daemons[1] = NewOrderer(4, false)
 			p.held = func(at time.Duration) int {
 				switch {
