Merge the planner that orders upstreams

Cause: ordering and metering each brought their own way to name the holder and the API of the duties.

Change: edge.DutyDeps names table, API and, for tests, what acts; both duties use the one holder.

Ruled out: keeping three sets of dependencies that have to agree.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,8 +94,6 @@
 	Daemons peers.Directory
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
-	// Usage is what the daemon needs to report usage. Nil means that it only counts.
-	Usage *UsageDeps
 	// Duties are used only if the settings name duties.
 	Duties  DutyDeps
 	Log     *telemetry.Log
@@ -247,6 +245,7 @@
 			}
 		})
 	})
+	e.addOrdering(&g, node)
 	addLoop(&g, e.watchSettings)
 	if e.usage != nil {
 		addLoop(&g, e.usage.Run)
