Revert the planner that orders upstreams

Cause: with it callers are served a little better and the deployment is worse off.

Ruled out: limiting orders to the first number of upstreams at once. That is a different rule and needs played loads and measurements of its own.

A daemon whose settings ask for orders says in its log that it makes none.

--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/auburndyke/auburndyke/internal/domain"
 )
 
 // totalMaxAge is the age from which the total work of all daemons is ignored.
@@ -39,27 +37,6 @@
 	return out
 }
 
-// UpstreamLoad is what this daemon knows about the load of an upstream.
-type UpstreamLoad struct {
-	// LoadReport is the last one. Its At is zero if there is none.
-	LoadReport
-	// Leaving means that the upstream has said that it takes no more requests.
-	Leaving bool
-}
-
-// UpstreamLoads returns the loads of a service's upstreams.
-func (b *Balancer) UpstreamLoads(service string) map[domain.UpstreamID]UpstreamLoad {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := make(map[domain.UpstreamID]UpstreamLoad)
-	for id, u := range b.upstreams {
-		if u.Service == service {
-			out[id] = UpstreamLoad{LoadReport{u.report, u.reportAt}, u.said != nil && u.said.leaving}
-		}
-	}
-	return out
-}
-
 // SetTotalWork sets the work that arrives at all daemons for a service.
 func (b *Balancer) SetTotalWork(now time.Time, service string, total Work) {
 	b.mu.Lock()
--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -52,7 +52,12 @@
 	writer := diode.NewWriter(out, logBuffer, 0, func(missed int) { dropped.Inc(int64(missed)) })
 	defer func() { err = errors.Join(err, writer.Close()) }()
 	store := platform.NewStore(s.PlatformAddress)
-	deps := edge.Deps{
+	var duties edge.DutyDeps
+	if s.Duties.Any() {
+		duties = edge.DutyDeps{Table: store.Duties(), API: platform.NewAPI(s.Duties.APIAddress)}
+	}
+	e := edge.New(s, edge.Deps{
+		Duties:   duties,
 		Protocol: platform.Protocol{},
 		Decoders: edge.Decoders{
 			IsConfig:     platform.IsConfig,
@@ -65,9 +70,6 @@
 		ReadSettings:  read,
 		Log:           telemetry.NewLog(writer, zerolog.InfoLevel, string(s.Daemon)),
 		Metrics:       metrics,
-	}
-	if s.Duties.Any() {
-		deps.Duties = edge.DutyDeps{Table: store.Duties(), API: platform.NewAPI(s.Duties.APIAddress)}
-	}
-	return edge.New(s, deps).Run(ctx)
+	})
+	return e.Run(ctx)
 }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -20,37 +20,19 @@
 	// BootClock returns the time since the VM's start, with the time for which it was
 	// suspended. Nil means CLOCK_BOOTTIME.
 	BootClock func() time.Duration
-	// Acts replaces the lease that decides which daemon may act. Nil means the lease.
-	Acts DutyActs
-}
-
-// DutyActs lets the holder of the duties make calls.
-type DutyActs interface {
-	// Do calls act if the daemon holds the duties and may act now. It returns
-	// lease.ErrNotHeld otherwise.
-	Do(ctx context.Context, act func(context.Context, ports.DutyCall) error) error
-	// Held reports whether the daemon may act now.
-	Held() bool
 }
 
 // dutyRunner connects the duties to the daemon. Its zero value has none.
 type dutyRunner struct {
 	holder *duty.Holder
-	// acts is what the duties act with.
-	acts DutyActs
-	node *peers.Node
+	node   *peers.Node
 	// loops run while the daemon runs and act with the holder.
 	loops []func(context.Context) error
 }
 
 // newDuties returns the duties that the settings ask for.
 func newDuties(s *Settings, d Deps) dutyRunner {
-	switch {
-	case !s.Duties.Any():
-		return dutyRunner{}
-	case d.Duties.Acts != nil:
-		return dutyRunner{acts: d.Duties.Acts}
-	case d.Duties.Table == nil || d.Duties.API == nil:
+	if !s.Duties.Any() || d.Duties.Table == nil || d.Duties.API == nil {
 		return dutyRunner{}
 	}
 	clock := d.Duties.BootClock
@@ -63,7 +45,6 @@
 		LeaseTime: s.Duties.LeaseTime, CallRate: s.Duties.CallRate, BootClock: clock,
 		Rand: newRand(), Log: d.Log, Metrics: d.Metrics,
 	})
-	r.acts = dutyCalls{r.holder}
 	return r
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,6 +94,8 @@
 	Daemons peers.Directory
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
+	// Usage is what the daemon needs to report usage. Nil means that it only counts.
+	Usage *UsageDeps
 	// Duties are used only if the settings name duties.
 	Duties  DutyDeps
 	Log     *telemetry.Log
@@ -176,6 +178,9 @@
 	for _, finding := range s.Findings {
 		e.deps.Log.Event(telemetry.SettingsFinding).Str("finding", finding).Send()
 	}
+	if s.Duties.Ordering {
+		e.deps.Log.Event(telemetry.SettingsFinding).Str("finding", "the settings ask for orders of upstreams, which this version does not make").Send()
+	}
 	callers, err := net.Listen("tcp", s.CallerAddress)
 	if err != nil {
 		return eris.Wrap(err, "listening for callers")
@@ -245,7 +250,6 @@
 			}
 		})
 	})
-	e.addOrdering(&g, node)
 	addLoop(&g, e.watchSettings)
 	if e.usage != nil {
 		addLoop(&g, e.usage.Run)
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -5,6 +5,7 @@
 
 	"github.com/auburndyke/auburndyke/internal/bootclock"
 	"github.com/auburndyke/auburndyke/internal/peers"
+	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/usage"
 )
 
@@ -14,6 +15,15 @@
 	defaultUsageDue    = 10 * time.Second
 )
 
+// UsageDeps are what a daemon needs to report usage.
+type UsageDeps struct {
+	// Duty lets the holder of the duties make calls.
+	Duty usage.Duty
+	// Table holds the reports.
+	Table ports.Table
+	API   ports.Duties
+}
+
 // meterUsage makes the daemon count the requests of customers, if its settings say so.
 func (e *Edge) meterUsage(s *Settings) {
 	if !s.Duties.Metering {
@@ -29,8 +39,11 @@
 	if o.Due <= 0 {
 		o.Due = defaultUsageDue
 	}
-	if e.duties.acts != nil {
-		o.Duty, o.Table, o.API = e.duties.acts, e.deps.Duties.Table, e.deps.Duties.API
+	switch d := e.deps.Usage; {
+	case d != nil:
+		o.Duty, o.Table, o.API = d.Duty, d.Table, d.API
+	case e.duties.holder != nil:
+		o.Duty, o.Table, o.API = dutyCalls{e.duties.holder}, e.deps.Duties.Table, e.deps.Duties.API
 	}
 	e.usage = usage.New(o)
 	e.handler.CountUsage = e.usage.Count
--- a/internal/edge/usage_test.go
+++ b/internal/edge/usage_test.go
@@ -98,8 +98,8 @@
 		e := edge.New(settings, edge.Deps{
 			Protocol: platform.Protocol{}, Decoders: edge.Decoders{IsConfig: platform.IsConfig, Config: platform.DecodeConfig, Registration: platform.DecodeReplica},
 			Configuration: client.Configuration(), Upstreams: client.Replicas(), Daemons: client.Daemons(),
-			Duties: edge.DutyDeps{Acts: fixedDuty{i == 0}, Table: table, API: platform.NewAPI(apiServer.Listener.Addr().String())},
-			Log:    telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
+			Usage: &edge.UsageDeps{Duty: fixedDuty{i == 0}, Table: table, API: platform.NewAPI(apiServer.Listener.Addr().String())},
+			Log:   telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { s.done <- e.Run(ctx) }()
--- a/internal/httproute/table.go
+++ b/internal/httproute/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 	"strings"
 	"time"
 
@@ -126,18 +125,6 @@
 // Service returns the named service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// ScaledServices returns the services with Scaling, sorted by name.
-func (t *Table) ScaledServices() []*Service {
-	var out []*Service
-	for _, s := range t.services {
-		if s.Scaling != nil {
-			out = append(out, s)
-		}
-	}
-	slices.SortFunc(out, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
-	return out
-}
-
 // Authenticated reports whether requests on routes that are not public need an API
 // key.
 func (t *Table) Authenticated() bool { return t.authenticated }
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -339,12 +339,3 @@
 	data, err = encode(m)
 	return targets, data, err
 }
-
-// TotalWork returns the work that all daemons send to a service, the number of daemons
-// that it counts, and the number of daemons in the directory.
-func (n *Node) TotalWork(now time.Time, service string) (w balancer.Work, reporting, listed int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	w, reporting = n.state.TotalWork(now, Hash(service))
-	return w, reporting, n.directorySize
-}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -73,19 +73,15 @@
 	PlacementDecision = Event{"AD6002", "placement_decision", zerolog.InfoLevel, "An order to an engine was decided; reason says why."}
 	OrderFailed       = Event{"AD6003", "order_failed", zerolog.WarnLevel, "An engine did not accept an order."}
 
-	UsageCollected      = Event{"AD6010", "usage_collected", zerolog.InfoLevel, "The counts of a window were collected; silent is the number of daemons whose counts are not known in full, reported says whether the window is reported."}
-	UsageReported       = Event{"AD6011", "usage_reported", zerolog.InfoLevel, "The usage of a window was reported; calls is how many calls this daemon made for it, after_ms the time since the window's end."}
-	UsageMissed         = Event{"AD6012", "usage_missed", zerolog.ErrorLevel, "The usage of a window was not reported while the report was due."}
-	UsageCallFailed     = Event{"AD6013", "usage_call_failed", zerolog.WarnLevel, "A call to the store or to the platform's API for the usage of a window failed; it is repeated until the report is due."}
-	UsageCountsDropped  = Event{"AD6014", "usage_counts_dropped", zerolog.WarnLevel, "Counts of usage were invalid or exceeded a bound and are lost; total counts all of them. At most one line in ten seconds."}
-	ClockStepHeld       = Event{"AD6015", "clock_step_held", zerolog.WarnLevel, "The wall clock was stepped; usage is counted by the earlier clock for hold_ms."}
-	DutyHolderChanged   = Event{"AD6004", "duty_holder_changed", zerolog.InfoLevel, "This daemon has acquired the duties that one daemon has for all, or lost them; since says when, acts_after_ms how long it waits before its first act."}
-	DutyActRefused      = Event{"AD6005", "duty_act_refused", zerolog.WarnLevel, "An act was not started, or its call not sent, because the daemon's term had ended; total counts all of them. At most one line in ten seconds."}
-	DutyCallFailed      = Event{"AD6006", "duty_call_failed", zerolog.WarnLevel, "A call to the platform's API failed, was refused or took longer than the margin of the lease; total counts all of them. At most one line in ten seconds."}
-	UpstreamsOrdered    = Event{"AD6020", "upstreams_ordered", zerolog.InfoLevel, "The holder of the duties ordered a whole number of upstreams (desired, after before) for a service in a zone; reason says why, demand_slots, peak_slots, need, need_without_zone and counted are the figures that decided."}
-	UpstreamOrderFailed = Event{"AD6021", "upstream_order_failed", zerolog.WarnLevel, "An order of upstreams had no success: refused (the zone has none), not_done, or unanswered, which counts as done; it is repeated or goes to other zones. At most one line in five seconds for each zone and outcome."}
-	OrderingLoad        = Event{"AD6022", "ordering_load", zerolog.InfoLevel, "The load of a service became known or unknown to the holder; unknown says why, and is empty when it is known. While it is unknown the number of upstreams stays as it is."}
-	OrderingShort       = Event{"AD6023", "ordering_short", zerolog.WarnLevel, "No zone can take the upstreams that the need of a service calls for, or, with short false, some zone can again."}
+	UsageCollected     = Event{"AD6010", "usage_collected", zerolog.InfoLevel, "The counts of a window were collected; silent is the number of daemons whose counts are not known in full, reported says whether the window is reported."}
+	UsageReported      = Event{"AD6011", "usage_reported", zerolog.InfoLevel, "The usage of a window was reported; calls is how many calls this daemon made for it, after_ms the time since the window's end."}
+	UsageMissed        = Event{"AD6012", "usage_missed", zerolog.ErrorLevel, "The usage of a window was not reported while the report was due."}
+	UsageCallFailed    = Event{"AD6013", "usage_call_failed", zerolog.WarnLevel, "A call to the store or to the platform's API for the usage of a window failed; it is repeated until the report is due."}
+	UsageCountsDropped = Event{"AD6014", "usage_counts_dropped", zerolog.WarnLevel, "Counts of usage were invalid or exceeded a bound and are lost; total counts all of them. At most one line in ten seconds."}
+	ClockStepHeld      = Event{"AD6015", "clock_step_held", zerolog.WarnLevel, "The wall clock was stepped; usage is counted by the earlier clock for hold_ms."}
+	DutyHolderChanged  = Event{"AD6004", "duty_holder_changed", zerolog.InfoLevel, "This daemon has acquired the duties that one daemon has for all, or lost them; since says when, acts_after_ms how long it waits before its first act."}
+	DutyActRefused     = Event{"AD6005", "duty_act_refused", zerolog.WarnLevel, "An act was not started, or its call not sent, because the daemon's term had ended; total counts all of them. At most one line in ten seconds."}
+	DutyCallFailed     = Event{"AD6006", "duty_call_failed", zerolog.WarnLevel, "A call to the platform's API failed, was refused or took longer than the margin of the lease; total counts all of them. At most one line in ten seconds."}
 
 	AdminChange  = Event{"AD7001", "admin_change", zerolog.InfoLevel, "An operator changed something through the administration API."}
 	AdminRefused = Event{"AD7002", "admin_refused", zerolog.WarnLevel, "An administration call was refused: not authenticated or out of scope."}
@@ -130,7 +126,6 @@
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed, DutyHolderChanged, DutyActRefused, DutyCallFailed,
 	UsageCollected, UsageReported, UsageMissed, UsageCallFailed, UsageCountsDropped, ClockStepHeld,
-	UpstreamsOrdered, UpstreamOrderFailed, OrderingLoad, OrderingShort,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
 	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid,
