--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -26,8 +26,6 @@
 type dutyRunner struct {
 	holder *duty.Holder
 	node   *peers.Node
-	// loops run while the daemon runs and act with the holder.
-	loops []func(context.Context) error
 }
 
 // newDuties returns the duties that the settings ask for.
@@ -56,7 +54,7 @@
 	return r.holder
 }
 
-// start sets the node whose directory names the other daemons, and adds the loops.
+// start sets the node whose directory names the other daemons, and adds the holder.
 func (r *dutyRunner) start(node *peers.Node, add func(func(context.Context) error)) {
 	if r.holder == nil {
 		return
@@ -70,9 +68,6 @@
 		<-ctx.Done()
 		return err
 	})
-	for _, loop := range r.loops {
-		add(loop)
-	}
 }
 
 // stop releases the lease. It is called when a planned stop begins: another daemon then
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,7 +94,8 @@
 	Daemons peers.Directory
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
-	// Usage is what the daemon needs to report usage. Nil means that it only counts.
+	// Usage replaces what Duties give the metering of usage. Nil means that nothing is
+	// replaced.
 	Usage *UsageDeps
 	// Duties are used only if the settings name duties.
 	Duties  DutyDeps
