Log for how long a daemon has known that it lacks a change

The logs of the CONFIG incident could not show whether a daemon that is late knew of the change: each failed read of a peer's copy starts lag_ms over. AD4010 is written once when a daemon has known for two seconds that its copy lacks a change, with its attempts to read a peer's copy and its reader. No decision changes.

--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -99,7 +99,9 @@
 	mu    sync.Mutex
 	state *State
 	lags  map[string]lag
-	group group
+	// backlogs holds by table which changes the daemon knows that it lacks.
+	backlogs map[string]backlog
+	group    group
 	// zonePeers are the addresses of the daemons of the zone in the directory.
 	zonePeers []string
 	// directorySize is the number of daemons in the directory at its last read.
@@ -131,7 +133,7 @@
 		c.Contact = follow.NewContact()
 	}
 	return &Node{
-		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag),
+		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag), backlogs: make(map[string]backlog),
 		delegations: make(map[string]delegation), changed: make(chan struct{}, 1),
 		announced:     make(chan struct{}, 1),
 		fullCopies:    make(chan struct{}, maxFullCopies),
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -36,6 +36,9 @@
 	maxFullCopies = 2
 	// maxCopyPeers limits the peer addresses that are sent with a copy.
 	maxCopyPeers = 16
+	// behindAlarm is how long a daemon may know that its copy lacks a change before it
+	// logs it. It is below the tightest bound on a configuration.
+	behindAlarm = 2 * time.Second
 	// TablePath is the HTTP route at which daemons read each other's copies.
 	TablePath = "/peers/tables/:name"
 )
@@ -78,6 +81,16 @@
 	fetching bool
 }
 
+// backlog records for how long a daemon has known that its copy of a table lacks a
+// change, and how it tried to get it.
+type backlog struct {
+	since   time.Time
+	changed ports.Version
+	// reads and failed count the attempts to read a peer's copy.
+	reads, failed int
+	logged        bool
+}
+
 // tableCopy is the response to a peer's request for a table.
 type tableCopy struct {
 	AsOf    uint64    `cbor:"1,keyasint"`
@@ -133,6 +146,7 @@
 		fetch := !l.since.IsZero() && !l.fetching && now.Sub(l.since) >= n.fetchDelay(now, state, m.Sender)
 		l.fetching = l.fetching || fetch
 		n.lags[state.Name] = l
+		n.updateBacklog(now, state.Name, changed)
 		n.mu.Unlock()
 		if fetch {
 			go n.fetch(ctx, state.Name, l)
@@ -140,6 +154,40 @@
 	}
 }
 
+// updateBacklog records that a peer has the change of the given version. The caller
+// holds mu.
+func (n *Node) updateBacklog(now time.Time, name string, changed ports.Version) {
+	b, asOf := n.backlogs[name], n.Tables[name].Versions().AsOf
+	if asOf >= b.changed {
+		b = backlog{}
+	}
+	if changed > asOf {
+		b.changed = max(b.changed, changed)
+		if b.since.IsZero() {
+			b.since = now
+		}
+	}
+	if !b.logged && !b.since.IsZero() && now.Sub(b.since) >= behindAlarm {
+		b.logged = true
+		n.Log.Event(telemetry.TableBehind).Str("table", name).Uint64("as_of", uint64(asOf)).Uint64("changed", uint64(b.changed)).
+			Int64("behind_ms", now.Sub(b.since).Milliseconds()).Int("reads", b.reads).Int("failed", b.failed).
+			Str("reader", n.delegations[name].reader).Send()
+	}
+	n.backlogs[name] = b
+}
+
+// countRead counts an attempt to read a peer's copy.
+func (n *Node) countRead(name string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := n.backlogs[name]
+	b.reads++
+	if err != nil {
+		b.failed++
+	}
+	n.backlogs[name] = b
+}
+
 func (n *Node) fetch(ctx context.Context, name string, l lag) {
 	var adopted bool
 	err := contain.Do(n.Log, "a peer's copy", func() (err error) {
@@ -152,6 +200,7 @@
 	}
 	line.Str("table", name).Str("peer", l.peer).Bool("taken", adopted).
 		Uint64("changed", uint64(l.changed)).Int64("lag_ms", time.Since(l.since).Milliseconds()).Send()
+	n.countRead(name, err)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lags[name] = lag{}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -64,6 +64,7 @@
 
 	PeerRowRemoved = Event{"AD4009", "peer_row_removed", zerolog.InfoLevel, "The directory row of a daemon that has been silent for long was removed."}
 	SeedCopyRead   = Event{"AD4008", "seed_copy_read", zerolog.InfoLevel, "The platform has not answered since the start; a seed's copy of the table was read."}
+	TableBehind    = Event{"AD4010", "table_behind", zerolog.WarnLevel, "Peers have had a change of a table for two seconds that this daemon lacks; reads and failed are its attempts to read a peer's copy, reader the daemon that reads the table for it."}
 	PeerCopyRead   = Event{"AD4007", "peer_copy_read", zerolog.InfoLevel, "A change did not come from the platform in time; a peer's copy of the table was read."}
 
 	DrainStep    = Event{"AD5001", "drain_step", zerolog.InfoLevel, "An upstream moved to another drain phase; reason says why."}
@@ -122,7 +123,7 @@
 	AdmissionDecision, RoutingDecision, AttemptFailed, StreamContinued,
 	RequestHedged, RequestPreempted, RequestFinished, RequestShed, ClaimSettled, PartBlocked, PartUnblocked, ConnectionClosed,
 	ConfigurationInForce, ConfigurationRejected, ConfigurationPoll, ConfigurationProposed,
-	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved,
+	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved, TableBehind,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed, DutyHolderChanged, DutyActRefused, DutyCallFailed,
 	UsageCollected, UsageReported, UsageMissed, UsageCallFailed, UsageCountsDropped, ClockStepHeld,
