Bound how old the knowledge of a table's reader may be

Cause: a daemon relied on its group's reader for 1.2 s after each announcement, and the reader announced for up to 3 s after the platform had last answered it. If the reader lost the platform silently, a change made right after that reached the daemons below it 4.2 s later and one call of their own, unless a peer that knew of it wrote to them first.

Ruled out: slow application under load alone (1.6 s at four times the load), rejected configurations (none).

Change: announcements carry the time since the platform last answered the reader, also where they are passed on, and a daemon relies on it until that time is 3 s. The number of calls stays the same.

Tests of the number of calls are unchanged and pass.

Why unseen: TestOneDaemonReadsForItsGroup lets the reader's store refuse connections, which the reader notices at once; none let it fall silent.

--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -29,6 +29,10 @@
 	// change. The group depends on the reader, so it has to notice sooner than
 	// others that the platform is silent.
 	readerWait = 2 * time.Second
+	// maxReaderAge is how old the knowledge of a reader may be. Until its call has
+	// timed out, it can't tell a platform without changes from one that does not
+	// respond to it.
+	maxReaderAge = readerWait + time.Second
 	// soloWait is the same for a daemon that reads only for itself.
 	soloWait = 5 * time.Second
 	// delegationBackoff is how long a daemon reads a table itself after a failed
@@ -100,6 +104,9 @@
 type delegation struct {
 	reader  string
 	expires time.Time
+	// acceptedAt is when the reader's last announcement arrived, and readAt when the
+	// platform last answered the reader before that.
+	acceptedAt, readAt time.Time
 	// blockedUntil is the time until which this daemon accepts no reader.
 	blockedUntil time.Time
 }
@@ -157,10 +164,12 @@
 	// is too large for one daemon to send to its whole group. It may have asked the
 	// platform less recently than this daemon, if it lacks none of its changes.
 	covers := own.AsOf > 0 && ports.Version(state.From) <= own.AsOf && own.Changed <= asOf
-	accepted := covers && n.group.readers[sender] && !now.Before(current.blockedUntil)
+	readAt := now.Add(-state.Age)
+	accepted := covers && n.group.readers[sender] && !now.Before(current.blockedUntil) && state.Age < maxReaderAge
 	previous := current.reader
 	if accepted {
-		n.delegations[state.Name] = delegation{reader: sender, expires: now.Add(delegationTTL)}
+		expires := now.Add(min(delegationTTL, maxReaderAge-state.Age))
+		n.delegations[state.Name] = delegation{reader: sender, expires: expires, acceptedAt: now, readAt: readAt}
 	}
 	n.mu.Unlock()
 	if !accepted {
@@ -228,7 +237,7 @@
 		}
 		table.SetWait(readerWait)
 		if table.ReadsPlatform(now) {
-			tables = append(tables, announcement(name, table))
+			tables = append(tables, describeTable(name, table, table.Age(now)))
 		}
 	}
 	return tables, dependents
@@ -240,17 +249,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, d := range n.delegations {
-		if d.expires.Sub(now) >= delegationTTL-passOnAge {
-			tables = append(tables, announcement(name, n.Tables[name]))
+		if now.Before(d.expires) && now.Sub(d.acceptedAt) <= passOnAge {
+			tables = append(tables, describeTable(name, n.Tables[name], now.Sub(d.readAt)))
 		}
 	}
 	return tables, n.group.members
 }
 
-// announcement says which versions the daemon's copy of a table covers.
-func announcement(name string, table Table) TableState {
+// describeTable says which versions the daemon's copy of a table covers, and how long
+// ago the platform answered the daemon that reads it.
+func describeTable(name string, table Table, age time.Duration) TableState {
 	v := table.Versions()
-	return TableState{Name: name, Changed: uint64(v.Changed), AsOf: uint64(v.AsOf), From: uint64(v.From)}
+	return TableState{Name: name, Changed: uint64(v.Changed), AsOf: uint64(v.AsOf), From: uint64(v.From), Age: age}
 }
 
 // announceToGroup sends the versions of the tables that this daemon reads to the
@@ -272,7 +282,7 @@
 	if len(tables) == 0 || len(targets) == 0 {
 		return
 	}
-	data, err := encode(&Message{Sender: n.Address, Tables: tables})
+	data, err := encodeAnnouncement(n.Address, tables)
 	if err != nil {
 		n.Log.Event(telemetry.PeerMessageRejected).Err(err).Send()
 		return
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -91,6 +92,9 @@
 	AsOf uint64
 	// From is the earliest version since which the sender knows all changes.
 	From uint64
+	// Age is the time since the platform last answered the daemon that reads the table.
+	// Only announcements carry it.
+	Age time.Duration `cbor:"-"`
 }
 
 // Message is the content of one datagram.
@@ -188,6 +192,45 @@
 	return &m, nil
 }
 
+// announcement tells the daemons of a group what their reader knows of the tables. Its
+// number of elements tells it from the other datagrams. Daemons of versions that do not
+// know it read the tables themselves.
+type announcement struct {
+	_      struct{} `cbor:",toarray"`
+	Sender string
+	Tables []TableState
+	// Ages are those of Tables, in units of ageUnit.
+	Ages []uint8
+}
+
+func encodeAnnouncement(sender string, tables []TableState) ([]byte, error) {
+	a := announcement{Sender: sender, Tables: tables}
+	for _, state := range tables {
+		a.Ages = append(a.Ages, uint8(min(max(state.Age, 0)/ageUnit, math.MaxUint8)))
+	}
+	data, err := cbor.Marshal(&a)
+	if err != nil {
+		return nil, eris.Wrap(err, "encoding an announcement of tables")
+	}
+	if len(data) > maxMessageBytes {
+		return nil, eris.Errorf("announcement of tables has %d bytes, more than the limit of %d", len(data), maxMessageBytes)
+	}
+	return data, nil
+}
+
+// decodeAnnouncement returns false for datagrams of other kinds.
+func decodeAnnouncement(data []byte) (*Message, bool) {
+	var a announcement
+	if err := cbor.Unmarshal(data, &a); err != nil || len(a.Ages) != len(a.Tables) {
+		return nil, false
+	}
+	for i, age := range a.Ages {
+		// Rounded up, since a belief must not look younger than it is.
+		a.Tables[i].Age = (time.Duration(age) + 1) * ageUnit
+	}
+	return &Message{Sender: a.Sender, Tables: a.Tables}, true
+}
+
 // candidateMessage says which daemons may hold the duties. Its number of elements tells
 // it from the other datagrams.
 type candidateMessage struct {
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -201,9 +201,12 @@
 		}
 		return nil
 	}
-	m, err := decode(data)
-	if err != nil {
-		return err
+	m, ok := decodeAnnouncement(data)
+	if !ok {
+		var err error
+		if m, err = decode(data); err != nil {
+			return err
+		}
 	}
 	now := time.Now()
 	fresh := n.mergeState(now, m)
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -92,6 +92,7 @@
 func (*fixedTable) OfferChanges(ports.Version, []ports.Row, follow.Versions) bool { return false }
 func (*fixedTable) ReadsPlatform(time.Time) bool                                  { return false }
 
+func (*fixedTable) Age(time.Time) time.Duration  { return 0 }
 func (*fixedTable) Unavailable(time.Time) bool   { return false }
 func (*fixedTable) SetWait(time.Duration)        {}
 func (*fixedTable) CoalesceDelay() time.Duration { return 0 }
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -60,6 +60,8 @@
 	// ReadsPlatform reports whether the copy is currently read from the platform
 	// itself.
 	ReadsPlatform(now time.Time) bool
+	// Age returns the time since the platform last answered a call of this daemon.
+	Age(now time.Time) time.Duration
 	// Unavailable reports whether there is no copy yet and the platform appears
 	// to be unavailable.
 	Unavailable(now time.Time) bool
