Tell versions of the platform's eras apart

What callers saw in the test: after the store has come back from an older copy, requests are handled by an older configuration until the store's versions have passed those from before (404 on an added route, 200 on a removed one).

Cause: a copy's position was the version alone. A table of a lower version was refused as a stale read, a feed from a lost version ended in that loop (AD8004 'table was read as of an earlier version'), and once the versions had passed the copy's, changes since the restoration were skipped. Peers compared copies in the same way.

Ruled out: the operator's own revision, which daemons compare as before; an older one that the copy brings back is not put in force.

Change: ports.Version holds the era in its upper bits, so that every comparison, also between peers, orders eras first. A call for changes that is answered by a later era is followed by a reading of the whole table; an earlier era is refused; pages of unlike eras make up no table; changes don't lead from one era to another. An answer whose era can't be read is an error. AD8018 and auburndyke_table_era show a restoration.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -375,7 +375,8 @@
 			for table, f := range followers {
 				e.deps.Metrics.Gauge("auburndyke_table_age_seconds", "table", table).Update(f.Age(now).Seconds())
 				e.deps.Metrics.Gauge("auburndyke_table_call_open_seconds", "table", table).Update(f.OpenFor(now).Seconds())
-				e.deps.Metrics.Gauge("auburndyke_table_version", "table", table).Update(float64(f.Versions().AsOf))
+				e.deps.Metrics.Gauge("auburndyke_table_version", "table", table).Update(float64(f.Versions().AsOf.Number()))
+				e.deps.Metrics.Gauge("auburndyke_table_era", "table", table).Update(float64(f.Versions().AsOf.Era()))
 			}
 		}
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -47,6 +47,8 @@
 	readyLogged bool
 	// loggedSuperseded holds the superseded upstreams that are logged.
 	loggedSuperseded map[domain.UpstreamID]domain.Incarnation
+	// eras holds the platform's era of each table.
+	eras map[string]uint64
 	// onChange is called when a table has changed. It may be nil.
 	onChange func()
 	// expiryTimer fires when the next removed entry of the list expires.
@@ -107,7 +109,7 @@
 	s.updateBalancer()
 	s.log.Event(telemetry.ConfigurationInForce).
 		Uint64("revision", uint64(table.Version)).Uint64("previous", uint64(previous)).
-		Uint64("row_version", uint64(version)).Int("routes", len(config.Routes)).Int("customers", len(config.Customers)).
+		Uint64("row_version", version.Number()).Int("routes", len(config.Routes)).Int("customers", len(config.Customers)).
 		Send()
 	s.logReady()
 }
@@ -119,7 +121,7 @@
 }
 
 func (s *state) logRejected(err error, version ports.Version) {
-	s.log.Event(telemetry.ConfigurationRejected).Err(err).Uint64("row_version", uint64(version)).Send()
+	s.log.Event(telemetry.ConfigurationRejected).Err(err).Uint64("row_version", version.Number()).Send()
 }
 
 // updateBalancer passes the list of upstreams to the balancer. The caller holds mu.
@@ -188,10 +190,29 @@
 	}
 }
 
+// observeEra logs that a table was read anew after a restoration of the platform, and
+// reports whether it was. The caller holds mu.
+func (s *state) observeEra(table string, version ports.Version) bool {
+	previous, known := s.eras[table]
+	if s.eras == nil {
+		s.eras = make(map[string]uint64)
+	}
+	s.eras[table] = version.Era()
+	if !known || version.Era() == previous {
+		return false
+	}
+	s.log.Event(telemetry.PlatformRestored).Str("table", table).Uint64("era", version.Era()).Uint64("previous", previous).
+		Uint64("table_version", version.Number()).Send()
+	return true
+}
+
 // configSink receives the rows of the configuration table.
 type configSink struct{ *state }
 
 func (s configSink) Replace(now time.Time, rows []ports.Row, version ports.Version) {
+	s.mu.Lock()
+	s.observeEra(tableConfiguration, version)
+	s.mu.Unlock()
 	s.Apply(now, rows, version)
 }
 
@@ -220,11 +241,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.keepLapsed(now)
+	restored := s.observeEra(tableUpstreams, version)
+	s.keepLapsed(now, restored)
 	s.inventory.Replace(now, all)
 	s.upstreamsRead = true
 	s.updateBalancer()
-	s.log.Event(telemetry.UpstreamsListed).Int("upstreams", len(all)).Uint64("table_version", uint64(version)).Send()
+	s.log.Event(telemetry.UpstreamsListed).Int("upstreams", len(all)).Uint64("table_version", version.Number()).Send()
 	s.logReady()
 	s.notifyChange()
 }
@@ -232,28 +254,28 @@
 func (s upstreamSink) Apply(now time.Time, rows []ports.Row, _ ports.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.keepLapsed(now)
+	s.keepLapsed(now, false)
 	for _, row := range rows {
 		if r, ok := s.decode(row); ok {
 			s.inventory.Register(r)
 			s.log.Event(telemetry.UpstreamRegistered).
 				Str("upstream", row.Key).Str("service", r.Service).Str("address", r.Address).
 				Bool("draining", r.Draining).Uint64("incarnation", uint64(r.Incarnation)).
-				Uint64("row_version", uint64(row.Version)).Send()
+				Uint64("row_version", row.Version.Number()).Send()
 			continue
 		}
 		s.inventory.Remove(now, domain.UpstreamID(row.Key))
-		s.log.Event(telemetry.UpstreamUnlisted).Str("upstream", row.Key).Uint64("row_version", uint64(row.Version)).Send()
+		s.log.Event(telemetry.UpstreamUnlisted).Str("upstream", row.Key).Uint64("row_version", row.Version.Number()).Send()
 	}
 	s.updateBalancer()
 	s.notifyChange()
 }
 
 // keepLapsed keeps upstreams whose registrations have lapsed during an outage of the
-// platform until those that run have registered again. now is the time of the first
-// read after the outage. The caller holds mu.
-func (s upstreamSink) keepLapsed(now time.Time) {
-	if s.upstreamsLost {
+// platform, or are missing after its restoration, until those that run have registered
+// again. now is the time of the first read after that. The caller holds mu.
+func (s upstreamSink) keepLapsed(now time.Time, restored bool) {
+	if s.upstreamsLost || restored {
 		s.inventory.KeepRemovedUntil(now.Add(lapseGrace))
 	}
 }
@@ -270,7 +292,7 @@
 	})
 	if err != nil {
 		s.log.Event(telemetry.RegistrationRejected).Err(err).Str("upstream", row.Key).
-			Uint64("row_version", uint64(row.Version)).Send()
+			Uint64("row_version", row.Version.Number()).Send()
 		return r, false
 	}
 	r.TableVersion = row.Version
--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -111,7 +111,13 @@
 // replace replaces the rows by a complete table. Rows that the table lacks were
 // removed at an unknown version; the latest possible one is recorded for them, so
 // that Since can still return the changes after earlier versions.
+//
+// A table of a later era lacks changes that copies of the earlier one have, so that
+// nothing leads from those to this one.
 func (s *Snapshot) replace(rows []ports.Row, version ports.Version) {
+	if version.Era() > s.AsOf.Era() {
+		s.rows, s.removed = nil, nil
+	}
 	if s.rows == nil {
 		s.From = version
 	}
@@ -154,11 +160,12 @@
 
 // OfferChanges applies the rows that changed in another daemon's copy after the
 // given version. It reports whether it did: it refuses if this copy has not
-// reached that version, which would leave a gap, or is already as new as v.
+// reached that version, which would leave a gap, is already as new as v, or is of
+// another era.
 func (f *Follower) OfferChanges(after ports.Version, rows []ports.Row, v Versions) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if after > f.copy.AsOf || v.AsOf <= f.copy.AsOf {
+	if after > f.copy.AsOf || v.AsOf <= f.copy.AsOf || v.AsOf.Era() != f.copy.AsOf.Era() {
 		return false
 	}
 	if len(rows) > 0 {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -315,6 +315,14 @@
 	if f.copy.AsOf != after {
 		return nil // a peer's copy was taken during the call; the next call starts from its version
 	}
+	switch era := version.Era(); {
+	case era > after.Era():
+		// The copy has changes that the platform has lost.
+		f.incremental, f.changed = false, false
+		return nil
+	case era < after.Era():
+		return eris.Wrapf(errStaleRead, "era %d after %d", era, after.Era())
+	}
 	if f.changed {
 		f.copy.apply(rows)
 		f.sink.Apply(time.Now(), rows, version)
@@ -442,7 +450,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if version < f.copy.AsOf {
-		return eris.Wrapf(errStaleRead, "version %d after %d", version, f.copy.AsOf)
+		return eris.Wrapf(errStaleRead, "version %d of era %d after %d of era %d",
+			version.Number(), version.Era(), f.copy.AsOf.Number(), f.copy.AsOf.Era())
 	}
 	f.replace(rows, version)
 	f.incremental, f.changed = true, true
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/ports"
 )
@@ -32,7 +34,8 @@
 
 // ReadAll returns all rows of a table and the version of the first page, so that
 // changes made while it read are returned again by a later call for changes. If a
-// page after the first is throttled, it retries that page.
+// page after the first is throttled, it retries that page. Pages of several eras make up
+// no table.
 func ReadAll(ctx context.Context, r Reader, rng *rand.Rand) ([]ports.Row, ports.Version, error) {
 	var rows []ports.Row
 	var version ports.Version
@@ -52,6 +55,9 @@
 		if first {
 			version, first = page.Version, false
 		}
+		if page.Version.Era() != version.Era() {
+			return nil, 0, eris.Wrapf(errStaleRead, "pages are of eras %d and %d", version.Era(), page.Version.Era())
+		}
 		throttled = 0
 		rows = append(rows, page.Rows...)
 		if page.Next == "" {
--- a/internal/peers/bootstrap.go
+++ b/internal/peers/bootstrap.go
@@ -62,6 +62,6 @@
 		line.Err(err)
 	}
 	line.Str("table", name).Str("seed", seed).Bool("taken", adopted).
-		Uint64("as_of", uint64(n.Tables[name].Versions().AsOf)).Send()
+		Uint64("as_of", n.Tables[name].Versions().AsOf.Number()).Send()
 	return adopted
 }
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -187,7 +187,7 @@
 
 func (n *Node) logReaderChange(table, reader string, asOf ports.Version) {
 	n.Log.Event(telemetry.TableReaderChanged).Str("table", table).Str("reader", reader).
-		Uint64("as_of", uint64(asOf)).Send()
+		Uint64("as_of", asOf.Number()).Send()
 }
 
 // fetchDelay is how long to wait for a change that a peer has to come from the
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -171,7 +171,7 @@
 	}
 	if !b.logged && !b.since.IsZero() && now.Sub(b.since) >= behindAlarm {
 		b.logged = true
-		n.Log.Event(telemetry.TableBehind).Str("table", name).Uint64("as_of", uint64(asOf)).Uint64("changed", uint64(b.changed)).
+		n.Log.Event(telemetry.TableBehind).Str("table", name).Uint64("as_of", asOf.Number()).Uint64("changed", b.changed.Number()).
 			Int64("behind_ms", now.Sub(b.since).Milliseconds()).Int("reads", b.reads).Int("failed", b.failed).
 			Str("reader", n.delegations[name].reader).Send()
 	}
@@ -201,7 +201,7 @@
 		line.Err(err)
 	}
 	line.Str("table", name).Str("peer", l.peer).Bool("taken", adopted).
-		Uint64("changed", uint64(l.changed)).Int64("lag_ms", time.Since(l.since).Milliseconds()).Send()
+		Uint64("changed", l.changed.Number()).Int64("lag_ms", time.Since(l.since).Milliseconds()).Send()
 	n.countRead(name, err)
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/ports/platform.go
+++ b/internal/ports/platform.go
@@ -38,8 +38,34 @@
 
 // Version is the table service's version of a row. It grows with each write
 // to any row. Zero means that the row does not exist.
+//
+// A service that is restored from an older copy of its data gives the numbers of the
+// lost writes out again. Its era counts the restorations and makes up the upper bits of
+// a Version, so that versions of a later era are the greater ones.
 type Version uint64
 
+const (
+	// numberBits is the number of bits of a Version's number.
+	numberBits = 44
+	maxNumber  = 1<<numberBits - 1
+	maxEra     = 1<<(64-numberBits) - 1
+)
+
+// NewVersion returns the version with a number of an era. It returns an error if either
+// is out of range.
+func NewVersion(era, number uint64) (Version, error) {
+	if era > maxEra || number > maxNumber {
+		return 0, fmt.Errorf("version %d of era %d is out of range", number, era)
+	}
+	return Version(era<<numberBits | number), nil
+}
+
+// Era returns the era to which the version belongs.
+func (v Version) Era() uint64 { return uint64(v) >> numberBits }
+
+// Number returns the version's number within its era.
+func (v Version) Number() uint64 { return uint64(v) & maxNumber }
+
 // Row is one row of the table service.
 type Row struct {
 	Key     string  `json:"key"`
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -109,6 +109,8 @@
 
 	UpstreamLoadInvalid = Event{"AD8017", "upstream_load_invalid", zerolog.WarnLevel, "An upstream sends a load that can't be read and has no effect; total counts all of them. At most one line in ten seconds."}
 
+	PlatformRestored = Event{"AD8018", "platform_restored", zerolog.WarnLevel, "The platform has come back from an older copy of its data; a table was read anew as of table_version of the new era."}
+
 	SettingsFinding = Event{"AD1012", "settings_finding", zerolog.WarnLevel, "A part of the settings can't be used; the daemon serves without it."}
 
 	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
@@ -129,7 +131,7 @@
 	UsageCollected, UsageReported, UsageMissed, UsageCallFailed, UsageCountsDropped, ClockStepHeld,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
-	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid, PlatformRestored,
 }
 
 // Log writes numbered events as JSON lines.
