Ignore registrations that are earlier than the known one

Cause: after a restoration the platform may list an upstream as ready that has since registered as draining. The list took whatever row came last of one incarnation, so that it would have got requests again.

Change: a registration of the same incarnation with a lower seq is ignored, as one of an earlier incarnation already was.

Test: TestEarlierRegistrationEndsNoDraining; without the comparison of seq the upstream serves again after the second registration.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -21,6 +21,8 @@
 	// Incarnation is the start time of the upstream's process. A process has none of
 	// the requests and caches of an earlier incarnation.
 	Incarnation domain.Incarnation
+	// Seq counts the registrations of an incarnation. Zero means that it is not stated.
+	Seq uint64
 	// SlowStart is how much longer the upstream says that it stays slow after its
 	// start. It falls from one registration of an incarnation to the next.
 	SlowStart time.Duration
@@ -88,11 +90,11 @@
 // least until t.
 func (v *Inventory) KeepRemovedUntil(t time.Time) { v.keepUntil = t }
 
-// Register adds or replaces a registration. It ignores a registration of an earlier
-// incarnation than the known one.
+// Register adds or replaces a registration. It ignores one that is earlier than the known
+// one, which a platform lists that was restored from an older copy of its data.
 func (v *Inventory) Register(r Registration) {
 	old := v.records[r.ID]
-	if old != nil && r.Incarnation < old.Incarnation {
+	if old != nil && r.earlierThan(old.Registration) {
 		return
 	}
 	state := Serving
@@ -190,6 +192,14 @@
 	return latest
 }
 
+// earlierThan reports whether an upstream registered r before other.
+func (r Registration) earlierThan(other Registration) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation < other.Incarnation
+	}
+	return r.Seq != 0 && r.Seq < other.Seq
+}
+
 // supersedes reports whether a process has taken over the address of an earlier one.
 // Both the start times, which come from the clocks of VMs and may disagree, and the
 // order of the registrations must show it.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -76,6 +76,28 @@
 	assert.Equal(t, got, Serving)
 }
 
+// Guards against requests to a draining upstream after the platform was restored from a
+// copy in which the upstream is not draining yet.
+func TestEarlierRegistrationEndsNoDraining(t *testing.T) {
+	v := New(grace)
+	draining := registration("a", 2)
+	draining.Draining, draining.Seq = true, 21
+	v.Register(draining)
+	restored := registration("a", 2)
+	restored.Seq = 1
+	v.Register(restored)
+	got, _ := stateOf(v, "a")
+	assert.Equal(t, got, Draining)
+	v.Replace(start, []Registration{restored})
+	got, _ = stateOf(v, "a")
+	assert.Equal(t, got, Draining)
+	again := registration("a", 3) // a later start counts anew
+	again.Seq = 1
+	v.Register(again)
+	got, _ = stateOf(v, "a")
+	assert.Equal(t, got, Serving)
+}
+
 // Guards against upstreams that stay listed although a complete list lacks them.
 func TestReplace(t *testing.T) {
 	v := New(grace)
