Keep removals that a reading of the whole table skips

Cause: a daemon whose copy is as of version a reads the whole table as of b. Rows that came and went between them are unknown to it, yet it told peers the changes since any version between a and b, and announced that nothing had changed. A member that had such a row kept it for good: an upstream that has left stays listed.

Ruled out for configurations: their row is never removed.

Change: a copy keeps the gaps of its readings (16 at most) and gives no changes since versions within them; a reading from the platform counts as a change of its version. Members whose copies are as of a gap's ends, which those are that follow the reader, still get changes only.

--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -22,8 +22,17 @@
 // Behind reports whether a copy at v lacks a change that a copy at other has.
 func (v Versions) Behind(other Versions) bool { return other.Changed > v.AsOf }
 
-// maxRemoved bounds the removed rows whose versions a copy keeps.
-const maxRemoved = 1000
+const (
+	// maxRemoved bounds the removed rows whose versions a copy keeps.
+	maxRemoved = 1000
+	// maxGaps bounds the gaps that a copy keeps.
+	maxGaps = 16
+)
+
+// gap is a range of versions, without its ends, that a reading of the whole table has
+// skipped. Rows that came and went within it are not known, so that a copy as of such a
+// version can't be brought up to date by changes.
+type gap struct{ from, to ports.Version }
 
 // Snapshot is a copy of a table.
 type Snapshot struct {
@@ -31,6 +40,7 @@
 	rows map[string]ports.Row
 	// removed holds the versions at which rows were removed after From.
 	removed map[string]ports.Version
+	gaps    []gap
 }
 
 // NewSnapshot returns a copy with the given rows.
@@ -83,7 +93,7 @@
 // Since returns the rows that changed after a version, in the order of their
 // versions. It returns false if the copy does not know all of them.
 func (s *Snapshot) Since(after ports.Version) ([]ports.Row, bool) {
-	if after < s.From {
+	if after < s.From || slices.ContainsFunc(s.gaps, func(g gap) bool { return g.from < after && after < g.to }) {
 		return nil, false
 	}
 	var out []ports.Row
@@ -116,10 +126,12 @@
 // nothing leads from those to this one.
 func (s *Snapshot) replace(rows []ports.Row, version ports.Version) {
 	if version.Era() > s.AsOf.Era() {
-		s.rows, s.removed = nil, nil
+		s.rows, s.removed, s.gaps = nil, nil, nil
 	}
 	if s.rows == nil {
 		s.From = version
+	} else {
+		s.addGap(gap{s.AsOf, version})
 	}
 	listed := make(map[string]bool, len(rows))
 	for _, r := range rows {
@@ -135,6 +147,17 @@
 	s.AsOf = version
 }
 
+func (s *Snapshot) addGap(g gap) {
+	if g.to <= g.from {
+		return
+	}
+	s.gaps = append(s.gaps, g)
+	if len(s.gaps) > maxGaps {
+		s.From = max(s.From, s.gaps[0].to)
+		s.gaps = slices.Delete(s.gaps, 0, 1)
+	}
+}
+
 // Versions returns the versions that the copy covers.
 func (f *Follower) Versions() Versions {
 	f.mu.Lock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -453,6 +453,10 @@
 		return eris.Wrapf(errStaleRead, "version %d of era %d after %d of era %d",
 			version.Number(), version.Era(), f.copy.AsOf.Number(), f.copy.AsOf.Era())
 	}
+	if f.copy.AsOf > 0 {
+		// Rows may have come and gone since the last reading.
+		f.copy.Changed = version
+	}
 	f.replace(rows, version)
 	f.incremental, f.changed = true, true
 	return nil
