Log software versions of upstreams and resumed attempts

The log could not say whether a stream that holds events of two versions was joined within a response or over the caller's attempts. Registrations now carry the version of the upstream's software, and AD2002 names it (software), the event after which the attempt goes on (last_event) and the attempt that the caller resumes (resumes). AD8007 names the version as well.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -260,7 +260,7 @@
 			s.inventory.Register(r)
 			s.log.Event(telemetry.UpstreamRegistered).
 				Str("upstream", row.Key).Str("service", r.Service).Str("address", r.Address).
-				Bool("draining", r.Draining).Uint64("incarnation", uint64(r.Incarnation)).
+				Str("software", r.SoftwareVersion).Bool("draining", r.Draining).Uint64("incarnation", uint64(r.Incarnation)).
 				Uint64("row_version", row.Version.Number()).Send()
 			continue
 		}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -14,6 +14,9 @@
 	Service string
 	Address string // IP:port
 	Zone    domain.AvailabilityZone
+	// SoftwareVersion is the version of the upstream's software. Versions have no order.
+	// Empty means that it is not stated.
+	SoftwareVersion string
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int
 	// Draining upstreams take no new requests.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -21,6 +21,9 @@
 		Str("service", q.service).
 		Str("upstream", string(c.Upstream.ID)).
 		Str("address", c.Upstream.Address).
+		Str("software", c.Upstream.SoftwareVersion).
+		Str("last_event", q.info.LastEventID).
+		Str("resumes", string(q.info.Resumes)).
 		Uint64("revision", uint64(q.table.Version)).
 		Int("rank", int(q.rank)).
 		Str("customer", string(q.customer)).
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -22,6 +22,9 @@
 	OutputTokens int
 	// LastEventID is the last event of the stream that the caller has received.
 	LastEventID string
+	// Resumes is the attempt of the caller that brought the first event of the stream
+	// that LastEventID is of. Empty if the caller does not say.
+	Resumes domain.RequestID
 }
 
 // ForwardInfo is what an upstream is told about a request.
