Resume a stream only at its software version

Cause: a broken stream was resumed at any upstream of the service; nothing read which version of its software an upstream runs.

Change: the first event that reaches the caller pins the request to the version of its upstream. Later attempts, and the decision whether another upstream can take a silent stream over, consider this version only. Without one the response is cut, so that it doesn't look complete. An attempt without an event pins nothing.

The raw upstreams of endless_test.go now state the version that the replicas beside them state.

Streams that callers take up in a new attempt are not covered yet.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -35,6 +35,18 @@
 	OutputTokens int
 	// Tried lists upstreams that must not be picked again.
 	Tried []domain.UpstreamID
+	// Pinned limits the pick to upstreams of SoftwareVersion.
+	Pinned          bool
+	SoftwareVersion string
+}
+
+// candidates returns the upstreams that may take a request. The caller holds mu.
+func (s *service) candidates(now time.Time, q Query) []*upstream {
+	all := s.upstreams
+	if q.Pinned {
+		all = slices.DeleteFunc(slices.Clone(all), func(u *upstream) bool { return u.SoftwareVersion != q.SoftwareVersion })
+	}
+	return eligible(all, now, q.Tried)
 }
 
 // Load is the load that an upstream reports about itself.
@@ -251,7 +263,7 @@
 	if s == nil {
 		return Choice{}, false
 	}
-	candidates := eligible(s.upstreams, now, q.Tried)
+	candidates := s.candidates(now, q)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -273,7 +285,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[q.Service]
-	return s != nil && len(eligible(s.upstreams, now, q.Tried)) > 0
+	return s != nil && len(s.candidates(now, q)) > 0
+}
+
+// SoftwareVersions returns the versions of a service's listed upstreams, sorted.
+func (b *Balancer) SoftwareVersions(serviceName string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[serviceName]
+	if s == nil {
+		return nil
+	}
+	var out []string
+	for _, u := range s.upstreams {
+		out = append(out, u.SoftwareVersion)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // RecordArrival adds a new request to the measured work. It is called once for each
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -54,9 +54,9 @@
 		return nil
 	}
 	var out []inventory.Entry
-	tried := slices.Clone(q.Tried)
+	q.Tried = slices.Clone(q.Tried)
 	for range polledUpstreams {
-		candidates := eligible(s.upstreams, now, tried)
+		candidates := s.candidates(now, q)
 		if len(candidates) == 0 {
 			break
 		}
@@ -64,7 +64,7 @@
 		if now.Sub(u.reportAt) > freshReportAge {
 			out = append(out, u.Entry)
 		}
-		tried = append(tried, u.ID)
+		q.Tried = append(q.Tried, u.ID)
 	}
 	return out
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -138,6 +138,8 @@
 		MaxGap:       q.route.MaxGap,
 		OutputTokens: q.info.OutputTokens,
 		Tried:        q.tried,
+
+		Pinned: q.pinned, SoftwareVersion: q.softwareVersion,
 	}
 }
 
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -83,7 +83,8 @@
 	}
 	for i, u := range raw {
 		entries = append(entries, inventory.Entry{Registration: inventory.Registration{
-			ID: domain.UpstreamID(fmt.Sprintf("raw-%03d", i)), Service: "app", Address: u.address, Zone: "here", Slots: 8,
+			SoftwareVersion: "v1",
+			ID:              domain.UpstreamID(fmt.Sprintf("raw-%03d", i)), Service: "app", Address: u.address, Zone: "here", Slots: 8,
 		}})
 	}
 	s.balancer.Update(time.Now(), entries, func(string) balancer.Engine { return balancer.Engine{} })
--- a/internal/relay/idle.go
+++ b/internal/relay/idle.go
@@ -60,6 +60,9 @@
 // replaceable reports whether another upstream can resume the stream.
 func (w *idleWatch) replaceable() bool {
 	q, now := w.attempt.q, time.Now()
+	if w.attempt.events.Load() > 0 {
+		w.query.Pinned, w.query.SoftwareVersion = true, w.attempt.choice.Upstream.SoftwareVersion
+	}
 	return q.route.Repeatable() && w.sends < q.route.MaxAttempts && q.remaining() >= minAttemptTime &&
 		q.h.Retries.Remaining(now, q.service) > 0 && q.h.Balancer.HasCandidate(now, w.query)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,6 +143,9 @@
 	tried         []domain.UpstreamID
 	// sends counts the upstreams that the request was sent to.
 	sends int
+	// pinned is set once the stream may go on only at upstreams of softwareVersion.
+	pinned          bool
+	softwareVersion string
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
 	outcome    outcome
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -185,11 +185,18 @@
 func (q *request) startStream(a *attempt) {
 	s := &q.outcome.stream
 	s.started = true
+	q.pin(a.choice.Upstream.SoftwareVersion)
 	q.outcome.firstEventLatency = time.Since(q.arrived)
 	q.h.Protocol.CopyResponseHeader(q.w.Header(), a.response.Header)
 	q.writeHeader(a.response.Status)
 }
 
+// pin limits the rest of the stream to upstreams of one software version: what two versions
+// write does not fit together.
+func (q *request) pin(softwareVersion string) {
+	q.pinned, q.softwareVersion = true, softwareVersion
+}
+
 // streamEnded handles the end of a complete stream. pending is what a stream without
 // events consists of.
 func (a *attempt) streamEnded(pending []byte) result {
