Take streams up only at the software version that began them

Cause: which version began a stream was known to nobody once the attempt had ended, and the attempt that the caller names was not read. With all daemons killed at once no daemon could know.

Ruled out as remedies: gossip (lost with all daemons), a version computed from the attempt's id (the versions change while streams last), a row for each stream (2,600 writes a second at the planned size). docs/decisions/0018 weighs them.

Change: internal/origin. Each daemon remembers at which version its resumable streams began. While a service has several versions it shares them through a row of its own in the platform's store, at most every 0.35 s. A stream whose version is not known, or whose version no upstream has any more, is refused with 503 at once; the attempt has not run. With one version nothing is written, and a take-up that the daemon does not know costs one call.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -67,6 +67,7 @@
 		Configuration: store.Configuration(),
 		Upstreams:     store.Replicas(),
 		Daemons:       store.Daemons(),
+		Streams:       store.Streams(),
 		ReadSettings:  read,
 		Log:           telemetry.NewLog(writer, zerolog.InfoLevel, string(s.Daemon)),
 		Metrics:       metrics,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/auburndyke/auburndyke/internal/bootclock"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/inventory"
+	"github.com/auburndyke/auburndyke/internal/origin"
 	"github.com/auburndyke/auburndyke/internal/peers"
 	"github.com/auburndyke/auburndyke/internal/quarantine"
 	"github.com/auburndyke/auburndyke/internal/relay"
@@ -92,6 +93,9 @@
 	// Daemons is the directory in which daemons find each other. Nil means that the
 	// daemon has no peers.
 	Daemons peers.Directory
+	// Streams is the table in which daemons share at which software versions streams
+	// began. Nil means that the daemon knows only its own.
+	Streams origin.Table
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
 	// Usage replaces what Duties give the metering of usage. Nil means that nothing is
@@ -113,7 +117,10 @@
 	shutdown shutdownState
 	callers  callerConns
 	// usage counts the requests of customers. Nil means that none are counted.
-	usage  *usage.Meter
+	usage   *usage.Meter
+	origins *origin.Keeper
+	// fleet is the number of daemons.
+	fleet  atomic.Int64
 	duties dutyRunner
 	guard  *connGuard
 	// requests is the parent of the contexts of all requests, and endRequests ends it.
@@ -146,6 +153,13 @@
 			inventory: inventory.New(removalGrace(s)),
 		},
 	}
+	if d.Streams != nil {
+		e.origins = origin.NewKeeper(origin.Options{
+			Daemon: string(s.Daemon), Table: d.Streams, WriteRate: s.PlatformWriteRate, Log: d.Log,
+			Daemons: func() int { return int(e.fleet.Load()) },
+		})
+		handler.Origins, e.state.origins = e.origins, e.origins
+	}
 	e.guard = newConnGuard(connLimits(s), d.Log, d.Metrics)
 	e.settings.Store(s)
 	e.duties = newDuties(s, d)
@@ -255,6 +269,9 @@
 	if e.usage != nil {
 		addLoop(&g, e.usage.Run)
 	}
+	if e.origins != nil {
+		addLoop(&g, e.origins.Run)
+	}
 	addLoop(&g, func(group context.Context) error { return e.awaitShutdown(group, ctx) })
 	return g.Run()
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -17,5 +17,6 @@
 // the retry slack.
 func (o peerObserver) SetTotal(service string, total balancer.Work, daemons int) {
 	o.Balancer.SetTotalWork(time.Now(), service, total)
+	o.e.fleet.Store(int64(daemons))
 	o.e.handler.Retries.SetFloor(relay.RetryFloor(o.e.settings.Load().RetrySlack, daemons))
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -33,6 +33,8 @@
 	// PlatformReadRate is the number of reads a second that the store allows all
 	// daemons together. Zero means unknown.
 	PlatformReadRate float64
+	// PlatformWriteRate is the same for writes.
+	PlatformWriteRate float64
 	// MemoryBytes and FileDescriptors are the limits of the process. Zero means
 	// unknown.
 	MemoryBytes     int64
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/httproute"
 	"github.com/auburndyke/auburndyke/internal/inventory"
+	"github.com/auburndyke/auburndyke/internal/origin"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/relay"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
@@ -47,6 +49,8 @@
 	readyLogged bool
 	// loggedSuperseded holds the superseded upstreams that are logged.
 	loggedSuperseded map[domain.UpstreamID]domain.Incarnation
+	// origins learns the software versions of the listed upstreams. It may be nil.
+	origins *origin.Keeper
 	// eras holds the platform's era of each table.
 	eras map[string]uint64
 	// onChange is called when a table has changed. It may be nil.
@@ -129,6 +133,7 @@
 	table := s.handler.Table()
 	entries := s.inventory.Entries()
 	s.logSuperseded(entries)
+	s.observeVersions(entries)
 	s.balancer.Update(time.Now(), entries, func(service string) balancer.Engine {
 		if table == nil {
 			return balancer.Engine{}
@@ -147,6 +152,20 @@
 	s.armExpiry()
 }
 
+// observeVersions passes the software versions of the listed upstreams on.
+func (s *state) observeVersions(entries []inventory.Entry) {
+	if s.origins == nil {
+		return
+	}
+	versions := make(map[string][]string)
+	for _, e := range entries {
+		if !slices.Contains(versions[e.Service], e.SoftwareVersion) {
+			versions[e.Service] = append(versions[e.Service], e.SoftwareVersion)
+		}
+	}
+	s.origins.Observe(time.Now(), versions)
+}
+
 // logSuperseded logs the upstreams that have lost their addresses to later processes
 // since the last list. The caller holds mu.
 func (s *state) logSuperseded(entries []inventory.Entry) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -83,7 +83,7 @@
 		return
 	}
 	q.h.Balancer.RecordArrival(q.arrived, q.query())
-	if q.shedIfLate() {
+	if q.shedIfLate() || !q.pinToOrigin() {
 		return
 	}
 	for {
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -24,6 +24,11 @@
 	reasonTimeout         = "timeout"
 	reasonRetryBudget     = "retry_budget"
 	reasonBrokenResponse  = "broken_answer"
+	// reasonUnknownSoftware means that it is not known at which software version the
+	// stream began that the caller takes up, and reasonSoftwareGone that no upstream of
+	// that version takes requests.
+	reasonUnknownSoftware = "unknown_software_version"
+	reasonSoftwareGone    = "software_version_gone"
 	reasonTooLate         = "too_late"
 	// reasonCrashesUpstreams means that a part of the prompt has crashed upstreams.
 	reasonCrashesUpstreams = "crashes_upstreams"
@@ -157,6 +162,8 @@
 		q.respond(http.StatusGatewayTimeout, reasonTimeout)
 	case q.mayHaveRun:
 		q.respond(http.StatusBadGateway, reason)
+	case q.versionGone():
+		q.respond(http.StatusServiceUnavailable, reasonSoftwareGone)
 	default:
 		q.refuse(http.StatusServiceUnavailable, reason, q.noUpstreamRetryAfter())
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,8 +35,8 @@
 	returnMargin = 20 * time.Millisecond
 )
 
-// Options configures a Handler. All fields but OnListOutdated, Quarantine and CountUsage
-// are required.
+// Options configures a Handler. All fields but OnListOutdated, Quarantine, Origins and
+// CountUsage are required.
 type Options struct {
 	Protocol Protocol
 	Balancer *balancer.Balancer
@@ -51,6 +51,9 @@
 	// handler decides by its own requests. The tracker must pass its changes to
 	// Handler.PartChanged.
 	Quarantine *quarantine.Tracker
+	// Origins says at which software version streams began. Nil means that streams can be
+	// taken up while one version is listed.
+	Origins Origins
 	// CountUsage counts a request of a customer that began to run. Nil means that nothing is
 	// counted.
 	CountUsage func(domain.CustomerID)
@@ -78,6 +81,9 @@
 	if h.Quarantine == nil {
 		h.Quarantine = quarantine.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), h.PartChanged)
 	}
+	if h.Origins == nil {
+		h.Origins = listedVersions{o.Balancer}
+	}
 	return h
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -186,6 +186,7 @@
 	s := &q.outcome.stream
 	s.started = true
 	q.pin(a.choice.Upstream.SoftwareVersion)
+	q.recordOrigin(a.choice.Upstream.SoftwareVersion)
 	q.outcome.firstEventLatency = time.Since(q.arrived)
 	q.h.Protocol.CopyResponseHeader(q.w.Header(), a.response.Header)
 	q.writeHeader(a.response.Status)
@@ -211,6 +212,9 @@
 			return a.callerWriteFailed(err)
 		}
 	}
+	if q.resumable() {
+		q.h.Origins.End(time.Now(), q.originID())
+	}
 	return delivered
 }
 
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -111,6 +111,9 @@
 
 	PlatformRestored = Event{"AD8018", "platform_restored", zerolog.WarnLevel, "The platform has come back from an older copy of its data; a table was read anew as of table_version of the new era."}
 
+	SoftwareVersionsMixed = Event{"AD8019", "software_versions_mixed", zerolog.InfoLevel, "Upstreams of several software versions of a service are in service; the daemon shares at which one its streams began."}
+	OriginsNotShared      = Event{"AD8020", "origins_not_shared", zerolog.WarnLevel, "The table that says at which software versions streams began could not be read or written; streams of other daemons can't be taken up meanwhile while several versions serve."}
+
 	SettingsFinding = Event{"AD1012", "settings_finding", zerolog.WarnLevel, "A part of the settings can't be used; the daemon serves without it."}
 
 	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
@@ -131,7 +134,7 @@
 	UsageCollected, UsageReported, UsageMissed, UsageCallFailed, UsageCountsDropped, ClockStepHeld,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
-	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid, PlatformRestored,
+	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid, PlatformRestored, SoftwareVersionsMixed, OriginsNotShared,
 }
 
 // Log writes numbered events as JSON lines.
