Break an answer without a length if its request is reset

Cause: an upstream answers a long upload at once without a length and resets the connection while the request is still being written. The system reports the reset once. If the writer gets it, the reader gets the end of the stream, which is how such an answer ends when it is complete.

Ruled out: bodies with a length or chunks, whose end is not that of the connection; requests of up to 8 KB, which are written before the answer is read.

Change: at the end of an answer without a length the reader waits until the request is written, at most 1 s, and breaks the answer off unless that succeeds. An upstream that only ends its own side and reads on still gives a complete answer.

--- a/internal/adapters/upstreamhttp/exchange.go
+++ b/internal/adapters/upstreamhttp/exchange.go
@@ -24,8 +24,14 @@
 	maxStray = 3
 	// maxInformational bounds the 1xx answers before the final one.
 	maxInformational = 5
+	// writtenTimeout is how long the request may still be written after the end of the
+	// connection's other direction, if that is to end the answer.
+	writtenTimeout = time.Second
 )
 
+// errNotWritten means that the connection ended before the request was written.
+var errNotWritten = errors.New("connection ended before the request was written")
+
 // ErrForeignAnswer means that the answer on the connection belongs to another
 // request.
 var ErrForeignAnswer = errors.New("answer belongs to another request")
@@ -80,7 +86,8 @@
 	conn      *conn
 	pool      *Pool
 	stop      func() bool
-	written   <-chan error // nil when the request was written in full
+	written   <-chan error // nil when the request was written, or has failed, with writeErr
+	writeErr  error
 	keepAlive time.Duration
 	reusable  bool
 	complete  bool
@@ -215,14 +222,39 @@
 }
 
 // Read reads the body. It returns io.EOF only at the body's end.
+//
+// A reset is reported once, to the reader or to the writer of a connection. The reader of
+// a body that only the connection's end delimits must therefore not take it for complete
+// before it knows that the writer has not got the report.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
+	if err == io.EOF && a.Unframed {
+		if cause := a.awaitWritten(writtenTimeout); cause != nil {
+			return n, eris.Wrap(errors.Join(io.ErrUnexpectedEOF, cause), "reading an answer without a length")
+		}
+	}
 	if err == io.EOF {
 		a.complete = true
 	}
 	return n, err
 }
 
+// awaitWritten waits until the request is written and returns the error of that.
+func (a *Answer) awaitWritten(timeout time.Duration) error {
+	if a.written == nil {
+		return a.writeErr
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case a.writeErr = <-a.written:
+	case <-timer.C:
+		a.writeErr = errNotWritten
+	}
+	a.written = nil
+	return a.writeErr
+}
+
 // SetReadDeadline bounds the next reads of the body.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.SetReadDeadline(t) }
 
@@ -241,7 +273,7 @@
 // requestWritten reports whether the whole request is written already.
 func (a *Answer) requestWritten() bool {
 	if a.written == nil {
-		return true
+		return a.writeErr == nil
 	}
 	select {
 	case err := <-a.written:
