Take no status outside 100 to 599 for an answer

Cause: the parser of the standard library accepts any three digits. A status below 100 counted as an informational answer and was skipped, so that the bytes behind it were taken for the final answer; 600 to 999 were relayed.

Change: such an answer ends its connection as bytes that are no answer do.

--- a/internal/adapters/upstreamhttp/exchange.go
+++ b/internal/adapters/upstreamhttp/exchange.go
@@ -24,6 +24,9 @@
 	maxStray = 3
 	// maxInformational bounds the 1xx answers before the final one.
 	maxInformational = 5
+	// minStatus and maxStatus are the least and the greatest status of HTTP.
+	minStatus = 100
+	maxStatus = 599
 	// writtenTimeout is how long the request may still be written after the end of the
 	// connection's other direction, if that is to end the answer.
 	writtenTimeout = time.Second
@@ -36,6 +39,9 @@
 // request.
 var ErrForeignAnswer = errors.New("answer belongs to another request")
 
+// ErrInvalidStatus means that the connection brought a status that is none of HTTP.
+var ErrInvalidStatus = errors.New("answer's status is none of HTTP")
+
 // SendError is a request that got no answer.
 type SendError struct {
 	// Sent reports whether any byte of the request may have been sent.
@@ -214,7 +220,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 200 {
+		switch {
+		case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+			return nil, eris.Wrapf(ErrInvalidStatus, "status %03d", resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
