Draw software versions and restorations in the soak

The soak now replaces replicas by ones of other software versions, kills all daemons at once, restores the store from a copy 0.1 to 2.1 s old, and lets callers take broken streams up at another daemon. Events name the version that wrote them, so that a stream joined from two is a problem, within a response or over a caller's attempts.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -86,19 +88,44 @@
 		}
 		return nil
 	}
+	version := e.firstVersion()
+	if e.resumes != nil {
+		version = e.resumes.firstVersion()
+	}
 	var whole strings.Builder
-	for n := 1; n <= streamEvents; n++ {
-		fmt.Fprintf(&whole, "id: %d\ndata: %s part %d\n\n", n, e.id, n)
+	for n := e.last + 1; n <= streamEvents; n++ {
+		fmt.Fprintf(&whole, "id: %d\ndata: %s part %d of %s\n\n", n, e.id, n, version)
 	}
 	switch {
 	case e.err == nil && e.body != whole.String():
-		return []problem{{fmt.Sprintf("stream ends as complete with %q", e.body), e.id}}
+		return []problem{{fmt.Sprintf("stream of %s ends as complete with %q", version, e.body), e.id}}
 	case !strings.HasPrefix(whole.String(), e.body):
-		return []problem{{fmt.Sprintf("stream has gaps or repeats: %q", e.body), e.id}}
+		return []problem{{fmt.Sprintf("stream of %s has gaps, repeats or another version: %q", version, e.body), e.id}}
 	}
 	return nil
 }
 
+// event is an event of a stream with the software version that wrote it.
+var event = regexp.MustCompile(`id: (\d+)\ndata: \S+ part \d+ of (\S+)\n\n`)
+
+// firstVersion returns the software version that wrote the first event.
+func (e *exchange) firstVersion() string {
+	if first := event.FindStringSubmatch(e.body); first != nil {
+		return first[2]
+	}
+	return ""
+}
+
+// lastEvent returns the number of the last complete event, or zero.
+func (e *exchange) lastEvent() int {
+	all := event.FindAllStringSubmatch(e.body, -1)
+	if len(all) == 0 {
+		return 0
+	}
+	n, _ := strconv.Atoi(all[len(all)-1][1]) // digits
+	return n
+}
+
 // checkRuns looks for runs that nobody asked for or that differ from what was
 // asked.
 func (f *fleet) checkRuns(runs map[string][]standin.Run, all []*exchange) []problem {
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,6 +42,9 @@
 	leaving string
 	headAt  time.Time
 	err     error // the connection failed before the answer's end
+	// resumes is the attempt whose stream this one takes up behind the event last, or nil.
+	resumes *exchange
+	last    int
 }
 
 // load sends requests until stopped and keeps all exchanges.
@@ -71,7 +75,12 @@
 				if n%leaving == 0 && !l.patient {
 					wait = patience
 				}
-				l.add(l.sendFor(wait, client, d, routes[n%len(routes)]))
+				e := l.sendFor(wait, client, d, routes[n%len(routes)], nil)
+				l.add(e)
+				if last := e.lastEvent(); e.route == "/resume/" && e.err != nil && last > 0 && last < streamEvents && wait > patience {
+					// Another daemon, as after a failure of this one.
+					l.add(l.sendFor(wait, client, f.daemons[(i+1)%len(f.daemons)], e.route, e))
+				}
 				time.Sleep(pause)
 			}
 		})
@@ -93,13 +102,14 @@
 
 // send makes one request and reads its answer to the end.
 func (l *load) send(client *http.Client, d *daemon, route string) *exchange {
-	return l.sendFor(routeTimeout+answerSlack, client, d, route)
+	return l.sendFor(routeTimeout+answerSlack, client, d, route, nil)
 }
 
-// sendFor is send by a caller who leaves after a time.
-func (l *load) sendFor(wait time.Duration, client *http.Client, d *daemon, route string) *exchange {
+// sendFor is send by a caller who leaves after a time, and who takes up the stream of an
+// earlier attempt unless that is nil.
+func (l *load) sendFor(wait time.Duration, client *http.Client, d *daemon, route string, resumes *exchange) *exchange {
 	e := &exchange{
-		id: fmt.Sprintf("%s-%d", l.prefix, l.next.Add(1)), route: route, daemon: d, run: d.run(), sent: time.Now(),
+		id: fmt.Sprintf("%s-%d", l.prefix, l.next.Add(1)), route: route, daemon: d, run: d.run(), sent: time.Now(), resumes: resumes,
 	}
 	defer func() { e.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
@@ -122,6 +132,11 @@
 	req.Host = host
 	req.Header.Set("X-Attempt-Id", e.id)
 	req.Header.Set("Authorization", "Bearer "+apiKey)
+	if resumes != nil {
+		e.last = resumes.lastEvent()
+		req.Header.Set("Resumes", resumes.id)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(e.last))
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		e.err = err
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -62,12 +62,16 @@
 
 // crash ends the replica and starts another one, with another id, at its address.
 // It returns the id of the one that ended.
-func (u *upstream) crash(f *fleet) string {
+func (u *upstream) crash(f *fleet) string { return u.replace(f, u.replica().SoftwareVersion) }
+
+// replace is crash with another software version of the replica that follows.
+func (u *upstream) replace(f *fleet, version string) string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	old := u.replicas[len(u.replicas)-1]
 	next, err := old.Restart(fmt.Sprintf("%s.%d", u.replicas[0].ID, len(u.replicas)))
 	assert.NilError(f.t, err)
+	next.SoftwareVersion = version
 	next.Set(u.usual())
 	u.replicas = append(u.replicas, next)
 	return old.ID
@@ -147,6 +151,8 @@
 
 	mu      sync.Mutex
 	version int
+	// config is the newest version as it was written.
+	config []byte
 }
 
 // maxSeeds is the number of seeds that the platform names.
@@ -229,7 +235,7 @@
 // usual is an upstream's behaviour without a fault.
 func (u *upstream) usual() standin.Behaviour {
 	if u.service == "model" {
-		return standin.Behaviour{Events: streamEvents, Work: 10 * time.Millisecond}
+		return standin.Behaviour{Events: streamEvents, Work: 10 * time.Millisecond, NameVersion: true}
 	}
 	return standin.Behaviour{Work: 10 * time.Millisecond}
 }
@@ -274,6 +280,7 @@
 		"tenants":  []map[string]any{{"name": "soaker", "api_keys": []string{apiKey}}},
 	})
 	assert.NilError(f.t, err)
+	f.config = data
 	f.store.Put("op", "config", data)
 	return f.version
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -78,7 +78,7 @@
 }
 
 func soak(t *testing.T, binary string, seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 0))
+	rng, rarer := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1))
 	f := startFleet(t, binary, daemons(t))
 	run := startLoad(f, "a", false)
 	watch := &versions{fleet: f, load: run, highest: make(map[string]int), written: map[int]time.Time{1: time.Now()}}
@@ -92,6 +92,10 @@
 			t.Logf("%5d ms %s", time.Since(started).Milliseconds(), name)
 			faults.Go(fault)
 		}
+		if name, fault := drawRarer(rarer, f); fault != nil {
+			t.Logf("%5d ms %s", time.Since(started).Milliseconds(), name)
+			faults.Go(fault)
+		}
 		time.Sleep(time.Duration(100+rng.IntN(500)) * time.Millisecond)
 		problems = append(problems, watch.look(client)...)
 	}
@@ -157,9 +161,7 @@
 		u.proxy.reset()
 		u.replica().Set(u.usual())
 		f.register(u, "ready")
-		for _, old := range u.replicas[:len(u.replicas)-1] {
-			f.store.Drop("servers", old.ID)
-		}
+		f.dropEnded(u)
 	}
 }
 
@@ -283,6 +285,56 @@
 	}
 }
 
+// drawRarer picks a fault of those that have a source of random numbers of their own, so
+// that the others of a seed stay the same. It returns nil for none.
+func drawRarer(rng *rand.Rand, f *fleet) (string, func()) {
+	u := f.upstreams[rng.IntN(len(f.upstreams))]
+	age := time.Duration(100+rng.IntN(2000)) * time.Millisecond
+	switch rng.IntN(8) {
+	case 0, 1:
+		version := fmt.Sprintf("v%d", 1+rng.IntN(3))
+		return fmt.Sprintf("%s is replaced by one of version %s", u.replica().ID, version), func() {
+			old := u.replace(f, version)
+			f.register(u, "ready")
+			time.Sleep(lapseTime)
+			f.store.Drop("servers", old)
+		}
+	case 2:
+		return fmt.Sprintf("the store comes back from a copy that is %s old", age), func() { f.restoreStore(age) }
+	case 3:
+		return "all daemons are killed at once", func() { restartAll(f, f.daemons) }
+	}
+	return "", nil
+}
+
+// restoreStore brings the store back from an older copy. The operator and the upstreams
+// write again what they had written.
+func (f *fleet) restoreStore(age time.Duration) {
+	for _, d := range f.daemons {
+		d.disturbed(time.Now())
+	}
+	f.store.RestoreAge(age)
+	f.mu.Lock()
+	f.store.Put("op", "config", f.config)
+	f.mu.Unlock()
+	for _, u := range f.upstreams {
+		f.register(u, "ready")
+	}
+	time.Sleep(lapseTime)
+	for _, u := range f.upstreams {
+		f.dropEnded(u)
+	}
+}
+
+// dropEnded removes the registrations of the replicas that ran at an address before.
+func (f *fleet) dropEnded(u *upstream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, old := range u.replicas[:len(u.replicas)-1] {
+		f.store.Drop("servers", old.ID)
+	}
+}
+
 // pick returns n random daemons.
 func pick(rng *rand.Rand, all []*daemon, n int) []*daemon {
 	out := make([]*daemon, 0, n)
