Get changes that a reader can't deliver from the platform

Cause, from its log (AD4010, AD4007): a configuration with 1,392 more routes. The zone's reader has it first. Its whole group reads it from its slow link at once, and all time out after 1 s. A failed read ended the reliance on a reader only if that reader was the peer. By then other daemons that lacked the change as well had announced their copies as current and been accepted, so that the daemons, which knew of the change, relied on one after the other of them and did not ask the platform.

Change: a daemon that knows of a change refuses readers that lack it, and does not announce its own copy; a failed read of any peer is followed by a call to the platform; a change of 32 KB and more is sent to two peers at once, the others ask the platform.

--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -36,7 +36,7 @@
 	// soloWait is the same for a daemon that reads only for itself.
 	soloWait = 5 * time.Second
 	// delegationBackoff is how long a daemon reads a table itself after a failed
-	// read of its group reader's copy.
+	// read of a peer's copy.
 	delegationBackoff = 5 * time.Second
 )
 
@@ -164,6 +164,8 @@
 	// is too large for one daemon to send to its whole group. It may have asked the
 	// platform less recently than this daemon, if it lacks none of its changes.
 	covers := own.AsOf > 0 && ports.Version(state.From) <= own.AsOf && own.Changed <= asOf
+	// Nor may it lack a change that other peers have.
+	covers = covers && n.backlogs[state.Name].changed <= asOf
 	readAt := now.Add(-state.Age)
 	// A reader asks for nothing while it collects changes.
 	maxAge := maxReaderAge + table.CoalesceDelay()
@@ -207,8 +209,8 @@
 	return table.CoalesceDelay() + platformGrace
 }
 
-// blockDelegation ends the delegation of a table after a failed read of its
-// reader's copy. The caller holds mu.
+// blockDelegation ends the delegation of a table after a failed read of a peer's
+// copy. The caller holds mu.
 func (n *Node) blockDelegation(now time.Time, table string) {
 	n.delegations[table] = delegation{blockedUntil: now.Add(delegationBackoff)}
 }
@@ -238,13 +240,20 @@
 			continue
 		}
 		table.SetWait(readerWait)
-		if table.ReadsPlatform(now) {
+		if table.ReadsPlatform(now) && !n.behind(name) {
 			tables = append(tables, describeTable(name, table, table.Age(now)))
 		}
 	}
 	return tables, dependents
 }
 
+// behind reports whether the daemon knows that its copy of a table lacks a change.
+func (n *Node) behind(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.backlogs[name].changed > n.Tables[name].Versions().AsOf
+}
+
 // tablesPassedOn returns the tables that another daemon reads for this one and has
 // just announced, and the daemons to which they are passed on.
 func (n *Node) tablesPassedOn(now time.Time) (tables []TableState, members []string) {
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -96,6 +96,7 @@
 func (*fixedTable) Unavailable(time.Time) bool   { return false }
 func (*fixedTable) SetWait(time.Duration)        {}
 func (*fixedTable) CoalesceDelay() time.Duration { return 0 }
+func (*fixedTable) Refresh()                     {}
 func (*fixedTable) RepeatCall()                  {}
 
 // startNode runs a node and serves its copies over HTTP at the address at which
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -30,10 +30,12 @@
 	maxCopyHeaderBytes = 32 << 10
 	// maxCopyBytes limits the size of a peer's copy.
 	maxCopyBytes = 16 << 20
-	// maxFullCopies is the number of full copies that are sent concurrently. At
-	// 3,000 upstreams, one takes a second of the slowest link (10 Mbit/s) and
-	// some megabytes of memory.
+	// maxFullCopies is the number of full copies, and of changes of at least
+	// largeCopyBytes, that are sent concurrently. At 3,000 upstreams, a full copy
+	// takes a second of the slowest link (10 Mbit/s) and some megabytes of memory.
 	maxFullCopies = 2
+	// largeCopyBytes takes 25 ms of the slowest link.
+	largeCopyBytes = 32 << 10
 	// maxCopyPeers limits the peer addresses that are sent with a copy.
 	maxCopyPeers = 16
 	// behindAlarm is how long a daemon may know that its copy lacks a change before it
@@ -68,6 +70,9 @@
 	// CoalesceDelay is how long after a change the daemon collects further ones
 	// before it reads them.
 	CoalesceDelay() time.Duration
+	// Refresh makes the follower ask the platform now instead of at the end of a pause
+	// or a delegation.
+	Refresh()
 	// RepeatCall ends a call to the platform that has not responded, and makes it
 	// again.
 	RepeatCall()
@@ -207,8 +212,11 @@
 	defer n.mu.Unlock()
 	n.lags[name] = lag{}
 	delegation := n.delegations[name]
-	if err != nil && delegation.reader == l.peer {
+	if err != nil {
+		// The platform gives the change to each daemon at once. Another peer may be as
+		// slow as this one, from which many read.
 		n.blockDelegation(time.Now(), name)
+		n.Tables[name].Refresh()
 	}
 	if adopted && !time.Now().Before(delegation.expires) {
 		// The daemon's own call should have returned the change.
@@ -292,13 +300,15 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	rows, versions, partial := table.Since(ports.Version(after))
-	if !partial {
+	if !partial || rowBytes(rows) >= largeCopyBytes {
 		select {
 		case n.fullCopies <- struct{}{}:
 			defer func() { <-n.fullCopies }()
 		default:
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
+	}
+	if !partial {
 		s := table.Snapshot()
 		rows, versions = s.Rows(), s.Versions
 	}
@@ -312,3 +322,12 @@
 	}
 	return c.Blob(http.StatusOK, "application/cbor", data)
 }
+
+// rowBytes returns the approximate size of encoded rows.
+func rowBytes(rows []ports.Row) int {
+	size := 0
+	for _, r := range rows {
+		size += len(r.Key) + len(r.Value)
+	}
+	return size
+}
