--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -29,12 +29,12 @@
 	// change. The group depends on the reader, so it has to notice sooner than
 	// others that the platform is silent.
 	readerWait = 2 * time.Second
+	// soloWait is the same for a daemon that reads only for itself.
+	soloWait = 5 * time.Second
 	// maxReaderAge is how old the knowledge of a reader may be. Until its call has
 	// timed out, it can't tell a platform without changes from one that does not
 	// respond to it.
 	maxReaderAge = readerWait + time.Second
-	// soloWait is the same for a daemon that reads only for itself.
-	soloWait = 5 * time.Second
 	// delegationBackoff is how long a daemon reads a table itself after a failed
 	// read of a peer's copy.
 	delegationBackoff = 5 * time.Second
