Answer requests that arrive while serve stops

What callers saw: a request to a daemon (`serve`) that stops was cut without an answer, if its header was read after the stop had begun.

Cause: http.Server.Shutdown. A connection whose header is complete after Shutdown has begun is closed without a response; an edge does not use it for that reason, serve did. Class: a library's graceful stop that drops what is on its way.

Change: Drain closes the listener, waits until Serve has returned, so that every accepted connection is known, and then until no connection has a request or is still to send its first one; only then it calls Shutdown. From the signal on, each response closes its connection, so that callers leave during the lame-duck time.

--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -62,17 +62,22 @@
 
 // NewServer returns an HTTP server for callers. The caller of NewServer
 // chooses the listener and the TLS configuration.
-func NewServer(gateway Gateway, options Options) *http.Server {
+func NewServer(gateway Gateway, options Options) *Server {
 	s := &server{gateway: gateway, options: options.withDefaults()}
-	return &http.Server{
-		Handler:           s.routes(),
+	router := s.routes()
+	out := &Server{served: make(chan struct{})}
+	router.Use(out.closeWhenDraining)
+	out.Server = &http.Server{
+		Handler:           router,
+		ConnState:         out.onConnState,
 		ReadHeaderTimeout: s.options.HeaderTimeout,
 		IdleTimeout:       s.options.IdleTimeout,
 		MaxHeaderBytes:    s.options.MaxHeaderBytes,
 	}
+	return out
 }
 
-func (s *server) routes() http.Handler {
+func (s *server) routes() *echo.Echo {
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
--- a/internal/capacity/relay.go
+++ b/internal/capacity/relay.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	r.servers = append(r.servers, server)
+	r.servers = append(r.servers, server.Server)
 	r.daemon = "http://" + l.Addr().String()
 	go func() { _ = server.Serve(l) }()
 	return nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,7 +98,7 @@
 	// cacheBudget bounds the traffic of cache events, in bytes.
 	cacheBudget *rate.Limiter
 	applying    sync.Mutex // serializes changes of the request path's snapshot
-	callers     *http.Server
+	callers     *callerhttp.Server
 	// requests is the parent of the contexts of all requests, and endRequests ends it.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -230,6 +230,7 @@
 func (d *Daemon) shutdown() {
 	d.cfg.Log.Event(telemetry.ShutdownStarted).Int("in_progress", d.gateway.InProgress()).Msg("")
 	d.gateway.Retire()
+	d.callers.DisableKeepAlives()
 	time.Sleep(d.cfg.LameDuck)
 	d.gateway.StopAccepting()
 	bound, cancel := context.WithTimeout(context.Background(), d.cfg.ShutdownBound)
@@ -238,10 +239,10 @@
 	waiting, stopWaiting := context.WithTimeout(bound, d.cfg.ShutdownBound-finalAnswerTime)
 	defer stopWaiting()
 	ended, cut := 0, 0
-	if d.callers.Shutdown(waiting) != nil {
+	if d.callers.Drain(waiting) != nil {
 		ended = d.gateway.InProgress()
 		d.endRequests(gateway.ErrStopping)
-		if d.callers.Shutdown(bound) != nil {
+		if d.callers.Drain(bound) != nil {
 			cut = d.gateway.InProgress()
 			_ = d.callers.Close() // the bound is over
 		}
--- a/internal/dev/stop_test.go
+++ b/internal/dev/stop_test.go
@@ -1,8 +1,12 @@
 package dev
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -52,3 +56,44 @@
 	assert.NilError(t, stopping.Stop())
 	work.Wait()
 }
+
+// Guards against a planned stop that closes the connection of a request whose header it
+// is still reading.
+func TestStopAnswersRequestThatIsArriving(t *testing.T) {
+	fleet := startFleet(t, Options{Daemons: 2, Edit: wideOpen, ShutdownBound: 10 * time.Second})
+	stopping := fleet.Members[0]
+	address := strings.TrimPrefix(stopping.URL, "http://")
+	body := generationBody("caller", 60)
+	request, err := http.NewRequest(http.MethodPost, stopping.URL+"/v1/completions", bytes.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Auburndyke-Class", "guest-question")
+	var header bytes.Buffer
+	assert.NilError(t, request.Write(&header))
+	caller, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = caller.Close() }()
+	first, rest := header.Bytes()[:20], header.Bytes()[20:] // within the first line
+	_, err = caller.Write(first)
+	assert.NilError(t, err)
+	// Connections are accepted in their order.
+	probe, err := http.Get(stopping.URL + "/healthz")
+	assert.NilError(t, err)
+	_ = probe.Body.Close()
+	stopping.BeginStop()
+	waitFor(t, 5*time.Second, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	_, err = caller.Write(rest)
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(caller), request)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, response.Header.Get("Auburndyke-Outcome"), string(domain.OutcomeNotRun))
+	assert.Equal(t, response.Close, true)
+	assert.NilError(t, stopping.Stop())
+}
