Keep generation numbers and holders apart over a restored store

Cause: the lease trusted its row. Tokens were the row's plus one, a daemon that found its own earlier row took it for its own lease, no row meant that nobody had ever held it, and versions of the duties' table were numbers without the era, so that a number that was given out twice looked unchanged.

Change: versions of this table carry the era, and a key without a row has the era's version 0. A takeover in an era above 0 takes at least the version of the row as token. An own row of another era, or no row in an era above 0, is taken over like that of another holder. A write that succeeded in another era than that of its condition grants nothing; an answer of an earlier era is a failed call; a term ends after two restorations.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -194,8 +194,11 @@
 	ctx, cancel := context.WithTimeout(ctx, h.lease.cfg.CallTimeout)
 	defer cancel()
 	rows, err := h.table.Get(ctx, a.Key)
-	if err != nil || len(rows) == 0 {
+	switch {
+	case err != nil || len(rows) == 0:
 		return RowRead{Err: err}
+	case rows[0].Deleted:
+		return RowRead{Version: rows[0].Version}
 	}
 	record, err := decode(rows[0])
 	return RowRead{Record: &record, Version: rows[0].Version, Err: err}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -128,7 +128,7 @@
 	// Tick reports only that time has passed.
 	Tick struct{}
 	// RowRead is the result of ReadRow. Record is nil when the row does not
-	// exist.
+	// exist. Version then has the number zero.
 	RowRead struct {
 		Record  *Record
 		Version ports.Version
@@ -191,11 +191,15 @@
 	standsBack   bool // does not compete
 	failures     int
 	takenOverAt  time.Time
+	// era is the latest one in which the row was read or written.
+	era uint64
 
-	// The latest write, which may be in flight or of unknown outcome.
+	// The latest write, which may be in flight or of unknown outcome, and the version
+	// that it expects.
 	writeCount int
 	sentAt     time.Time
 	lastWrite  Record
+	expected   ports.Version
 
 	// The version of another holder's row, and when it was first read.
 	observed      ports.Version
@@ -277,6 +281,7 @@
 	l.callInFlight = true
 	l.writeCount++
 	l.sentAt = now
+	l.expected = expect
 	l.lastWrite = Record{
 		Holder:  holder,
 		Token:   token,
@@ -290,12 +295,12 @@
 	if l.released {
 		return nil
 	}
-	if e.Err == nil && l.lastWrite.WriteID != "" {
-		return l.setTerm(now, e.Version)
-	}
 	if e.Err == nil {
+		if l.lastWrite.WriteID != "" && l.grants(e.Version) {
+			return l.setTerm(now, e.Version)
+		}
 		l.nextCallAt = now
-		return nil
+		return l.doubtWrite()
 	}
 	var conflict *ports.ConflictError
 	l.failures++
@@ -306,11 +311,28 @@
 	return nil
 }
 
+// grants reports whether the last write, which has led to a version, grants a term. A
+// table that was restored meanwhile compared the expected version with numbers that it
+// gives out again, and may have lost the row of another holder.
+func (l *Lease) grants(version ports.Version) bool {
+	return version.Era() == l.expected.Era()
+}
+
+// doubtWrite ends the term after a write that grants none. The row is read next.
+func (l *Lease) doubtWrite() []Action {
+	l.lastWrite = Record{}
+	if l.term.Token == 0 {
+		return nil
+	}
+	return l.lose("written to a restored table")
+}
+
 // setTerm starts or extends the term that the write sent at l.sentAt grants.
 func (l *Lease) setTerm(now time.Time, version ports.Version) []Action {
 	acquired := l.term.Token != l.lastWrite.Token
 	l.term = Term{Token: l.lastWrite.Token, RenewedAt: l.sentAt, ValidFor: l.cfg.validFor(), TakenOverAt: l.takenOverAt}
 	l.version = version
+	l.era = max(l.era, version.Era())
 	l.failures = 0
 	l.nextCallAt = l.sentAt.Add(l.cfg.Term / 3)
 	if !l.term.Held(now) {
@@ -329,16 +351,18 @@
 // a failed renewal must be retried, the lease is free, or another daemon holds
 // it.
 func (l *Lease) onRow(now time.Time, e RowRead) []Action {
-	if e.Err != nil {
+	// An era never ends twice: an answer of an earlier one is an old answer.
+	if e.Err != nil || e.Version.Era() < l.era {
 		l.failures++
 		l.nextCallAt = now.Add(retryBackoff.Delay(l.failures, l.rng))
 		return nil
 	}
+	l.era = e.Version.Era()
 	row := Record{}
 	if e.Record != nil {
 		row = *e.Record
 	}
-	if row.WriteID != "" && row.WriteID == l.lastWrite.WriteID && l.lastWriteValid(now) {
+	if row.WriteID != "" && row.WriteID == l.lastWrite.WriteID && l.lastWriteValid(now) && l.grants(e.Version) {
 		return l.setTerm(now, e.Version)
 	}
 	if l.term.Token != 0 {
@@ -348,14 +372,27 @@
 		return nil
 	}
 	if row.Holder == (Owner{}) || row.Holder == l.cfg.Owner {
-		if row.Holder == (Owner{}) && row.Token != 0 {
-			l.takenOverAt = now // released by another holder
+		released := row.Holder == (Owner{}) && row.Token != 0
+		// A restored table may have lost the row of a holder whose term still runs.
+		lost := e.Record == nil && l.era > 0 || row.Holder == l.cfg.Owner && l.era != l.version.Era()
+		if released || lost {
+			l.takenOverAt = now
 		}
-		return l.write(now, l.cfg.Owner, row.Token+1, e.Version)
+		return l.write(now, l.cfg.Owner, nextToken(row.Token, e.Version), e.Version)
 	}
 	return l.observe(now, row, e.Version)
 }
 
+// nextToken returns the token of a holder that takes over a row. Tokens that a restored
+// table has lost are below all versions of its new era, and tokens of one era grow with
+// the versions of the rows that they replace.
+func nextToken(token domain.FencingToken, version ports.Version) domain.FencingToken {
+	if version.Era() == 0 {
+		return token + 1
+	}
+	return max(token+1, domain.FencingToken(version))
+}
+
 // lastWriteValid reports whether the last write can still grant a term.
 func (l *Lease) lastWriteValid(now time.Time) bool {
 	return Term{Token: l.lastWrite.Token, RenewedAt: l.sentAt, ValidFor: l.cfg.validFor()}.Held(now)
@@ -367,6 +404,10 @@
 	if row.Holder != l.cfg.Owner || row.Token != l.term.Token {
 		return l.lose("taken over by another holder")
 	}
+	// Another holder may have been in an era between the two.
+	if version.Era() > l.version.Era()+1 {
+		return l.lose("the table was restored twice")
+	}
 	return l.write(now, l.cfg.Owner, row.Token, version)
 }
 
@@ -382,7 +423,7 @@
 	takeoverAt := l.observedSince.Add(l.cfg.takeoverAfter(row.Term))
 	if !now.Before(takeoverAt) {
 		l.takenOverAt = now
-		return l.write(now, l.cfg.Owner, row.Token+1, version)
+		return l.write(now, l.cfg.Owner, nextToken(row.Token, version), version)
 	}
 	nextRead := now.Add(l.readDelay(row.Term/3, changed))
 	l.nextCallAt = nextRead
--- a/internal/lease/takeover_test.go
+++ b/internal/lease/takeover_test.go
@@ -53,7 +53,7 @@
 			}
 			s.step(read)
 		case CommitRow:
-			if a.Write.Expect != s.version {
+			if a.Write.Expect.Number() != s.version.Number() { // the platform does not compare eras
 				s.step(Committed{Err: &ports.ConflictError{}})
 				continue
 			}
--- a/internal/ports/platform.go
+++ b/internal/ports/platform.go
@@ -81,8 +81,10 @@
 	Key    string `json:"key"`
 	Value  []byte `json:"value,omitempty"`
 	Delete bool   `json:"delete,omitempty"`
-	// Expect is the version that the row must have. Zero means that the row
-	// must not exist.
+	// Expect is the version that the row must have. The number zero, of any era,
+	// means that the row must not exist. A service compares numbers alone: a write
+	// whose version is of a later era than Expect may have replaced another row
+	// than the expected one.
 	Expect Version `json:"expect"`
 	// Unconditional skips the check of Expect.
 	Unconditional bool `json:"unconditional,omitempty"`
@@ -91,7 +93,8 @@
 // Table is the platform's transactional table service.
 type Table interface {
 	// Get returns the rows that exist among keys, in the order of keys, as they
-	// were at one moment.
+	// were at one moment. A table that has been restored also returns the keys
+	// without a row: with Deleted set, and the number 0 of its era.
 	Get(ctx context.Context, keys ...string) ([]Row, error)
 	// Scan returns up to limit rows whose key starts with prefix and comes
 	// after the key after, in key order. Rows with a version of since or
