Leave out usage windows whose report a restored store may have lost

Cause: the row of a window is the only record of what was reported. The new holder found none, collected the window again and reported what it could collect by then.

Change: a daemon records when it first heard of the store's era (duty.RestorationTable, by the answers to the lease and to the reports). A new holder leaves out windows without a row that ended before that, or up to 1 s after it, since wall clocks differ (AD6016). A holder that stays goes on with the counts that it knows. Without restorations nothing changes.

Not handled: a write of the earlier era for such a window that arrives in the new one (docs/design/0003-metering.md).

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -25,6 +25,7 @@
 // dutyRunner connects the duties to the daemon. Its zero value has none.
 type dutyRunner struct {
 	holder *duty.Holder
+	table  *duty.RestorationTable
 	node   *peers.Node
 }
 
@@ -38,8 +39,9 @@
 		clock = bootclock.Now
 	}
 	var r dutyRunner
+	r.table = duty.NewRestorationTable(d.Duties.Table, clock)
 	r.holder = duty.New(duty.Config{
-		Daemon: s.Daemon, Incarnation: domain.Incarnation(rand.Uint64()), Table: d.Duties.Table,
+		Daemon: s.Daemon, Incarnation: domain.Incarnation(rand.Uint64()), Table: r.table,
 		LeaseTime: s.Duties.LeaseTime, CallRate: s.Duties.CallRate, BootClock: clock,
 		Rand: newRand(), Log: d.Log, Metrics: d.Metrics,
 	})
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/auburndyke/auburndyke/internal/bootclock"
+	"github.com/auburndyke/auburndyke/internal/duty"
 	"github.com/auburndyke/auburndyke/internal/peers"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/usage"
@@ -41,9 +42,10 @@
 	}
 	switch d := e.deps.Usage; {
 	case d != nil:
-		o.Duty, o.Table, o.API = d.Duty, d.Table, d.API
+		table := duty.NewRestorationTable(d.Table, bootclock.Now)
+		o.Duty, o.Table, o.Restored, o.API = d.Duty, table, table.Restored, d.API
 	case e.duties.holder != nil:
-		o.Duty, o.Table, o.API = dutyCalls{e.duties.holder}, e.deps.Duties.Table, e.deps.Duties.API
+		o.Duty, o.Table, o.Restored, o.API = dutyCalls{e.duties.holder}, e.duties.table, e.duties.table.Restored, e.deps.Duties.API
 	}
 	e.usage = usage.New(o)
 	e.handler.CountUsage = e.usage.Count
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -80,6 +80,7 @@
 	UsageCallFailed    = Event{"AD6013", "usage_call_failed", zerolog.WarnLevel, "A call to the store or to the platform's API for the usage of a window failed; it is repeated until the report is due."}
 	UsageCountsDropped = Event{"AD6014", "usage_counts_dropped", zerolog.WarnLevel, "Counts of usage were invalid or exceeded a bound and are lost; total counts all of them. At most one line in ten seconds."}
 	ClockStepHeld      = Event{"AD6015", "clock_step_held", zerolog.WarnLevel, "The wall clock was stepped; usage is counted by the earlier clock for hold_ms."}
+	UsageWindowLeft    = Event{"AD6016", "usage_window_left", zerolog.WarnLevel, "The usage of a window is left out by a new holder of the duties: the store was restored from an older copy after the window had ended, and may have lost the row that an earlier holder has reported."}
 	DutyHolderChanged  = Event{"AD6004", "duty_holder_changed", zerolog.InfoLevel, "This daemon has acquired the duties that one daemon has for all, or lost them; since says when, acts_after_ms how long it waits before its first act."}
 	DutyActRefused     = Event{"AD6005", "duty_act_refused", zerolog.WarnLevel, "An act was not started, or its call not sent, because the daemon's term had ended; total counts all of them. At most one line in ten seconds."}
 	DutyCallFailed     = Event{"AD6006", "duty_call_failed", zerolog.WarnLevel, "A call to the platform's API failed, was refused or took longer than the margin of the lease; total counts all of them. At most one line in ten seconds."}
@@ -131,7 +132,7 @@
 	PeerConnected, PeerLost, MemberChanged, RosterRenewal, PeerMessageRejected, PeerDirectoryFailed, PeerCopyRead, SeedCopyRead, PeerRowRemoved, TableBehind,
 	DrainStep, DrainWarning,
 	LeaseChanged, PlacementDecision, OrderFailed, DutyHolderChanged, DutyActRefused, DutyCallFailed,
-	UsageCollected, UsageReported, UsageMissed, UsageCallFailed, UsageCountsDropped, ClockStepHeld,
+	UsageCollected, UsageReported, UsageMissed, UsageCallFailed, UsageCountsDropped, ClockStepHeld, UsageWindowLeft,
 	AdminChange, AdminRefused,
 	PlatformError, UpstreamHealth, LoadReportError,
 	PlatformLost, PlatformRegained, UpstreamsListed, UpstreamRegistered, UpstreamUnlisted, RegistrationRejected, TableReaderChanged, UpstreamEnded, PlatformReturned, UpstreamExceededBound, UpstreamCrashed, UpstreamLeaving, UpstreamPaused, UpstreamLoadInvalid, PlatformRestored, SoftwareVersionsMixed, OriginsNotShared,
--- a/internal/usage/meter.go
+++ b/internal/usage/meter.go
@@ -33,8 +33,8 @@
 	Held() bool
 }
 
-// Options configures a Meter. Duty, Table and API may be nil: the daemon then counts and
-// answers, but reports nothing. All others are required.
+// Options configures a Meter. Duty, Table, Restored and API may be nil: the daemon then
+// counts and answers, but reports nothing. All others are required.
 type Options struct {
 	// Daemon is the daemon's name, and Address where it receives datagrams.
 	Daemon  string
@@ -47,7 +47,10 @@
 	Boot  func() time.Duration
 	Duty  Duty
 	Table ports.Table
-	API   ports.Duties
+	// Restored returns when, by Boot, the daemon first heard that the table had last been
+	// restored from an older copy, and false if it never was.
+	Restored func() (heardAt time.Duration, ok bool)
+	API      ports.Duties
 
 	Log     *telemetry.Log
 	Metrics *telemetry.Metrics
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -18,6 +18,8 @@
 	removedSpan = 40
 	// minReadRows is the number of windows whose rows a new holder reads at least.
 	minReadRows = 4
+	// clockTolerance is by how much the wall clocks of two holders may differ.
+	clockTolerance = time.Second
 )
 
 // phase is how far the report of a window has come.
@@ -98,6 +100,15 @@
 	}
 }
 
+// leave makes a window end without a report, unless it was added or has a row.
+func (r *reporter) leave(window int64, due time.Duration) bool {
+	if r.knows(window) {
+		return false
+	}
+	r.windows[window] = &windowReport{phase: ended, due: due}
+	return true
+}
+
 // knows reports whether the window was added or has a row.
 func (r *reporter) knows(window int64) bool { return r.windows[window] != nil }
 
--- a/internal/usage/run.go
+++ b/internal/usage/run.go
@@ -68,7 +68,7 @@
 // act makes the next call to the store or to the platform's API, if the daemon holds the
 // duties.
 func (m *Meter) act(ctx context.Context) {
-	if m.Duty == nil || m.Table == nil || m.API == nil || !m.Duty.Held() {
+	if m.Duty == nil || m.Table == nil || m.Restored == nil || m.API == nil || !m.Duty.Held() {
 		return
 	}
 	m.mu.Lock()
@@ -123,10 +123,27 @@
 	for w := range rows {
 		m.seeRow(w)
 	}
+	m.leaveLostWindows(now, boot, current)
 	m.holding = true
 	return nil
 }
 
+// leaveLostWindows leaves out the windows without a row that ended before the table was
+// restored: an earlier holder may have reported counts of which the table has lost the
+// row. The caller holds mu.
+func (m *Meter) leaveLostWindows(now time.Time, boot time.Duration, current int64) {
+	heardAt, restored := m.Restored()
+	if !restored {
+		return
+	}
+	for w := current - m.reportedWindows(); w <= current; w++ {
+		ended := m.endOf(w, now, boot)
+		if due := ended + m.Due; boot < due && ended < heardAt+clockTolerance && m.reporter.leave(w, due) {
+			m.Log.Event(telemetry.UsageWindowLeft).Int64("window", w).Send()
+		}
+	}
+}
+
 // seeRow records that a window has a row. The caller holds mu.
 func (m *Meter) seeRow(window int64) {
 	if m.firstRow == 0 || window < m.firstRow {
@@ -197,6 +214,9 @@
 	}
 	out := make(map[int64]map[domain.CustomerID]int64, len(rows))
 	for _, one := range rows {
+		if one.Deleted {
+			continue
+		}
 		var r row
 		if err := cbor.Unmarshal(one.Value, &r); err != nil || rowKey(r.Window) != one.Key {
 			// Only this window is lost: its row can be neither reported nor replaced.
--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/duty"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -67,6 +68,7 @@
 	name, address string
 	zone          string
 	meter         *Meter
+	table         *duty.RestorationTable
 	// skew is the wall clock minus true time.
 	skew                       time.Duration
 	dead, partitioned, stopped bool
@@ -94,10 +96,12 @@
 
 // start starts a process of the daemon.
 func (d *simDaemon) start() {
+	boot := func() time.Duration { return time.Hour + d.f.elapsed }
+	d.table = duty.NewRestorationTable(d.f.table, boot)
 	d.meter = New(Options{
 		Daemon: d.name, Address: d.address, Window: simWindow, Due: simDue,
-		Wall: func() time.Time { return simStart.Add(d.f.elapsed + d.skew) }, Boot: func() time.Duration { return time.Hour + d.f.elapsed },
-		Duty: simDuty{d}, Table: d.f.table, API: d.f.api, Log: telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
+		Wall: func() time.Time { return simStart.Add(d.f.elapsed + d.skew) }, Boot: boot,
+		Duty: simDuty{d}, Table: d.table, Restored: d.table.Restored, API: d.f.api, Log: telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
 	})
 	d.dead = false
 }
@@ -216,6 +220,8 @@
 type simTable struct {
 	rows    map[string]ports.Row
 	version ports.Version
+	// era counts the restorations.
+	era uint64
 	// down makes calls fail without effect. loseWrites makes writes take effect without an
 	// answer, and delayWrites makes them take effect only when applyLate is called.
 	down, loseWrites, delayWrites bool
@@ -232,11 +238,22 @@
 	for _, key := range keys {
 		if row, ok := t.rows[key]; ok {
 			out = append(out, row)
+		} else if t.era > 0 {
+			out = append(out, ports.Row{Key: key, Version: t.versionOf(0), Deleted: true})
 		}
 	}
 	return out, nil
 }
 
+// versionOf returns the version with a number in the table's era.
+func (t *simTable) versionOf(number uint64) ports.Version {
+	version, err := ports.NewVersion(t.era, number)
+	if err != nil {
+		panic(err)
+	}
+	return version
+}
+
 func (t *simTable) Scan(_ context.Context, prefix, after string, limit int, _ ports.Version) ([]ports.Row, error) {
 	var out []ports.Row
 	for key, row := range t.rows {
@@ -265,11 +282,11 @@
 
 func (t *simTable) apply(writes []ports.Write) (ports.Version, error) {
 	for _, w := range writes {
-		if !w.Unconditional && t.rows[w.Key].Version != w.Expect {
+		if !w.Unconditional && t.rows[w.Key].Version.Number() != w.Expect.Number() {
 			return 0, &ports.ConflictError{Keys: []string{w.Key}}
 		}
 	}
-	t.version++
+	t.version = t.versionOf(t.version.Number() + 1)
 	for _, w := range writes {
 		if w.Delete {
 			delete(t.rows, w.Key)
