--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -351,7 +351,7 @@
 // a failed renewal must be retried, the lease is free, or another daemon holds
 // it.
 func (l *Lease) onRow(now time.Time, e RowRead) []Action {
-	// An era never ends twice: an answer of an earlier one is an old answer.
+	// An answer of an earlier era than one before is out of date.
 	if e.Err != nil || e.Version.Era() < l.era {
 		l.failures++
 		l.nextCallAt = now.Add(retryBackoff.Delay(l.failures, l.rng))
