--- a/internal/peers/restore_fleet_test.go
+++ b/internal/peers/restore_fleet_test.go
@@ -253,11 +253,10 @@
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	for {
-		now := time.Now()
 		select {
 		case <-d.fleet.ctx.Done():
 			return
-		case now = <-ticker.C:
+		case now := <-ticker.C:
 			targets, data, err := d.node.compose(now)
 			assert.Check(d.fleet.t, err)
 			for _, to := range targets {
