Break off answers of serve whose connection was reset during the upload

Cause: the kernel reports a reset once. While the request is being written, the write call may get it, and the read sees the end of the stream, which completes a response without a length. Class: an end of stream that is taken for an end of message.

Change: after a failed write a connection's Read returns the write's error instead of io.EOF; it waits for a write in progress, which the reset ends.

--- a/internal/adapters/httpsend/httpsend.go
+++ b/internal/adapters/httpsend/httpsend.go
@@ -9,8 +9,10 @@
 package httpsend
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -99,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: inner}, nil
+	return newConn(inner), nil
 }
 
 // dialTLS wraps the counting conn in a tls.Conn; Tracker unwraps it again.
@@ -181,6 +183,17 @@
 	mu     sync.Mutex
 	calls  uint64
 	sealed bool
+	// writing is the number of write calls in progress, and written wakes those who wait
+	// for their end.
+	writing  int
+	written  *sync.Cond
+	writeErr error
+}
+
+func newConn(inner net.Conn) *conn {
+	c := &conn{Conn: inner}
+	c.written = sync.NewCond(&c.mu)
+	return c
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -190,8 +203,37 @@
 		return 0, errSealed
 	}
 	c.calls++
+	c.writing++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing--
+	c.writeErr = cmp.Or(c.writeErr, err)
+	c.written.Broadcast()
+	return n, err
+}
+
+// Read returns no io.EOF after a write has failed. A reset of the connection is reported
+// once: if the write gets it, the read sees the end of the stream, which would complete a
+// response without a length.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = cmp.Or(c.writeError(), err)
+	}
+	return n, err
+}
+
+// writeError waits for the write call in progress and returns the error of the first one
+// that has failed.
+func (c *conn) writeError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.writing > 0 {
+		c.written.Wait()
+	}
+	return c.writeErr
 }
 
 func (c *conn) writeCalls() uint64 {
--- a/internal/adapters/httpsend/httpsend_test.go
+++ b/internal/adapters/httpsend/httpsend_test.go
@@ -86,7 +86,7 @@
 func TestSealRejectsLaterWrites(t *testing.T) {
 	client, server := net.Pipe()
 	defer func() { _ = server.Close() }()
-	c := &conn{Conn: client}
+	c := newConn(client)
 	tracker := &Tracker{}
 	tracker.uses = append(tracker.uses, use{conn: c, callsBefore: c.writeCalls()})
 	assert.Assert(t, tracker.NotSent())
