Reject answers of serve whose status does not exist

Cause: net/http takes any three digits for a status. 000, 099, 600 and 999 reached the caller of engineclient.Client.Call.

Change: a status outside 100 to 599 breaks the attempt off, as at edge. TestAnswersWithInvalidStatusAreBroken failed for all four before and passes.

--- a/internal/adapters/engineclient/broken_answer_test.go
+++ b/internal/adapters/engineclient/broken_answer_test.go
@@ -64,3 +64,17 @@
 		}
 	}
 }
+
+// Guards against an answer of an upstream in trouble whose status does not exist.
+func TestAnswersWithInvalidStatusAreBroken(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		address := serveRaw(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\nok", 30*time.Millisecond)
+		client, err := engineclient.New("http://"+address, engineclient.Options{})
+		assert.NilError(t, err)
+		response, err := client.Call(t.Context(), &ports.ServiceRequest{
+			Attempt: "r.0", Method: "POST", Path: "/bookings", Body: bytes.Repeat([]byte("x"), 4<<10),
+		})
+		client.Close()
+		assert.Check(t, err != nil, "status %s: %v", status, response)
+	}
+}
--- a/internal/adapters/engineclient/client.go
+++ b/internal/adapters/engineclient/client.go
@@ -154,9 +154,19 @@
 		}
 		return nil, sendError(tracker, err)
 	}
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("%w: response has the invalid status %d", ports.ErrStreamBroken, resp.StatusCode)
+	}
 	return resp, nil
 }
 
+// minStatus and maxStatus bound the statuses that exist. net/http takes any three digits.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 func timedOut(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
