--- a/internal/dev/stop_test.go
+++ b/internal/dev/stop_test.go
@@ -76,7 +76,7 @@
 	first, rest := header.Bytes()[:20], header.Bytes()[20:] // within the first line
 	_, err = caller.Write(first)
 	assert.NilError(t, err)
-	// Connections are accepted in their order.
+	// The daemon has accepted the caller's connection once it answers a later one.
 	probe, err := http.Get(stopping.URL + "/healthz")
 	assert.NilError(t, err)
 	_ = probe.Body.Close()
