--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build line of deploy/system.toml and review/build-2.sh first"
 	exit 2
 fi
-exec target/review-2/driver preempted target/auburndyke review/9/record.txt
+exec target/review-2/driver takenup target/auburndyke review/9/record.txt
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -35,7 +35,7 @@
 	"versions":   playVersions,
 	"slowreader": playSlowReader,
 	"restored":   playRestored,
-	"preempted":  playPreempted,
+	"takenup":    playTakenUp,
 	"memory":     playMemory,
 }
 
--- a/review/driver2/replica.go
+++ b/review/driver2/replica.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -163,16 +162,3 @@
 
 // endStream ends a stream as complete.
 func (e *exchange) endStream() bool { return e.write("0\r\n\r\n") }
-
-// closedWithin waits and reports whether the channel is closed meanwhile.
-func (e *exchange) closedWithin(d time.Duration) bool {
-	if err := e.conn.SetReadDeadline(time.Now().Add(d)); err != nil {
-		return true
-	}
-	_, err := e.reader.Peek(1)
-	var timeout net.Error
-	if !errors.As(err, &timeout) || !timeout.Timeout() {
-		return true
-	}
-	return e.conn.SetReadDeadline(time.Time{}) != nil
-}
