--- a/review/driver2/replica.go
+++ b/review/driver2/replica.go
@@ -54,7 +54,7 @@
 		}
 		return set
 	}}
-	l, err := config.Listen(w.context(), "tcp", "127.0.0.1:0")
+	l, err := config.Listen(w.context(), "tcp", w.ip+":0")
 	if err != nil {
 		return err
 	}
--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -26,14 +26,16 @@
 	firstPort, portCount = 24_000, 6_000
 	// readyTime bounds the start of a daemon.
 	readyTime = 15 * time.Second
-	// maxNoted bounds how often a line of the record is flushed to the terminal.
+	// probeTime bounds a connection and a readiness probe.
 	probeTime = time.Second
 )
 
 // world holds the stand-ins and processes of one case.
 type world struct {
-	binary  string
-	dir     string
+	binary string
+	dir    string
+	// ip is the loopback address of this run. Runs beside each other share no ports.
+	ip      string
 	started time.Time
 	ports   *process.Ports
 	store   *standin.Store
@@ -56,12 +58,14 @@
 	if err != nil {
 		return nil, err
 	}
+	pid := os.Getpid()
 	w := &world{
+		ip:     fmt.Sprintf("127.%d.%d.%d", 16+pid>>16&63, pid>>8&255, pid&255),
 		binary: binary, dir: dir, started: time.Now(), file: file,
 		ports: process.NewPorts(firstPort, portCount), store: standin.NewStore(),
 		memoryMB: defaultMemoryMB, kvTokens: defaultKVTokens,
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", w.ip+":0")
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +110,7 @@
 
 func (w *world) address() (string, error) {
 	port, err := w.ports.Free()
-	return fmt.Sprintf("127.0.0.1:%d", port), err
+	return fmt.Sprintf("%s:%d", w.ip, port), err
 }
 
 // at waits until a time since t.
@@ -117,7 +121,7 @@
 role = "edge"
 class = "edge"
 serves = ["edge","ctl"]
-ip = "127.0.0.1"
+ip = %q
 zone = "maracas"
 region = "north-coast"
 port_range = [%d,%d]
@@ -227,7 +231,7 @@
 		if err != nil {
 			return nil, err
 		}
-		text := fmt.Sprintf(settingsText, d.name, port, port, strings.Join(controls[:min(count, 3)], `","`), d.front, d.ready, d.control, w.memoryMB, w.storeAddress)
+		text := fmt.Sprintf(settingsText, d.name, w.ip, port, port, strings.Join(controls[:min(count, 3)], `","`), d.front, d.ready, d.control, w.memoryMB, w.storeAddress)
 		if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
