--- a/review/driver2/restored.go
+++ b/review/driver2/restored.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	d := daemons[0]
-	time.Sleep(time.Second)
+	time.Sleep(inTouchTime)
 	start := time.Now()
 	stop := make(chan struct{})
 	var consumers sync.WaitGroup
--- a/review/driver2/slowreader.go
+++ b/review/driver2/slowreader.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	d := daemons[0]
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(inTouchTime)
 	w.record("%s: SIGHUP", d.name)
 	d.signal(syscall.SIGHUP)
 	out := make([]*attempt, streams)
--- a/review/driver2/takenup.go
+++ b/review/driver2/takenup.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	a, b := daemons[0], daemons[1]
-	time.Sleep(6 * time.Second) // longer than touch_ms
+	time.Sleep(inTouchTime)
 	start := time.Now()
 	first, second := make([]*attempt, streams), make([]*attempt, streams)
 	var all sync.WaitGroup
--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -26,6 +26,8 @@
 	firstPort, portCount = 24_000, 6_000
 	// readyTime bounds the start of a daemon.
 	readyTime = 15 * time.Second
+	// inTouchTime is how long a daemon runs before a case begins: longer than touch_ms.
+	inTouchTime = 6 * time.Second
 	// probeTime bounds a connection and a readiness probe.
 	probeTime = time.Second
 )
