Ask peers where a stream began instead of trusting a young process

Cause: Keeper.Resolve fell back on the versions that its own process had seen (Book.Only) when it could not read the rows of the others. A process that started after the release has seen one, and took that for proof that there was no other. Ruled out: daemon 1's row was missing, or its reading was lost (with TROUBLE=0 daemon 2 finds the streams in it).

Change: a Book knows since when it has heard of all versions, and says that there was only one if that is 2 min. A process reads the rows once after its start, which tells it of the time before. Whom the rows don't tell asks peers by datagram: the one that began the stream knows its version; otherwise more than half of the fleet must agree on the only version. Rows read shortly after an outage count as incomplete. AD8021 logs what a refusal rests on.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -155,7 +155,7 @@
 	}
 	if d.Streams != nil {
 		e.origins = origin.NewKeeper(origin.Options{
-			Daemon: string(s.Daemon), Table: d.Streams, WriteRate: s.PlatformWriteRate, Log: d.Log,
+			Daemon: string(s.Daemon), Address: s.InternalAddress, Table: d.Streams, WriteRate: s.PlatformWriteRate, Log: d.Log,
 			Daemons: func() int { return int(e.fleet.Load()) },
 		})
 		handler.Origins, e.state.origins = e.origins, e.origins
@@ -407,12 +407,20 @@
 		return nil
 	}
 	return peers.New(peers.Config{
-		Usage: e.peerUsage(), Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
+		Usage: e.peerUsage(), Streams: e.peerStreams(), Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
 		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, PlatformReadRate: s.PlatformReadRate,
 		Duties: e.duties.candidates(), FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
 
+// peerStreams returns what tells peers where streams began, or nil.
+func (e *Edge) peerStreams() peers.Streams {
+	if e.origins == nil {
+		return nil
+	}
+	return e.origins
+}
+
 // otherSeeds returns the seeds other than the daemon itself.
 func (e *Edge) otherSeeds() []string {
 	s := e.settings.Load()
--- a/internal/edge/versions_test.go
+++ b/internal/edge/versions_test.go
@@ -149,3 +149,44 @@
 	wait.Wait()
 	assert.Assert(t, goesOn >= streams/2, "%d of %d streams go on", goesOn, streams)
 }
+
+// Guards against a daemon that was started after a release and joins streams of two
+// software versions while the platform does not answer, because it has heard of one only.
+func TestDaemonStartedAfterReleaseKeepsVersionsApart(t *testing.T) {
+	const streams = 16
+	f := startVersionFleet(t, 2)
+	time.Sleep(time.Second)
+	begun := make([]received, streams)
+	var wait sync.WaitGroup
+	for i := range streams {
+		wait.Go(func() { begun[i] = f.read(t.Context(), f.daemons[0], fmt.Sprint("first-", i), "", 0) })
+	}
+	time.Sleep(600 * time.Millisecond)
+	for i := range 3 {
+		f.store.Drop("servers", fmt.Sprint("old-", i))
+	}
+	first := f.daemons[0]
+	f.daemons[1].stop()
+	f.startDaemons(1)
+	restarted := f.daemons[0]
+	time.Sleep(time.Second) // for a reading of the rows and of the directory
+	f.store.SetFault(standin.Silent)
+	first.stop()
+	wait.Wait()
+	taken := 0
+	for i, b := range begun {
+		if b.events == 0 || b.whole {
+			continue
+		}
+		taken++
+		wait.Go(func() {
+			got := f.read(t.Context(), restarted, fmt.Sprint("again-", i), fmt.Sprint("first-", i), b.events)
+			for version := range got.softwares {
+				assert.Check(t, b.softwares[version], "stream %d began at %v and goes on at %q", i, b.softwares, version)
+			}
+		})
+	}
+	wait.Wait()
+	assert.Assert(t, taken >= streams/2, "%d streams were taken up", taken)
+	f.store.SetFault(standin.Healthy)
+}
--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -52,6 +52,12 @@
 	// last listed that is no longer.
 	listed map[string][]string
 	left   map[string]map[string]time.Time
+	// reported holds when the row of another daemon last said that a service had several
+	// versions.
+	reported map[string]time.Time
+	// knownSince is the time from which the daemon knows all versions that were in
+	// service. It is zero before the first list of upstreams.
+	knownSince time.Time
 	// expiredAt is when streams were last forgotten.
 	expiredAt time.Time
 	// changes counts the changes of streams.
@@ -62,6 +68,7 @@
 func NewBook() *Book {
 	return &Book{
 		streams: make(map[key]stream), listed: make(map[string][]string), left: make(map[string]map[string]time.Time),
+		reported: make(map[string]time.Time),
 	}
 }
 
@@ -98,7 +105,12 @@
 func (b *Book) Lookup(now time.Time, id domain.RequestID, service string) (softwareVersion string, known bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, known := b.streams[keyOf(id)]
+	return b.lookup(now, keyOf(id), service)
+}
+
+// lookup is Lookup by key. The caller holds mu.
+func (b *Book) lookup(now time.Time, k key, service string) (softwareVersion string, known bool) {
+	s, known := b.streams[k]
 	if !known || s.origin.Service != service || now.After(s.until) {
 		return "", false
 	}
@@ -125,6 +137,9 @@
 		}
 	}
 	b.listed = versions
+	if b.knownSince.IsZero() {
+		b.knownSince = now
+	}
 	for service := range versions {
 		if !before[service] && len(b.inService(now, service)) > 1 {
 			mixed = true
@@ -149,23 +164,76 @@
 }
 
 // Only returns the version of a service that is the only one in service, as far as this
-// daemon has seen.
+// daemon has seen or the rows of others have said.
 func (b *Book) Only(now time.Time, service string) (softwareVersion string, only bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	versions := b.inService(now, service)
-	if len(versions) != 1 {
+	if len(versions) != 1 || b.reportedMixed(now, service) {
 		return "", false
 	}
 	return versions[0], true
 }
 
-// Mixed reports whether any service has several versions in service.
+// reportedMixed reports whether another daemon said within Memory that a service had
+// several versions. The caller holds mu.
+func (b *Book) reportedMixed(now time.Time, service string) bool {
+	at, reported := b.reported[service]
+	if reported && now.Sub(at) >= Memory {
+		delete(b.reported, service)
+		return false
+	}
+	return reported
+}
+
+// report records which services had several versions according to the rows of all daemons.
+// Daemons write that down for Memory, so that complete rows tell of all versions that were
+// in service within Memory before.
+func (b *Book) report(readAt time.Time, mixed map[string]bool, complete bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service := range mixed {
+		b.reported[service] = readAt
+	}
+	if !complete || b.knownSince.IsZero() || readAt.Before(b.knownSince) {
+		return
+	}
+	if since := readAt.Add(-Memory); since.Before(b.knownSince) {
+		b.knownSince = since
+	}
+}
+
+// knownFor returns for how long the daemon has known all versions in service.
+func (b *Book) knownFor(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.knownSince.IsZero() {
+		return 0
+	}
+	return now.Sub(b.knownSince)
+}
+
+// listsKnown reports whether the list of upstreams was read, and whether the daemon knows
+// of all versions that were in service within Memory.
+func (b *Book) listsKnown(now time.Time) (listed, all bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.knowledge(now)
+}
+
+// knowledge is listsKnown. The caller holds mu.
+func (b *Book) knowledge(now time.Time) (listed, all bool) {
+	listed = !b.knownSince.IsZero()
+	return listed, listed && now.Sub(b.knownSince) >= Memory
+}
+
+// Mixed reports whether any service has several versions in service, as far as this daemon
+// has seen or the rows of others have said.
 func (b *Book) Mixed(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for service := range b.listed {
-		if len(b.inService(now, service)) > 1 {
+		if len(b.inService(now, service)) > 1 || b.reportedMixed(now, service) {
 			return true
 		}
 	}
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -9,6 +9,13 @@
 // Streams thus outlive their daemons, also if all of them end at once. With one version
 // nothing is written.
 //
+// If the rows can't be read, or may be incomplete, the daemon asks peers, whose Books know
+// the streams that they have begun.
+//
+// That a daemon has heard of no other version proves nothing by itself. It counts only
+// if the daemon has heard of all versions for as long as callers take streams up: since its
+// start, or since before it if the rows of others tell of that time.
+//
 // A stream whose version is not known goes on nowhere: the caller is told that its
 // attempt has not run.
 package origin
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +31,9 @@
 	readMaxAge = 250 * time.Millisecond
 	// readPause is how long nothing is read after a failure.
 	readPause = time.Second
+	// settleTime is how long after an outage, beside their interval, all daemons need to
+	// notice its end and to write their rows. Rows read before are incomplete.
+	settleTime = 2 * time.Second
 	// writeMargin is how long a write may take after its interval before a stream that
 	// is missing counts as unknown.
 	writeMargin = 150 * time.Millisecond
@@ -40,6 +43,8 @@
 	// writeRateShare is the share of the platform's rate of writes that all daemons
 	// together may use.
 	writeRateShare = 0.25
+	// askDelay is how long the platform has to decide before peers are asked as well.
+	askDelay = 50 * time.Millisecond
 	// staleRow is the age from which a row is removed. Its daemon is gone.
 	staleRow = 10 * Memory
 )
@@ -68,7 +73,10 @@
 type Options struct {
 	// Daemon is the key of the daemon's row.
 	Daemon string
-	Table  Table
+	// Address is where the daemon receives datagrams of peers. Empty means that it has
+	// none.
+	Address string
+	Table   Table
 	// Daemons returns the number of daemons that write to the table. Nil means one.
 	Daemons func() int
 	// WriteRate is the number of writes a second that the platform allows all daemons
@@ -102,31 +110,40 @@
 // Keeper shares a Book with other daemons, and with later processes of its own.
 type Keeper struct {
 	*Book
+	*inquiries
 	o    Options
 	wake chan struct{}
 
-	// written is set while the daemon has a row, as far as it knows, and adopted once
-	// the row of an earlier process was read. Both are used by Run only.
-	written, adopted bool
-	writtenAt        time.Time
-	covered          uint64
+	// written is set while the daemon has a row, as far as it knows. It is used by Run only.
+	written   bool
+	writtenAt time.Time
+	covered   uint64
 
-	mu       sync.Mutex // held while rows are read
-	rows     *shared
+	// reading is a semaphore. Whoever holds it uses rows, failing and failedAt.
+	reading chan struct{}
+	rows    *shared
+	// failing is set if the last reading failed, and failedAt is when one last did.
+	failing  bool
 	failedAt time.Time
+	// adopted is set once the row of an earlier process was read.
+	adopted atomic.Bool
 }
 
 // shared is what the rows of all daemons say.
 type shared struct {
 	readAt  time.Time
 	streams map[key]Origin
-	// mixed holds the services that had several versions within Memory.
-	mixed map[string]bool
+	// complete reports whether all daemons have had time to write their rows.
+	complete bool
 }
 
 // NewKeeper returns a Keeper, which Run starts.
 func NewKeeper(o Options) *Keeper {
-	return &Keeper{Book: NewBook(), o: o, wake: make(chan struct{}, 1)}
+	book := NewBook()
+	return &Keeper{
+		Book: book, inquiries: newInquiries(book, o.Address), o: o,
+		wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
+	}
 }
 
 // Observe replaces the versions of the listed upstreams, by service.
@@ -160,17 +177,25 @@
 	return nil
 }
 
-// sync writes the daemon's row if that is due, or removes it.
+// sync reads the rows of all daemons if this one does not know all versions that were in
+// service, and writes the daemon's row if that is due, or removes it.
 func (k *Keeper) sync(ctx context.Context) error {
 	now := time.Now()
+	if listed, all := k.listsKnown(now); listed && !all {
+		// Repeated at the next interval if it fails.
+		_, _ = k.read(ctx, now)
+	}
 	if !k.Mixed(now) {
 		if !k.written {
 			return nil
 		}
 		return k.removeOwn(ctx)
 	}
-	if !k.adopted && !k.adoptOwn(ctx, now) {
-		return nil
+	if !k.adopted.Load() {
+		// The row of an earlier process must not be replaced before it was read.
+		if _, err := k.read(ctx, now); err != nil {
+			return nil
+		}
 	}
 	data, changes, err := k.encode(now)
 	if err != nil {
@@ -190,28 +215,6 @@
 	return nil
 }
 
-// adoptOwn takes over the row of an earlier process of the daemon before it is replaced. It
-// reports false if the row could not be read.
-func (k *Keeper) adoptOwn(ctx context.Context, now time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	rows, err := k.o.Table.ReadAll(ctx)
-	if err != nil {
-		k.o.Log.Event(telemetry.OriginsNotShared).Err(err).Send()
-		return false
-	}
-	k.adopted = true
-	for _, row := range rows {
-		if row.Key != k.o.Daemon {
-			continue
-		}
-		if r, err := decodeRecord(row.Value); err == nil {
-			k.adopt(now, r)
-		}
-	}
-	return true
-}
-
 // removeOwn removes the daemon's row, and those of daemons that are gone.
 func (k *Keeper) removeOwn(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -243,56 +246,174 @@
 		if version, known := k.Lookup(time.Now(), id, service); known {
 			return version, true
 		}
-		rows, err := k.read(ctx, fresh)
-		if err != nil {
-			// Without the other daemons' word, the versions that this one has seen decide.
-			return k.Only(time.Now(), service)
-		}
-		if o, known := rows.streams[keyOf(id)]; known && o.Service == service {
-			return o.SoftwareVersion, true
-		}
-		if version, only := k.Only(time.Now(), service); only && !rows.mixed[service] {
+		version, result := k.search(ctx, fresh, keyOf(id), service)
+		switch {
+		case result == found:
 			return version, true
+		case result == unreachable, attempt > 0:
+			return "", false
 		}
-		if attempt == 0 && !backoff.Sleep(ctx, k.o.interval()+writeMargin) {
-			break
+		if !backoff.Sleep(ctx, k.o.interval()+writeMargin) {
+			return "", false
 		}
 		fresh = time.Now()
 	}
 	return "", false
 }
 
+// result is what a search has led to.
+type result uint8
+
+const (
+	// found means that the version is certain.
+	found result = iota
+	// unknown means that the platform answered, and that no daemon has written the stream
+	// down.
+	unknown
+	// unreachable means that the platform did not answer.
+	unreachable
+)
+
+// search looks for a stream in the rows of all daemons, read after a time, and in the
+// memory of peers if the rows don't decide at once. A stream that none of them knows began
+// at the only version in service, if there was only one for as long as callers wait.
+func (k *Keeper) search(ctx context.Context, fresh time.Time, stream key, service string) (softwareVersion string, r result) {
+	read := make(chan *shared, 1)
+	go func() {
+		// The reading serves other callers as well, so that it outlasts this one's. An error
+		// is logged.
+		rows, _ := k.read(context.WithoutCancel(ctx), fresh)
+		read <- rows
+	}()
+	var rows *shared
+	timer := time.NewTimer(askDelay)
+	defer timer.Stop()
+	select {
+	case rows = <-read:
+		read = nil
+	case <-timer.C:
+	case <-ctx.Done():
+		return "", unreachable
+	}
+	if version, known := k.decide(rows, stream, service); known {
+		return version, found
+	}
+	question := k.ask(service, stream)
+	for {
+		finished, changed := k.progress(question)
+		if version, known := k.inquiries.lookup(question, stream); known {
+			return version, found
+		}
+		if finished && read == nil {
+			break
+		}
+		select {
+		case rows = <-read:
+			read = nil
+			if version, known := k.decide(rows, stream, service); known {
+				return version, found
+			}
+		case <-changed:
+		case <-ctx.Done():
+			return "", unreachable
+		}
+	}
+	if version, only := k.only(time.Now(), question); only {
+		return version, found
+	}
+	if rows != nil {
+		k.logUnknown(service, rows, question)
+		return "", unknown
+	}
+	// Without the others' word, the versions that this daemon has seen decide.
+	now := time.Now()
+	if _, all := k.listsKnown(now); all {
+		if version, only := k.Only(now, service); only {
+			return version, found
+		}
+	}
+	k.logUnknown(service, rows, question)
+	return "", unreachable
+}
+
+// logUnknown logs what a search without a result rests on.
+func (k *Keeper) logUnknown(service string, rows *shared, question *round) {
+	read := "complete"
+	switch {
+	case rows == nil:
+		read = "unreachable"
+	case !rows.complete:
+		read = "incomplete"
+	}
+	asked, answered, fleet := k.count(question)
+	k.o.Log.Event(telemetry.OriginUnknown).Str("service", service).Str("rows", read).
+		Float64("known_s", k.knownFor(time.Now()).Seconds()).Int("asked", asked).Int("answered", answered).Int("fleet", fleet).Send()
+}
+
+// decide returns the version at which a stream began if the rows of all daemons tell it.
+func (k *Keeper) decide(rows *shared, stream key, service string) (softwareVersion string, known bool) {
+	if rows == nil {
+		return "", false
+	}
+	if o, known := rows.streams[stream]; known && o.Service == service {
+		return o.SoftwareVersion, true
+	}
+	now := time.Now()
+	if _, all := k.listsKnown(now); !all || !rows.complete {
+		return "", false
+	}
+	return k.Only(now, service)
+}
+
 // read returns the rows of all daemons, read after a time.
 func (k *Keeper) read(ctx context.Context, after time.Time) (*shared, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	select {
+	case k.reading <- struct{}{}:
+		defer func() { <-k.reading }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	now := time.Now()
 	if k.rows != nil && !k.rows.readAt.Before(after) {
 		return k.rows, nil
 	}
-	if !k.failedAt.IsZero() && now.Sub(k.failedAt) < readPause {
+	if k.failing && now.Sub(k.failedAt) < readPause {
 		return nil, errReadPause
 	}
-	// The reading serves other callers as well, so that it outlasts this one's.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	rows, err := k.o.Table.ReadAll(ctx)
 	if err != nil {
-		k.failedAt = time.Now()
+		k.failing, k.failedAt = true, time.Now()
 		k.o.Log.Event(telemetry.OriginsNotShared).Err(err).Send()
 		return nil, eris.Wrap(err, "reading the origins of streams")
 	}
-	out := &shared{readAt: now, streams: make(map[key]Origin), mixed: make(map[string]bool)}
+	out := &shared{readAt: now, streams: make(map[key]Origin), complete: k.settled(now)}
+	mixed := make(map[string]bool)
 	for _, row := range rows {
 		r, err := decodeRecord(row.Value)
 		if err != nil || time.Since(time.Unix(r.Written, 0)) > Memory {
 			continue
 		}
-		for _, service := range r.Mixed {
-			out.mixed[service] = true
+		earlier := row.Key == k.o.Daemon && !k.adopted.Load()
+		if row.Key != k.o.Daemon || earlier {
+			for _, service := range r.Mixed {
+				mixed[service] = true
+			}
 		}
 		r.each(func(k key, o Origin, _ time.Duration) { out.streams[k] = o })
+		if earlier {
+			k.adopt(now, r)
+		}
 	}
-	k.rows, k.failedAt = out, time.Time{}
+	k.adopted.Store(true)
+	k.report(now, mixed, out.complete)
+	k.rows, k.failing = out, false
 	return out, nil
 }
+
+// settled reports whether all daemons have had time to write their rows, as far as this one
+// can tell: its own readings have not failed lately. The caller holds the semaphore.
+func (k *Keeper) settled(now time.Time) bool {
+	return k.failedAt.IsZero() || now.Sub(k.failedAt) >= settleTime+k.o.interval()
+}
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -33,7 +33,9 @@
 }
 
 // encode returns the record of the streams of services with several versions, those first
-// that are remembered the longest, and the number of changes that it covers.
+// that are remembered the longest, and the number of changes that it covers. A service that
+// only others say to be mixed is not named in it, so that daemons don't keep each other's
+// word alive.
 func (b *Book) encode(now time.Time) (data []byte, changes uint64, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -47,7 +49,7 @@
 	slices.Sort(r.Mixed)
 	keys := make([]key, 0, len(b.streams))
 	for k, s := range b.streams {
-		if slices.Contains(r.Mixed, s.origin.Service) {
+		if slices.Contains(r.Mixed, s.origin.Service) || b.reportedMixed(now, s.origin.Service) {
 			keys = append(keys, k)
 		}
 	}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -57,8 +57,8 @@
 	Updated() <-chan struct{}
 }
 
-// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Evidence, Usage, Duties
-// and PlatformReadRate are required.
+// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Evidence, Usage,
+// Streams, Duties and PlatformReadRate are required.
 type Config struct {
 	Daemon    string
 	Address   string // IP:port at which the daemon receives datagrams
@@ -86,6 +86,8 @@
 	Evidence Evidence
 	// Usage is exchanged with peers. Nil means that none is.
 	Usage Usage
+	// Streams answers peers where streams began. Nil means that it is not known.
+	Streams Streams
 	// Duties learns which daemons may hold the duties. Nil means that the fleet has
 	// none; no message about them is then sent.
 	Duties Duties
@@ -195,6 +197,12 @@
 		}
 		return nil
 	}
+	if message, ok := decodeStreams(data); ok {
+		if n.Streams != nil {
+			n.Streams.Receive(message)
+		}
+		return nil
+	}
 	if sightings, ok := decodeCandidates(data); ok {
 		if n.Duties != nil {
 			n.Duties.Merge(time.Now(), sightings)
@@ -242,6 +250,10 @@
 	if n.Usage != nil {
 		usageUpdated = n.Usage.Updated()
 	}
+	var streamsUpdated <-chan struct{}
+	if n.Streams != nil {
+		streamsUpdated = n.Streams.Updated()
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -254,11 +266,14 @@
 			n.contained("announcing tables", func() { n.announceToGroup(now, socket) })
 			n.contained("sending evidence", func() { n.sendEvidence(now, socket, gossipFanOut) })
 			n.contained("updating the peers of usage", n.updateUsagePeers)
+			n.contained("updating the peers of streams", n.updateStreamPeers)
 			n.contained("sending candidates", func() { n.sendCandidates(now, socket) })
 		case <-updated:
 			n.contained("sending evidence", func() { n.sendEvidence(time.Now(), socket, evidenceFanOut) })
 		case <-usageUpdated:
 			n.contained("sending usage", func() { n.sendUsage(socket) })
+		case <-streamsUpdated:
+			n.contained("sending where streams began", func() { n.sendStreams(socket) })
 		case <-n.changed:
 			n.announceToGroup(time.Now(), socket)
 			n.passOn(time.Now(), socket)
--- a/internal/peers/usage.go
+++ b/internal/peers/usage.go
@@ -1,9 +1,7 @@
 package peers
 
 import (
-	"maps"
 	"net"
-	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -52,17 +50,8 @@
 	if n.Usage == nil {
 		return
 	}
-	n.mu.Lock()
-	known := make(map[string]struct{}, len(n.lastHeard))
-	for address := range n.state.peers {
-		known[address] = struct{}{}
-	}
-	for address := range n.lastHeard {
-		known[address] = struct{}{}
-	}
-	zone := slices.Clone(n.zonePeers)
-	n.mu.Unlock()
-	n.Usage.SetPeers(slices.Collect(maps.Keys(known)), zone)
+	all, zone, _ := n.knownDaemons()
+	n.Usage.SetPeers(all, zone)
 }
 
 // sendUsage sends the datagrams with usage that are due.
