Write the origins of streams again when the platform was restored

None of the 20 streams could be taken up at another daemon 6 s later (503), while 12 of 12 new ones began.

Cause: the daemon's row was gone. Keeper.sync wrote it again only when streams had changed or after 10 s, and nothing in origin looked at the era, although the daemon's other calls had shown it. Ruled out: the stop ends the writing (without the restoration all 20 go on); the daemon does not notice the restoration (AD8018 is in its log). Readers had the same gap: a table that had just come back proved that a service had one version.

Change: follow.Era holds the latest era that any answer of the platform, refusals included, or any peer's copy of a table has shown. A Keeper writes its row again within an interval once a later era than the row's is known. Rows read within 2 s and an interval of that are incomplete: peers are asked, and absence decides nothing.

--- a/internal/cli/edge.go
+++ b/internal/cli/edge.go
@@ -68,6 +68,7 @@
 		Upstreams:     store.Replicas(),
 		Daemons:       store.Daemons(),
 		Streams:       store.Streams(),
+		Era:           store.Era(),
 		ReadSettings:  read,
 		Log:           telemetry.NewLog(writer, zerolog.InfoLevel, string(s.Daemon)),
 		Metrics:       metrics,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,6 +96,9 @@
 	// Streams is the table in which daemons share at which software versions streams
 	// began. Nil means that the daemon knows only its own.
 	Streams origin.Table
+	// Era is the latest era that any call to the platform has shown. Nil means one of the
+	// daemon's own, which only the followed tables raise.
+	Era *follow.Era
 	// ReadSettings rereads the settings. Nil means that they never change.
 	ReadSettings func() (*Settings, error)
 	// Usage replaces what Duties give the metering of usage. Nil means that nothing is
@@ -130,6 +133,9 @@
 
 // New returns a daemon with the given settings and dependencies.
 func New(s *Settings, d Deps) *Edge {
+	if d.Era == nil {
+		d.Era = follow.NewEra()
+	}
 	pool := upstreamhttp.NewPool(upstreamhttp.Options{})
 	b := balancer.New(balancer.Site{Zone: s.Zone, Region: s.Region, Regions: s.Regions})
 	var handler *relay.Handler
@@ -149,13 +155,14 @@
 		handler: handler,
 		pool:    pool,
 		state: &state{
-			decoders: d.Decoders, log: d.Log, handler: handler, balancer: b,
+			decoders: d.Decoders, log: d.Log, era: d.Era, handler: handler, balancer: b,
 			inventory: inventory.New(removalGrace(s)),
 		},
 	}
 	if d.Streams != nil {
 		e.origins = origin.NewKeeper(origin.Options{
-			Daemon: string(s.Daemon), Address: s.InternalAddress, Table: d.Streams, WriteRate: s.PlatformWriteRate, Log: d.Log,
+			Daemon: string(s.Daemon), Address: s.InternalAddress, Table: d.Streams, Era: d.Era,
+			WriteRate: s.PlatformWriteRate, Log: d.Log,
 			Daemons: func() int { return int(e.fleet.Load()) },
 		})
 		handler.Origins, e.state.origins = e.origins, e.origins
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -90,7 +90,7 @@
 	e := edge.New(s.settings.Load(), edge.Deps{
 		Protocol:      platform.Protocol{},
 		Decoders:      decoders,
-		Configuration: client.Configuration(), Upstreams: client.Replicas(), Daemons: client.Daemons(), Streams: client.Streams(),
+		Configuration: client.Configuration(), Upstreams: client.Replicas(), Daemons: client.Daemons(), Streams: client.Streams(), Era: client.Era(),
 		ReadSettings: func() (*edge.Settings, error) { return s.settings.Load(), nil },
 		Log:          telemetry.NopLog(), Metrics: telemetry.NewMetrics(),
 	})
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -9,6 +9,7 @@
 	"github.com/auburndyke/auburndyke/internal/balancer"
 	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/httproute"
 	"github.com/auburndyke/auburndyke/internal/inventory"
 	"github.com/auburndyke/auburndyke/internal/origin"
@@ -51,6 +52,8 @@
 	loggedSuperseded map[domain.UpstreamID]domain.Incarnation
 	// origins learns the software versions of the listed upstreams. It may be nil.
 	origins *origin.Keeper
+	// era is raised by copies of tables that come from peers.
+	era *follow.Era
 	// eras holds the platform's era of each table.
 	eras map[string]uint64
 	// onChange is called when a table has changed. It may be nil.
@@ -217,6 +220,7 @@
 		s.eras = make(map[string]uint64)
 	}
 	s.eras[table] = version.Era()
+	s.era.Observe(time.Now(), version.Era())
 	if !known || version.Era() == previous {
 		return false
 	}
--- a/internal/edge/versions_test.go
+++ b/internal/edge/versions_test.go
@@ -190,3 +190,45 @@
 	assert.Assert(t, taken >= streams/2, "%d streams were taken up", taken)
 	f.store.SetFault(standin.Healthy)
 }
+
+// Guards against streams that can't be taken up after a restoration of the platform because
+// their daemon gets no new ones. The share is that of the users' rule.
+func TestStreamsAreTakenUpAfterRestoration(t *testing.T) {
+	const streams = 16
+	f := startVersionFleet(t, 2)
+	begun := make([]received, streams)
+	var wait sync.WaitGroup
+	time.Sleep(time.Second)
+	for i := range streams {
+		wait.Go(func() { begun[i] = f.read(t.Context(), f.daemons[0], fmt.Sprint("first-", i), "", 0) })
+	}
+	time.Sleep(900 * time.Millisecond)
+	f.store.SetFault(standin.Reset)
+	f.store.RestoreAge(1500 * time.Millisecond)
+	f.store.SetFault(standin.Healthy)
+	for _, r := range f.replicas {
+		f.store.Put("servers", r.ID, r.Registration("model", "a", "ready"))
+	}
+	time.Sleep(1700 * time.Millisecond)
+	f.daemons[0].stop()
+	wait.Wait()
+	time.Sleep(time.Second)
+	goesOn := 0
+	var mu sync.Mutex
+	for i, b := range begun {
+		assert.Assert(t, b.status == http.StatusOK && b.events > 0 && !b.whole, "stream %d: %+v", i, b)
+		wait.Go(func() {
+			got := f.read(t.Context(), f.daemons[1], fmt.Sprint("again-", i), fmt.Sprint("first-", i), b.events)
+			mu.Lock()
+			defer mu.Unlock()
+			if got.status == http.StatusOK {
+				goesOn++
+			}
+			for version := range got.softwares {
+				assert.Check(t, b.softwares[version], "stream %d began at %v and goes on at %q", i, b.softwares, version)
+			}
+		})
+	}
+	wait.Wait()
+	assert.Assert(t, goesOn >= streams/2, "%d of %d streams go on", goesOn, streams)
+}
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -13,6 +13,7 @@
 	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/contain"
 	"github.com/auburndyke/auburndyke/internal/domain"
+	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
@@ -21,8 +22,8 @@
 	// minInterval is the least time between two writes of a daemon. A stream that began
 	// within it is lost with its daemon.
 	minInterval = 350 * time.Millisecond
-	// refreshInterval is how often an unchanged row is written again: a late write, or
-	// a restoration of the platform, may have replaced it by an earlier one.
+	// refreshInterval is how often an unchanged row is written again: a late write may have
+	// replaced it by an earlier one.
 	refreshInterval = 10 * time.Second
 	writeTimeout    = time.Second
 	// readTimeout bounds the reading of all rows while a caller waits.
@@ -31,8 +32,8 @@
 	readMaxAge = 250 * time.Millisecond
 	// readPause is how long nothing is read after a failure.
 	readPause = time.Second
-	// settleTime is how long after an outage, beside their interval, all daemons need to
-	// notice its end and to write their rows. Rows read before are incomplete.
+	// settleTime is how long after an outage or a restoration, beside their interval, all
+	// daemons need to notice it and to write their rows. Rows read before are incomplete.
 	settleTime = 2 * time.Second
 	// writeMargin is how long a write may take after its interval before a stream that
 	// is missing counts as unknown.
@@ -77,6 +78,8 @@
 	// none.
 	Address string
 	Table   Table
+	// Era is the platform's latest era. Nil means that the platform is never restored.
+	Era *follow.Era
 	// Daemons returns the number of daemons that write to the table. Nil means one.
 	Daemons func() int
 	// WriteRate is the number of writes a second that the platform allows all daemons
@@ -118,6 +121,11 @@
 	written   bool
 	writtenAt time.Time
 	covered   uint64
+	// nextReading is when the rows are read again until they tell of the time before the
+	// process started. It is used by Run only.
+	nextReading time.Time
+	// writtenEra is the latest known era when the row was last written.
+	writtenEra uint64
 
 	// reading is a semaphore. Whoever holds it uses rows, failing and failedAt.
 	reading chan struct{}
@@ -139,6 +147,9 @@
 
 // NewKeeper returns a Keeper, which Run starts.
 func NewKeeper(o Options) *Keeper {
+	if o.Era == nil {
+		o.Era = follow.NewEra()
+	}
 	book := NewBook()
 	return &Keeper{
 		Book: book, inquiries: newInquiries(book, o.Address), o: o,
@@ -161,6 +172,8 @@
 // Run writes the daemon's row until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		// The loop goes round at least once in an interval, which spreads the writes of a
+		// fleet whose rows are lost in a restoration.
 		timer := time.NewTimer(k.o.interval())
 		select {
 		case <-ctx.Done():
@@ -181,9 +194,9 @@
 // service, and writes the daemon's row if that is due, or removes it.
 func (k *Keeper) sync(ctx context.Context) error {
 	now := time.Now()
-	if listed, all := k.listsKnown(now); listed && !all {
-		// Repeated at the next interval if it fails.
-		_, _ = k.read(ctx, now)
+	if listed, all := k.listsKnown(now); listed && !all && !now.Before(k.nextReading) {
+		k.nextReading = now.Add(readPause)
+		_, _ = k.read(ctx, now) // repeated if it fails, or if the rows are incomplete
 	}
 	if !k.Mixed(now) {
 		if !k.written {
@@ -201,7 +214,8 @@
 	if err != nil {
 		return err
 	}
-	if k.written && changes == k.covered && now.Sub(k.writtenAt) < refreshInterval {
+	era, _ := k.o.Era.Latest()
+	if k.written && changes == k.covered && era == k.writtenEra && now.Sub(k.writtenAt) < refreshInterval {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -211,7 +225,8 @@
 		k.o.Log.Event(telemetry.OriginsNotShared).Err(err).Send()
 		return nil
 	}
-	k.covered, k.writtenAt = changes, now
+	// An era that begins during the call is later than this one: the row is written again.
+	k.covered, k.writtenAt, k.writtenEra = changes, now, era
 	return nil
 }
 
@@ -388,6 +403,7 @@
 		k.o.Log.Event(telemetry.OriginsNotShared).Err(err).Send()
 		return nil, eris.Wrap(err, "reading the origins of streams")
 	}
+	// The reading itself may be the first call that shows a restoration.
 	out := &shared{readAt: now, streams: make(map[key]Origin), complete: k.settled(now)}
 	mixed := make(map[string]bool)
 	for _, row := range rows {
@@ -413,7 +429,14 @@
 }
 
 // settled reports whether all daemons have had time to write their rows, as far as this one
-// can tell: its own readings have not failed lately. The caller holds the semaphore.
+// can tell: it has not heard lately of a restoration, and its own readings have not failed.
+// The caller holds the semaphore.
 func (k *Keeper) settled(now time.Time) bool {
-	return k.failedAt.IsZero() || now.Sub(k.failedAt) >= settleTime+k.o.interval()
+	_, restoredAt := k.o.Era.Latest()
+	for _, at := range []time.Time{k.failedAt, restoredAt} {
+		if !at.IsZero() && now.Sub(at) < settleTime+k.o.interval() {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,23 @@
 	reads  int
 	writes int
 	bytes  int
+	// written holds the times of all writes.
+	written []time.Time
+	// copied is a copy of rows from which restore brings them back.
+	copied map[string]Row
+}
+
+// backUp keeps a copy of the rows, and restore brings the table back from it.
+func (t *memoryTable) backUp() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.copied = maps.Clone(t.rows)
+}
+
+func (t *memoryTable) restore() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows = maps.Clone(t.copied)
 }
 
 func newMemoryTable() *memoryTable { return &memoryTable{rows: make(map[string]Row)} }
@@ -60,6 +78,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.writes++
+	t.written = append(t.written, time.Now())
 	t.bytes += len(value)
 	if t.away {
 		return ports.ErrUnavailable
