Refuse a stream unless it is certain that one version was in service

What callers saw (ORDER, an operator's report): during a release a daemon was cut off or stood still while upstreams of a new version joined. Streams that other daemons had begun on them were taken up there and went on at the old version.

Cause: without the platform's answer a daemon used the versions that it had seen up to its last contact, for streams that began after it. A copy of the list that a peer reads, or that is as old as a pause, was not checked either.

Change: one version counts only if the list of upstreams is confirmed by a call that began after the caller came (follow.Follower.Confirm). Without the platform more than half of the fleet must agree. What a daemon knows of begins anew after a gap in the list (OnGap). The size of a fleet is unknown until a daemon has found its own row in the directory.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -122,6 +122,8 @@
 	// usage counts the requests of customers. Nil means that none are counted.
 	usage   *usage.Meter
 	origins *origin.Keeper
+	// upstreams follows the list of upstreams once Run has begun.
+	upstreams atomic.Pointer[follow.Follower]
 	// fleet is the number of daemons.
 	fleet  atomic.Int64
 	duties dutyRunner
@@ -161,7 +163,7 @@
 	}
 	if d.Streams != nil {
 		e.origins = origin.NewKeeper(origin.Options{
-			Daemon: string(s.Daemon), Address: s.InternalAddress, Table: d.Streams, Era: d.Era,
+			Daemon: string(s.Daemon), Address: s.InternalAddress, Table: d.Streams, Era: d.Era, Confirm: e.confirmUpstreams,
 			WriteRate: s.PlatformWriteRate, Log: d.Log,
 			Daemons: func() int { return int(e.fleet.Load()) },
 		})
@@ -175,6 +177,22 @@
 	return e
 }
 
+// confirmUpstreams brings the list of upstreams up to date as of a time.
+func (e *Edge) confirmUpstreams(ctx context.Context, asOf time.Time) error {
+	f := e.upstreams.Load()
+	if f == nil {
+		return follow.ErrNotConfirmed
+	}
+	return f.Confirm(ctx, asOf)
+}
+
+// missUpstreams records that upstreams may have come and gone unseen.
+func (e *Edge) missUpstreams() {
+	if e.origins != nil {
+		e.origins.Gap(time.Now())
+	}
+}
+
 // removalGrace returns how long an upstream without a registration may get requests.
 func removalGrace(s *Settings) time.Duration {
 	return max(removalTimeout(s)-settleInterval(s)-removalMargin, 0)
@@ -243,8 +261,9 @@
 	})
 	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{
 		CoalesceDelay: settleInterval(s), Delegated: delegatedFor(tableUpstreams),
-		Contact: contact, ReturnSpread: returnSpread, RetryPolicy: retryPolicy, Log: e.deps.Log, Rand: newRand(),
+		Contact: contact, ReturnSpread: returnSpread, RetryPolicy: retryPolicy, OnGap: e.missUpstreams, Log: e.deps.Log, Rand: newRand(),
 	})
+	e.upstreams.Store(upstreams)
 	e.handler.OnListOutdated = upstreams.Refresh
 	node = e.newPeerNode(contact, map[string]peers.Table{tableConfiguration: configuration, tableUpstreams: upstreams})
 	e.duties.start(node, func(f func(context.Context) error) { addLoop(&g, f) })
--- a/internal/follow/copy.go
+++ b/internal/follow/copy.go
@@ -63,6 +63,20 @@
 	return out
 }
 
+// misses reports whether changes after the copy's version remove a row that the copy does
+// not have: it came and went since.
+func (s *Snapshot) misses(changes []ports.Row) bool {
+	added := make(map[string]bool)
+	for _, r := range changes {
+		_, known := s.rows[r.Key]
+		if r.Deleted && !known && !added[r.Key] && r.Version > s.AsOf {
+			return true
+		}
+		added[r.Key] = true
+	}
+	return false
+}
+
 func (s *Snapshot) apply(rows []ports.Row) {
 	if s.rows == nil {
 		s.rows = make(map[string]ports.Row)
@@ -114,6 +128,9 @@
 // replace replaces the copy and the sink's table by a complete table. The caller
 // holds mu.
 func (f *Follower) replace(rows []ports.Row, version ports.Version) {
+	if f.copy.AsOf > 0 && version > f.copy.AsOf {
+		f.onGap()
+	}
 	f.copy.replace(rows, version)
 	f.sink.Replace(time.Now(), rows, version)
 }
@@ -191,12 +208,20 @@
 	if after > f.copy.AsOf || v.AsOf <= f.copy.AsOf || v.AsOf.Era() != f.copy.AsOf.Era() {
 		return false
 	}
+	f.applyChanges(rows, v.AsOf)
+	return true
+}
+
+// applyChanges applies the changes that lead to a version. The caller holds mu.
+func (f *Follower) applyChanges(rows []ports.Row, version ports.Version) {
+	if f.copy.misses(rows) {
+		f.onGap()
+	}
 	if len(rows) > 0 {
 		f.copy.apply(rows)
-		f.sink.Apply(time.Now(), rows, v.AsOf)
+		f.sink.Apply(time.Now(), rows, version)
 	}
-	f.copy.AsOf = v.AsOf
-	return true
+	f.copy.AsOf = max(f.copy.AsOf, version)
 }
 
 // ReadsPlatform reports whether the last call to the platform succeeded and the current
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -84,6 +84,7 @@
 	contact       *Contact
 	returnSpread  func() time.Duration
 	retryPolicy   func() backoff.Policy
+	onGap         func()
 	log           *telemetry.Log
 	rng           *rand.Rand
 	// timeout bounds calls that are answered at once. It is used by Run only.
@@ -103,6 +104,11 @@
 	// delegated since the last call, or that call failed or was repeated.
 	probe bool
 
+	// confirming is a semaphore. Whoever holds it uses confirmedAt, as of which the copy
+	// was complete when Confirm last succeeded.
+	confirming  chan struct{}
+	confirmedAt time.Time
+
 	// mu guards the fields below and is held during Replace and Apply of the sink.
 	mu   sync.Mutex
 	copy Snapshot
@@ -145,6 +151,10 @@
 	// RetryPolicy returns the delays after failures while other daemons report the
 	// platform's return. Nil means delays of 0.1 to 1 s.
 	RetryPolicy func() backoff.Policy
+	// OnGap is called before rows are applied if others may have come and gone since the
+	// last ones: the whole table had to be read again, or a row is removed that the copy
+	// never had. Nil means that nobody needs to know.
+	OnGap func()
 	// Log gets the panics of the sink. Default none.
 	Log *telemetry.Log
 	// Rand adds jitter to the delays after failures. Required.
@@ -156,7 +166,11 @@
 	f := &Follower{
 		source: source, sink: sink, coalesceDelay: o.CoalesceDelay, delegated: o.Delegated,
 		contact: o.Contact, returnSpread: o.ReturnSpread, retryPolicy: o.RetryPolicy, log: cmp.Or(o.Log, telemetry.NopLog()), rng: o.Rand,
-		refresh: make(chan struct{}, 1), started: time.Now(),
+		refresh: make(chan struct{}, 1), started: time.Now(), confirming: make(chan struct{}, 1),
+	}
+	f.onGap = o.OnGap
+	if f.onGap == nil {
+		f.onGap = func() {}
 	}
 	if f.contact == nil {
 		f.contact = NewContact()
@@ -333,11 +347,7 @@
 	case era < after.Era():
 		return eris.Wrapf(errStaleRead, "era %d after %d", era, after.Era())
 	}
-	if f.changed {
-		f.copy.apply(rows)
-		f.sink.Apply(time.Now(), rows, version)
-	}
-	f.copy.AsOf = max(f.copy.AsOf, version)
+	f.applyChanges(rows, version)
 	return nil
 }
 
--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -148,6 +148,15 @@
 	return mixed
 }
 
+// Gap records that versions may have come and gone since the last list of upstreams.
+func (b *Book) Gap(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.knownSince.IsZero() {
+		b.knownSince = now
+	}
+}
+
 // inService returns the versions of a service that are listed or were within Memory. The
 // caller holds mu.
 func (b *Book) inService(now time.Time, service string) []string {
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -13,8 +13,10 @@
 // the streams that they have begun.
 //
 // That a daemon has heard of no other version proves nothing by itself. It counts only
-// if the daemon has heard of all versions for as long as callers take streams up: since its
-// start, or since before it if the rows of others tell of that time.
+// if the daemon has heard of all versions without a gap for as long as callers take streams
+// up, and until the caller asked: from its start on, or from before it if the rows of others
+// tell of that time, to a call to the platform that began after the caller came. While the
+// platform is away, most of the fleet must agree instead.
 //
 // A stream whose version is not known goes on nowhere: the caller is told that its
 // attempt has not run.
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -78,6 +78,9 @@
 	// none.
 	Address string
 	Table   Table
+	// Confirm brings the list of upstreams up to date as of a time, or returns an error if
+	// the platform does not answer. Nil means that the list is always up to date.
+	Confirm func(ctx context.Context, asOf time.Time) error
 	// Era is the platform's latest era. Nil means that the platform is never restored.
 	Era *follow.Era
 	// Daemons returns the number of daemons that write to the table. Nil means one.
@@ -147,6 +150,9 @@
 
 // NewKeeper returns a Keeper, which Run starts.
 func NewKeeper(o Options) *Keeper {
+	if o.Confirm == nil {
+		o.Confirm = func(context.Context, time.Time) error { return nil }
+	}
 	if o.Era == nil {
 		o.Era = follow.NewEra()
 	}
@@ -256,12 +262,13 @@
 // resumes. It returns false if that is not known, and then has waited for the time in
 // which another daemon writes down a stream.
 func (k *Keeper) Resolve(ctx context.Context, id domain.RequestID, service string) (softwareVersion string, known bool) {
-	fresh := time.Now().Add(-readMaxAge)
+	asked := time.Now()
+	fresh := asked.Add(-readMaxAge)
 	for attempt := range 2 {
 		if version, known := k.Lookup(time.Now(), id, service); known {
 			return version, true
 		}
-		version, result := k.search(ctx, fresh, keyOf(id), service)
+		version, result := k.search(ctx, asked, fresh, keyOf(id), service)
 		switch {
 		case result == found:
 			return version, true
@@ -289,28 +296,24 @@
 	unreachable
 )
 
-// search looks for a stream in the rows of all daemons, read after a time, and in the
-// memory of peers if the rows don't decide at once. A stream that none of them knows began
-// at the only version in service, if there was only one for as long as callers wait.
-func (k *Keeper) search(ctx context.Context, fresh time.Time, stream key, service string) (softwareVersion string, r result) {
-	read := make(chan *shared, 1)
-	go func() {
-		// The reading serves other callers as well, so that it outlasts this one's. An error
-		// is logged.
-		rows, _ := k.read(context.WithoutCancel(ctx), fresh)
-		read <- rows
-	}()
-	var rows *shared
+// search looks for a stream in the rows of all daemons, read after fresh, and in the memory
+// of peers if the platform does not decide at once. A stream that none of them knows began
+// at the only version in service, if there was only one for as long as callers wait, up to
+// the moment at which the caller asked.
+func (k *Keeper) search(ctx context.Context, asked, fresh time.Time, stream key, service string) (softwareVersion string, r result) {
+	// The readings serve other callers as well, so that they outlast this one's.
+	reading := k.readPlatform(context.WithoutCancel(ctx), asked, fresh, service)
+	var word platformWord
 	timer := time.NewTimer(askDelay)
 	defer timer.Stop()
 	select {
-	case rows = <-read:
-		read = nil
+	case word = <-reading:
+		reading = nil
 	case <-timer.C:
 	case <-ctx.Done():
 		return "", unreachable
 	}
-	if version, known := k.decide(rows, stream, service); known {
+	if version, known := k.decide(word, stream, service); known {
 		return version, found
 	}
 	question := k.ask(service, stream)
@@ -319,13 +322,13 @@
 		if version, known := k.inquiries.lookup(question, stream); known {
 			return version, found
 		}
-		if finished && read == nil {
+		if finished && reading == nil {
 			break
 		}
 		select {
-		case rows = <-read:
-			read = nil
-			if version, known := k.decide(rows, stream, service); known {
+		case word = <-reading:
+			reading = nil
+			if version, known := k.decide(word, stream, service); known {
 				return version, found
 			}
 		case <-changed:
@@ -336,45 +339,67 @@
 	if version, only := k.only(time.Now(), question); only {
 		return version, found
 	}
-	if rows != nil {
-		k.logUnknown(service, rows, question)
-		return "", unknown
+	k.logUnknown(service, word, question)
+	if word.rows == nil {
+		return "", unreachable
 	}
-	// Without the others' word, the versions that this daemon has seen decide.
-	now := time.Now()
-	if _, all := k.listsKnown(now); all {
-		if version, only := k.Only(now, service); only {
-			return version, found
+	return "", unknown
+}
+
+// platformWord is what the platform has told for one search.
+type platformWord struct {
+	// rows are those of all daemons, or nil if they could not be read.
+	rows *shared
+	// listed reports whether the list of upstreams is complete as of the search.
+	listed bool
+}
+
+// readPlatform reads the rows of all daemons and, if only one version is known, has the
+// list of upstreams confirmed.
+func (k *Keeper) readPlatform(ctx context.Context, asked, fresh time.Time, service string) <-chan platformWord {
+	out := make(chan platformWord, 1)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	listed := make(chan bool, 1)
+	go func() {
+		_, only := k.Only(time.Now(), service)
+		listed <- only && k.o.Confirm(ctx, asked) == nil
+	}()
+	go func() {
+		defer cancel()
+		rows, err := k.read(ctx, fresh)
+		if err != nil { // logged by read
+			out <- platformWord{}
+			return
 		}
-	}
-	k.logUnknown(service, rows, question)
-	return "", unreachable
+		out <- platformWord{rows, <-listed}
+	}()
+	return out
 }
 
 // logUnknown logs what a search without a result rests on.
-func (k *Keeper) logUnknown(service string, rows *shared, question *round) {
+func (k *Keeper) logUnknown(service string, word platformWord, question *round) {
 	read := "complete"
 	switch {
-	case rows == nil:
+	case word.rows == nil:
 		read = "unreachable"
-	case !rows.complete:
+	case !word.rows.complete:
 		read = "incomplete"
 	}
 	asked, answered, fleet := k.count(question)
-	k.o.Log.Event(telemetry.OriginUnknown).Str("service", service).Str("rows", read).
+	k.o.Log.Event(telemetry.OriginUnknown).Str("service", service).Str("rows", read).Bool("listed", word.listed).
 		Float64("known_s", k.knownFor(time.Now()).Seconds()).Int("asked", asked).Int("answered", answered).Int("fleet", fleet).Send()
 }
 
-// decide returns the version at which a stream began if the rows of all daemons tell it.
-func (k *Keeper) decide(rows *shared, stream key, service string) (softwareVersion string, known bool) {
-	if rows == nil {
+// decide returns the version at which a stream began if the platform's word tells it.
+func (k *Keeper) decide(word platformWord, stream key, service string) (softwareVersion string, known bool) {
+	if word.rows == nil {
 		return "", false
 	}
-	if o, known := rows.streams[stream]; known && o.Service == service {
+	if o, known := word.rows.streams[stream]; known && o.Service == service {
 		return o.SoftwareVersion, true
 	}
 	now := time.Now()
-	if _, all := k.listsKnown(now); !all || !rows.complete {
+	if _, all := k.listsKnown(now); !all || !word.rows.complete || !word.listed {
 		return "", false
 	}
 	return k.Only(now, service)
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -251,8 +251,12 @@
 		single.setAway(true)
 		for _, p := range fleet {
 			assert.Equal(t, p.resolve(t, "2"), "old")
-			p.kill()
 		}
+		fleet[0].kill()
+		assert.Equal(t, fleet[2].resolve(t, "2"), "old")
+		fleet[1].kill()
+		assert.Equal(t, fleet[2].resolve(t, "2"), "unknown", "a daemon alone speaks for three")
+		fleet[2].kill()
 	})
 }
 
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -207,7 +207,7 @@
 			stale = append(stale, row)
 		}
 	}
-	n.lastHeard = lastHeard
+	n.lastHeard, n.inDirectory = lastHeard, own
 	n.zonePeers = slices.Clone(zone)
 	if n.directoryReadAt.IsZero() {
 		n.directoryReadAt = now
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -108,6 +108,8 @@
 	zonePeers []string
 	// directorySize is the number of daemons in the directory at its last read.
 	directorySize int
+	// inDirectory is set if the daemon's own row was in the directory at its last read.
+	inDirectory bool
 	// directoryReadAt is when the directory was first read, and zero before that.
 	directoryReadAt time.Time
 	// lastHeard is when each daemon of the directory was last heard from, or
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -49,8 +49,9 @@
 }
 
 // knownDaemons returns the addresses of the daemons that were heard from or are in the
-// directory, of those of the zone, and the number of daemons with this one, which is zero
-// until the directory was read.
+// directory, of those of the zone, and the number of daemons with this one. That is zero
+// until a reading of the directory has found the daemon's own row: daemons that started
+// together may have been missing from an earlier one as well.
 func (n *Node) knownDaemons() (all, zone []string, fleet int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -61,7 +62,7 @@
 	for address := range n.lastHeard {
 		known[address] = struct{}{}
 	}
-	if !n.directoryReadAt.IsZero() {
+	if n.inDirectory {
 		fleet = max(n.directorySize, len(known)+1)
 	}
 	return slices.Collect(maps.Keys(known)), slices.Clone(n.zonePeers), fleet
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -114,7 +114,7 @@
 
 	SoftwareVersionsMixed = Event{"AD8019", "software_versions_mixed", zerolog.InfoLevel, "Upstreams of several software versions of a service are in service; the daemon shares at which one its streams began."}
 	OriginsNotShared      = Event{"AD8020", "origins_not_shared", zerolog.WarnLevel, "The table that says at which software versions streams began could not be read or written; peers are asked about streams of other daemons meanwhile."}
-	OriginUnknown         = Event{"AD8021", "origin_unknown", zerolog.InfoLevel, "A caller takes up a stream, and it is not known at which software version of the service it began. rows says what the platform's table was worth; known_s is for how long the daemon has heard of all versions; asked and answered are peers, fleet is the number of daemons."}
+	OriginUnknown         = Event{"AD8021", "origin_unknown", zerolog.InfoLevel, "A caller takes up a stream, and it is not known at which software version of the service it began. rows says what the platform's table was worth, listed whether the platform confirmed the list of upstreams; known_s is for how long the daemon has heard of all versions; asked and answered are peers, fleet is the number of daemons."}
 
 	SettingsFinding = Event{"AD1012", "settings_finding", zerolog.WarnLevel, "A part of the settings can't be used; the daemon serves without it."}
 
