Read the directory of daemons again when the platform was restored

Symptom: a daemon whose row is lost in a restoration of the platform stays out of the directory for 1 to 3 minutes. Daemons that start meanwhile count the fleet too small and don't ask it where streams began.

Cause: maintainDirectory waits for its timer, or for the platform's return after a failed call. A restoration that no call of its own failed in is neither.

Change: a later era ends the wait. The daemon reads the directory within 1.5 s, at a random time, and registers again if its row is gone.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -434,7 +434,7 @@
 	}
 	return peers.New(peers.Config{
 		Usage: e.peerUsage(), Streams: e.peerStreams(), Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
-		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, PlatformReadRate: s.PlatformReadRate,
+		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, Era: e.deps.Era, PlatformReadRate: s.PlatformReadRate,
 		Duties: e.duties.candidates(), FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
--- a/internal/peers/directory.go
+++ b/internal/peers/directory.go
@@ -20,8 +20,8 @@
 	// daemon that lost all its peers finds them again by reading it. 330 daemons
 	// make three reads a second.
 	directoryInterval = 2 * time.Minute
-	// registrationSpread is the span over which the daemons of a first start
-	// register. The platform takes about 200 transactions a second.
+	// registrationSpread is the span over which the daemons of a first start, or of a
+	// restored platform, register. The platform takes about 200 transactions a second.
 	registrationSpread = 1500 * time.Millisecond
 	// firstReadDelay and firstReadSpread are when the daemons of a first start read
 	// the directory, after they have registered.
@@ -71,7 +71,7 @@
 		}
 	}
 	for {
-		returned := n.Contact.Returned()
+		returned, risen := n.Contact.Returned(), n.Era.Risen()
 		registered := false
 		err := contain.Do(n.Log, "the directory", func() (err error) {
 			registered, err = n.syncDirectory(ctx)
@@ -99,6 +99,11 @@
 		case <-returned: // nil unless the directory could not be read
 			timer.Stop()
 			backoff.Sleep(ctx, time.Until(n.Contact.ReturnedAt().Add(n.returnDelay())))
+		case <-risen:
+			// The row may be gone, and the platform may not list the daemon to those that
+			// start from now on.
+			timer.Stop()
+			backoff.Sleep(ctx, time.Duration(n.directoryRand.Int64N(int64(registrationSpread))))
 		case <-ctx.Done():
 			timer.Stop()
 			return
--- a/internal/peers/directory_test.go
+++ b/internal/peers/directory_test.go
@@ -1,7 +1,10 @@
 package peers
 
 import (
+	"context"
+	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
+	"github.com/auburndyke/auburndyke/internal/standin/virtualtime"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
 )
 
@@ -89,3 +93,45 @@
 	n.directorySize = 7
 	assert.Equal(t, n.RetryPolicy(), follow.DefaultRetryPolicy)
 }
+
+// Guards against a daemon that those which start after a restoration of the platform don't
+// find, because its row is gone and nothing makes it look.
+func TestDirectoryIsWrittenAgainAfterRestoration(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := &memoryDirectory{rows: make(map[string][]byte)}
+		const daemons = 40
+		var running sync.WaitGroup
+		eras := make([]*follow.Era, daemons)
+		for i := range daemons {
+			eras[i] = follow.NewEra()
+			n := New(Config{
+				Daemon: fmt.Sprint("d-", i), Address: fmt.Sprint("127.0.0.1:", 1000+i), Directory: d, Local: idleState{}, Era: eras[i],
+				Rand: rand.New(rand.NewPCG(uint64(i), 2)), Log: telemetry.NopLog(),
+			})
+			running.Go(func() { n.maintainDirectory(ctx) })
+		}
+		size := func() int {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return len(d.rows)
+		}
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, size(), daemons)
+		for restoration := range uint64(3) {
+			d.mu.Lock()
+			clear(d.rows)
+			d.mu.Unlock()
+			for _, era := range eras {
+				era.Observe(time.Now(), restoration+1)
+			}
+			time.Sleep(registrationSpread / 2)
+			assert.Assert(t, size() < daemons, "the writes are not spread")
+			time.Sleep(registrationSpread / 2)
+			assert.Equal(t, size(), daemons, "rows after restoration %d", restoration)
+			time.Sleep(time.Minute)
+		}
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -57,7 +57,7 @@
 	Updated() <-chan struct{}
 }
 
-// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Evidence, Usage,
+// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Era, Evidence, Usage,
 // Streams, Duties and PlatformReadRate are required.
 type Config struct {
 	Daemon    string
@@ -76,6 +76,8 @@
 	// Contact records whether the platform responds. Nil means that peers are not
 	// told of its return.
 	Contact Contact
+	// Era is the platform's latest era. Nil means that the platform is never restored.
+	Era *follow.Era
 	// PlatformReadRate is the number of reads a second that all daemons together
 	// may make. Zero means unknown.
 	PlatformReadRate float64
@@ -136,6 +138,9 @@
 	if c.Contact == nil {
 		c.Contact = follow.NewContact()
 	}
+	if c.Era == nil {
+		c.Era = follow.NewEra()
+	}
 	return &Node{
 		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag), backlogs: make(map[string]backlog),
 		delegations: make(map[string]delegation), changed: make(chan struct{}, 1),
