Contain panics of the readings for a stream that is taken up

Cause: since the rows of other daemons and the list of upstreams are read beside the caller's request, in goroutines whose panics nobody catches. A row or a registration that a decoder panics on would end the process, and the next one that takes a stream up. Found by reading.

Change: both readings are contained and logged, and count as failed.

Test: TestPanicsOfReadingsAreContained ends the test process without the change.

--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -10,9 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/auburndyke/auburndyke/internal/backoff"
 	"github.com/auburndyke/auburndyke/internal/contain"
-	"github.com/auburndyke/auburndyke/internal/domain"
 	"github.com/auburndyke/auburndyke/internal/follow"
 	"github.com/auburndyke/auburndyke/internal/ports"
 	"github.com/auburndyke/auburndyke/internal/telemetry"
@@ -28,24 +26,17 @@
 	writeTimeout    = time.Second
 	// readTimeout bounds the reading of all rows while a caller waits.
 	readTimeout = 700 * time.Millisecond
-	// readMaxAge is how old the rows may be that are read for a caller.
-	readMaxAge = 250 * time.Millisecond
 	// readPause is how long nothing is read after a failure.
 	readPause = time.Second
 	// settleTime is how long after an outage or a restoration, beside their interval, all
 	// daemons need to notice it and to write their rows. Rows read before are incomplete.
 	settleTime = 2 * time.Second
-	// writeMargin is how long a write may take after its interval before a stream that
-	// is missing counts as unknown.
-	writeMargin = 150 * time.Millisecond
 	// partDaemons is the number of daemons that write to one part of the table. A part
 	// takes about 200 writes a second, one after the other.
 	partDaemons = 40
 	// writeRateShare is the share of the platform's rate of writes that all daemons
 	// together may use.
 	writeRateShare = 0.25
-	// askDelay is how long the platform has to decide before peers are asked as well.
-	askDelay = 50 * time.Millisecond
 	// staleRow is the age from which a row is removed. Its daemon is gone.
 	staleRow = 10 * Memory
 )
@@ -120,15 +111,16 @@
 	o    Options
 	wake chan struct{}
 
-	// written is set while the daemon has a row, as far as it knows. It is used by Run only.
-	written   bool
-	writtenAt time.Time
-	covered   uint64
-	// nextReading is when the rows are read again until they tell of the time before the
-	// process started. It is used by Run only.
-	nextReading time.Time
-	// writtenEra is the latest known era when the row was last written.
+	// written is set while the daemon has a row, as far as it knows. writtenAt and
+	// writtenEra say when it was last written, and covered which changes it has. These and
+	// nextReading are used by Run only.
+	written    bool
+	writtenAt  time.Time
 	writtenEra uint64
+	covered    uint64
+	// nextReading is the earliest time at which the rows are read again because the daemon
+	// does not know all versions that were in service.
+	nextReading time.Time
 
 	// reading is a semaphore. Whoever holds it uses rows, failing and failedAt.
 	reading chan struct{}
@@ -258,153 +250,6 @@
 	return nil
 }
 
-// Resolve returns the software version at which a stream began that the caller's attempt
-// resumes. It returns false if that is not known, and then has waited for the time in
-// which another daemon writes down a stream.
-func (k *Keeper) Resolve(ctx context.Context, id domain.RequestID, service string) (softwareVersion string, known bool) {
-	asked := time.Now()
-	fresh := asked.Add(-readMaxAge)
-	for attempt := range 2 {
-		if version, known := k.Lookup(time.Now(), id, service); known {
-			return version, true
-		}
-		version, result := k.search(ctx, asked, fresh, keyOf(id), service)
-		switch {
-		case result == found:
-			return version, true
-		case result == unreachable, attempt > 0:
-			return "", false
-		}
-		if !backoff.Sleep(ctx, k.o.interval()+writeMargin) {
-			return "", false
-		}
-		fresh = time.Now()
-	}
-	return "", false
-}
-
-// result is what a search has led to.
-type result uint8
-
-const (
-	// found means that the version is certain.
-	found result = iota
-	// unknown means that the platform answered, and that no daemon has written the stream
-	// down.
-	unknown
-	// unreachable means that the platform did not answer.
-	unreachable
-)
-
-// search looks for a stream in the rows of all daemons, read after fresh, and in the memory
-// of peers if the platform does not decide at once. A stream that none of them knows began
-// at the only version in service, if there was only one for as long as callers wait, up to
-// the moment at which the caller asked.
-func (k *Keeper) search(ctx context.Context, asked, fresh time.Time, stream key, service string) (softwareVersion string, r result) {
-	// The readings serve other callers as well, so that they outlast this one's.
-	reading := k.readPlatform(context.WithoutCancel(ctx), asked, fresh, service)
-	var word platformWord
-	timer := time.NewTimer(askDelay)
-	defer timer.Stop()
-	select {
-	case word = <-reading:
-		reading = nil
-	case <-timer.C:
-	case <-ctx.Done():
-		return "", unreachable
-	}
-	if version, known := k.decide(word, stream, service); known {
-		return version, found
-	}
-	question := k.ask(service, stream)
-	for {
-		finished, changed := k.progress(question)
-		if version, known := k.inquiries.lookup(question, stream); known {
-			return version, found
-		}
-		if finished && reading == nil {
-			break
-		}
-		select {
-		case word = <-reading:
-			reading = nil
-			if version, known := k.decide(word, stream, service); known {
-				return version, found
-			}
-		case <-changed:
-		case <-ctx.Done():
-			return "", unreachable
-		}
-	}
-	if version, only := k.only(time.Now(), question); only {
-		return version, found
-	}
-	k.logUnknown(service, word, question)
-	if word.rows == nil {
-		return "", unreachable
-	}
-	return "", unknown
-}
-
-// platformWord is what the platform has told for one search.
-type platformWord struct {
-	// rows are those of all daemons, or nil if they could not be read.
-	rows *shared
-	// listed reports whether the list of upstreams is complete as of the search.
-	listed bool
-}
-
-// readPlatform reads the rows of all daemons and, if only one version is known, has the
-// list of upstreams confirmed.
-func (k *Keeper) readPlatform(ctx context.Context, asked, fresh time.Time, service string) <-chan platformWord {
-	out := make(chan platformWord, 1)
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	listed := make(chan bool, 1)
-	go func() {
-		_, only := k.Only(time.Now(), service)
-		listed <- only && k.o.Confirm(ctx, asked) == nil
-	}()
-	go func() {
-		defer cancel()
-		rows, err := k.read(ctx, fresh)
-		if err != nil { // logged by read
-			out <- platformWord{}
-			return
-		}
-		out <- platformWord{rows, <-listed}
-	}()
-	return out
-}
-
-// logUnknown logs what a search without a result rests on.
-func (k *Keeper) logUnknown(service string, word platformWord, question *round) {
-	read := "complete"
-	switch {
-	case word.rows == nil:
-		read = "unreachable"
-	case !word.rows.complete:
-		read = "incomplete"
-	}
-	asked, answered, fleet := k.count(question)
-	k.o.Log.Event(telemetry.OriginUnknown).Str("service", service).Str("rows", read).Bool("listed", word.listed).
-		Float64("known_s", k.knownFor(time.Now()).Seconds()).Int("asked", asked).Int("answered", answered).Int("fleet", fleet).Send()
-}
-
-// decide returns the version at which a stream began if the platform's word tells it.
-func (k *Keeper) decide(word platformWord, stream key, service string) (softwareVersion string, known bool) {
-	if word.rows == nil {
-		return "", false
-	}
-	if o, known := word.rows.streams[stream]; known && o.Service == service {
-		return o.SoftwareVersion, true
-	}
-	now := time.Now()
-	if _, all := k.listsKnown(now); !all || !word.rows.complete || !word.listed {
-		return "", false
-	}
-	return k.Only(now, service)
-}
-
 // read returns the rows of all daemons, read after a time.
 func (k *Keeper) read(ctx context.Context, after time.Time) (*shared, error) {
 	select {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -96,6 +96,26 @@
 	return nil
 }
 
+// calls returns the number of readings and writes so far.
+func (t *memoryTable) calls() (reads, writes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads, t.writes
+}
+
+// writesIn returns the number of writes in a second.
+func (t *memoryTable) writesIn(from time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, at := range t.written {
+		if since := at.Sub(from); since >= 0 && since < time.Second {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *memoryTable) size() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -196,8 +216,9 @@
 		p.begin("1", "old")
 		time.Sleep(time.Minute)
 		// The rows are read once, since they tell what was in service before the start.
-		assert.Equal(t, table.reads, 1)
-		assert.Equal(t, table.writes, 0)
+		reads, writes := table.calls()
+		assert.Equal(t, reads, 1)
+		assert.Equal(t, writes, 0)
 
 		p.Observe(time.Now(), mixed)
 		time.Sleep(time.Second)
@@ -205,9 +226,10 @@
 		p.Observe(time.Now(), map[string][]string{service: {"new"}})
 		time.Sleep(Memory + time.Second)
 		assert.Equal(t, table.size(), 0)
-		calls := table.reads + table.writes
+		reads, writes = table.calls()
 		time.Sleep(time.Minute)
-		assert.Equal(t, table.reads+table.writes, calls)
+		readsLater, writesLater := table.calls()
+		assert.Equal(t, readsLater+writesLater, reads+writes)
 	})
 }
 
@@ -228,17 +250,27 @@
 		assert.Equal(t, several.resolve(t, "2"), "unknown")
 		assert.Equal(t, late.resolve(t, "1"), "new")
 		assert.Equal(t, late.resolve(t, "2"), "unknown", "a daemon that has not heard of the other version guesses")
-		before, started := table.reads, time.Now()
+		table.setAway(false)
+		time.Sleep(readPause)
+		assert.Equal(t, late.resolve(t, "1"), "new")
+
+		// Callers share a reading.
+		crowded := newMemoryTable()
+		alone := startProcess(t, crowded, "d", mixed)
+		defer alone.kill()
+		time.Sleep(time.Second)
+		crowded.setAway(true)
+		assert.Equal(t, alone.resolve(t, "2"), "unknown")
+		before, _ := crowded.calls()
+		started := time.Now()
 		var wait sync.WaitGroup
 		for i := range 100 {
-			wait.Go(func() { assert.Check(t, several.resolve(t, fmt.Sprint("x", i)) == "unknown") })
+			wait.Go(func() { assert.Check(t, alone.resolve(t, fmt.Sprint("x", i)) == "unknown") })
 		}
 		wait.Wait()
-		assert.Assert(t, table.reads-before <= 2, "%d reads", table.reads-before)
+		reads, _ := crowded.calls()
+		assert.Assert(t, reads-before <= 1, "%d reads", reads-before)
 		assert.Assert(t, time.Since(started) < time.Second)
-		table.setAway(false)
-		time.Sleep(readPause)
-		assert.Equal(t, late.resolve(t, "1"), "new")
 
 		// In a fleet that has had one version only, streams of a daemon that is gone go on.
 		single := newMemoryTable()
--- a/internal/origin/restored_test.go
+++ b/internal/origin/restored_test.go
@@ -42,13 +42,8 @@
 					deadline := settleTime + fleet[0].o.interval()
 					time.Sleep(deadline)
 					assert.Equal(t, table.size(), size, "rows %s after restoration %d", deadline, restoration)
-					perInterval := 0
-					for _, at := range table.written {
-						if since := at.Sub(restored); since >= 0 && since < time.Second {
-							perInterval++
-						}
-					}
-					assert.Assert(t, float64(perInterval) <= max(rate*writeRateShare, 2*float64(size)), "%d writes in the second after it", perInterval)
+					writes := table.writesIn(restored)
+					assert.Assert(t, float64(writes) <= max(rate*writeRateShare, 2*float64(size)), "%d writes in the second after it", writes)
 				}
 				last := len(fleet) - 1
 				for _, p := range fleet[1:] {
--- a/internal/origin/unheard_test.go
+++ b/internal/origin/unheard_test.go
@@ -291,3 +291,23 @@
 		q.only(now, r)
 	})
 }
+
+// panickingTable panics when it is read.
+type panickingTable struct{ Table }
+
+func (panickingTable) ReadAll(context.Context) ([]Row, error) { panic("a row") }
+
+// Guards against a row or an upstream that ends the whole process when a caller takes a
+// stream up, and against callers that wait for a reading that has panicked.
+func TestPanicsOfReadingsAreContained(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		confirm := func(context.Context, time.Time) error { panic("an upstream") }
+		p := startKeeper(t, Options{
+			Daemon: "a", Address: nextAddress(), Table: panickingTable{}, Confirm: confirm, Log: telemetry.NopLog(),
+		}, onlyOld)
+		defer p.kill()
+		for range 3 {
+			assert.Equal(t, p.resolve(t, "x"), "unknown")
+		}
+	})
+}
