Take the first start of a fleet as the beginning of all streams

Cause: since each process reads the rows of all daemons after its start. At the first start of the whole fleet there is nothing to learn from them, and the calls are priced.

Test: TestFirstStartKnowsAllVersions (no reading; a later gap still counts).

What remains is one call of each process that starts later, and one more for a stream that is taken up where nobody asked before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -163,7 +163,7 @@
 	}
 	if d.Streams != nil {
 		e.origins = origin.NewKeeper(origin.Options{
-			Daemon: string(s.Daemon), Address: s.InternalAddress, Table: d.Streams, Era: d.Era, Confirm: e.confirmUpstreams,
+			Daemon: string(s.Daemon), Address: s.InternalAddress, Table: d.Streams, Era: d.Era, Confirm: e.confirmUpstreams, FirstStart: s.FirstStart,
 			WriteRate: s.PlatformWriteRate, Log: d.Log,
 			Daemons: func() int { return int(e.fleet.Load()) },
 		})
--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -58,6 +58,8 @@
 	// knownSince is the time from which the daemon knows all versions that were in
 	// service. It is zero before the first list of upstreams.
 	knownSince time.Time
+	// firstStart means that there were no streams before the process started.
+	firstStart bool
 	// expiredAt is when streams were last forgotten.
 	expiredAt time.Time
 	// changes counts the changes of streams.
@@ -139,6 +141,9 @@
 	b.listed = versions
 	if b.knownSince.IsZero() {
 		b.knownSince = now
+		if b.firstStart {
+			b.knownSince = now.Add(-Memory)
+		}
 	}
 	for service := range versions {
 		if !before[service] && len(b.inService(now, service)) > 1 {
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -74,6 +74,9 @@
 	Confirm func(ctx context.Context, asOf time.Time) error
 	// Era is the platform's latest era. Nil means that the platform is never restored.
 	Era *follow.Era
+	// FirstStart means that the whole fleet starts for the first time, so that no stream is
+	// older than the process.
+	FirstStart bool
 	// Daemons returns the number of daemons that write to the table. Nil means one.
 	Daemons func() int
 	// WriteRate is the number of writes a second that the platform allows all daemons
@@ -149,6 +152,7 @@
 		o.Era = follow.NewEra()
 	}
 	book := NewBook()
+	book.firstStart = o.FirstStart
 	return &Keeper{
 		Book: book, inquiries: newInquiries(book, o.Address), o: o,
 		wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
--- a/internal/origin/unheard_test.go
+++ b/internal/origin/unheard_test.go
@@ -229,6 +229,26 @@
 	})
 }
 
+// Guards against a first start that costs a call of each daemon, and against a later gap
+// that is overlooked because of it.
+func TestFirstStartKnowsAllVersions(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		p := startKeeper(t, Options{Daemon: "a", Address: nextAddress(), Table: table, FirstStart: true, Log: telemetry.NopLog()}, onlyOld)
+		defer p.kill()
+		time.Sleep(time.Second)
+		reads, _ := table.calls()
+		assert.Equal(t, reads, 0)
+		assert.Equal(t, p.resolve(t, "x"), "old")
+		table.setAway(true)
+		p.Gap(time.Now())
+		_, all := p.listsKnown(time.Now())
+		assert.Assert(t, !all)
+		time.Sleep(time.Second)
+		assert.Equal(t, p.resolve(t, "x"), "unknown")
+	})
+}
+
 // cuttableTable is a Table that a daemon may not reach.
 type cuttableTable struct {
 	Table
