Share the steps of the tests of streams that are taken up

The tests of the software versions repeated how a fleet begins streams and takes them up, and how processes of origin are started.

--- a/internal/origin/network_test.go
+++ b/internal/origin/network_test.go
@@ -55,3 +55,15 @@
 		}()
 	}
 }
+
+// startFleet starts processes that know each other.
+func startFleet(t *testing.T, table Table, size int, versions map[string][]string) []*process {
+	t.Helper()
+	fleet := make([]*process, size)
+	for i := range fleet {
+		fleet[i] = startProcess(t, table, fmt.Sprint(i), versions)
+		t.Cleanup(fleet[i].kill)
+	}
+	connect(t, fleet...)
+	return fleet
+}
