Number questions about streams from a random start

Cause: each process numbered its questions from 1. A peer that stood still and answers a question of an earlier process, at the same address, would be taken to answer one of the present process, perhaps about another service.

Change: the first number is random. listsKnown becomes versionsKnown, which is what it reports.

Test: TestLateAnswerToEarlierProcess counts the late answer without the change and none with it.

--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -227,16 +227,16 @@
 	return now.Sub(b.knownSince)
 }
 
-// listsKnown reports whether the list of upstreams was read, and whether the daemon knows
+// versionsKnown reports whether the list of upstreams was read, and whether the daemon knows
 // of all versions that were in service within Memory.
-func (b *Book) listsKnown(now time.Time) (listed, all bool) {
+func (b *Book) versionsKnown(now time.Time) (listed, all bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.knowledge(now)
+	return b.versionsKnownLocked(now)
 }
 
-// knowledge is listsKnown. The caller holds mu.
-func (b *Book) knowledge(now time.Time) (listed, all bool) {
+// versionsKnownLocked is versionsKnown. The caller holds mu.
+func (b *Book) versionsKnownLocked(now time.Time) (listed, all bool) {
 	listed = !b.knownSince.IsZero()
 	return listed, listed && now.Sub(b.knownSince) >= Memory
 }
--- a/internal/origin/inquiry.go
+++ b/internal/origin/inquiry.go
@@ -34,7 +34,9 @@
 	// peers are the addresses of the known daemons, and zone those of the daemon's zone.
 	peers, zone []string
 	// fleet is the number of daemons with this one. Zero means unknown.
-	fleet    int
+	fleet int
+	// number is that of the last round. It begins anywhere, so that a late answer to an
+	// earlier process of the daemon is not taken for one to this one.
 	number   uint32
 	rounds   map[uint32]*round
 	open     map[string]*round // rounds that are collecting streams, by service
@@ -60,7 +62,7 @@
 
 func newInquiries(book *Book, address string) *inquiries {
 	return &inquiries{
-		book: book, address: address, rounds: make(map[uint32]*round), open: make(map[string]*round),
+		book: book, address: address, number: rand.Uint32(), rounds: make(map[uint32]*round), open: make(map[string]*round),
 		updated: make(chan struct{}, 1),
 	}
 }
@@ -247,7 +249,7 @@
 // were in service within Memory.
 func (q *inquiries) only(now time.Time, r *round) (softwareVersion string, only bool) {
 	version, only := q.book.Only(now, r.service)
-	listed, complete := q.book.listsKnown(now)
+	listed, complete := q.book.versionsKnown(now)
 	if !only || !listed {
 		return "", false
 	}
--- a/internal/origin/keeper.go
+++ b/internal/origin/keeper.go
@@ -196,7 +196,7 @@
 // service, and writes the daemon's row if that is due, or removes it.
 func (k *Keeper) sync(ctx context.Context) error {
 	now := time.Now()
-	if listed, all := k.listsKnown(now); listed && !all && !now.Before(k.nextReading) {
+	if listed, all := k.versionsKnown(now); listed && !all && !now.Before(k.nextReading) {
 		k.nextReading = now.Add(readPause)
 		_, _ = k.read(ctx, now) // repeated if it fails, or if the rows are incomplete
 	}
--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -94,7 +94,7 @@
 	defer b.mu.Unlock()
 	versions := b.inService(now, q.Service)
 	a := &Answer{Mixed: len(versions) > 1 || b.reportedMixed(now, q.Service)}
-	a.Listed, a.Complete = b.knowledge(now)
+	a.Listed, a.Complete = b.versionsKnownLocked(now)
 	for _, version := range versions[:min(len(versions), maxAnswerVersions)] {
 		if len(version) <= maxNameBytes {
 			a.Versions = append(a.Versions, version)
--- a/internal/origin/resolve.go
+++ b/internal/origin/resolve.go
@@ -156,7 +156,7 @@
 		return o.SoftwareVersion, true
 	}
 	now := time.Now()
-	if _, all := k.listsKnown(now); !all || !word.rows.complete || !word.listed {
+	if _, all := k.versionsKnown(now); !all || !word.rows.complete || !word.listed {
 		return "", false
 	}
 	return k.Only(now, service)
--- a/internal/origin/unheard_test.go
+++ b/internal/origin/unheard_test.go
@@ -162,8 +162,9 @@
 		table := newMemoryTable()
 		fleet := startFleet(t, table, 8, onlyOld)
 		time.Sleep(time.Second)
+		asked := fleet[0].number
 		assert.Equal(t, fleet[0].resolve(t, "x"), "old")
-		assert.Equal(t, int(fleet[0].number), 0, "peers are asked although the platform answers")
+		assert.Equal(t, fleet[0].number, asked, "peers are asked although the platform answers")
 		table.setAway(true)
 		time.Sleep(2 * readMaxAge) // the rows that were read are too old then
 		fleet[3].begin("1", "old")
@@ -209,10 +210,10 @@
 		assert.Equal(t, p.resolve(t, "x"), "old")
 
 		p.Gap(time.Now())
-		_, all := p.listsKnown(time.Now())
+		_, all := p.versionsKnown(time.Now())
 		assert.Assert(t, !all)
 		time.Sleep(time.Second)
-		_, all = p.listsKnown(time.Now())
+		_, all = p.versionsKnown(time.Now())
 		assert.Assert(t, all, "the rows of others tell of the gap")
 	})
 }
@@ -230,13 +231,28 @@
 		assert.Equal(t, p.resolve(t, "x"), "old")
 		table.setAway(true)
 		p.Gap(time.Now())
-		_, all := p.listsKnown(time.Now())
+		_, all := p.versionsKnown(time.Now())
 		assert.Assert(t, !all)
 		time.Sleep(time.Second)
 		assert.Equal(t, p.resolve(t, "x"), "unknown")
 	})
 }
 
+// Guards against a peer that stood still and answers a question of an earlier process,
+// which is taken for the answer to one of this process about another service.
+func TestLateAnswerToEarlierProcess(t *testing.T) {
+	q := newInquiries(NewBook(), "127.0.0.1:1")
+	earlier := newInquiries(NewBook(), "127.0.0.1:1")
+	for _, one := range []*inquiries{earlier, q} {
+		one.SetPeers([]string{"127.0.0.1:2"}, nil, 2)
+	}
+	question := earlier.ask("other", 1)
+	r := q.ask(service, 1)
+	q.begin(r)
+	q.Receive(&Message{Sender: "127.0.0.1:2", Round: question.number, Answer: &Answer{Listed: true, Complete: true}})
+	assert.Equal(t, len(r.answers), 0)
+}
+
 // cuttableTable is a Table that a daemon may not reach.
 type cuttableTable struct {
 	Table
