Give the streams of the tests of restorations and restarts more time

The streams lasted 3 s, and the tests break them 1.8 and 2.6 s after their begin. On a busy machine they could have ended before, and the tests would have failed without a fault. They last 6 s; what is checked is the same.

--- a/internal/edge/versions_test.go
+++ b/internal/edge/versions_test.go
@@ -150,9 +150,12 @@
 	assert.Assert(t, goesOn >= streams/2, "%d of %d streams go on", goesOn, streams)
 }
 
-// begin starts streams at a daemon. It returns what their callers have got once all have
+// begin starts streams of six seconds at a daemon. It returns what their callers have got once all have
 // ended.
 func (f *versionFleet) begin(d *fixture, streams int) (ended func() []received) {
+	for _, r := range f.replicas {
+		r.Set(standin.Behaviour{Events: 60, Work: 100 * time.Millisecond})
+	}
 	begun := make([]received, streams)
 	var wait sync.WaitGroup
 	for i := range streams {
