Drop the case that review/6 shows already, and renumber the others

The others move up by one: 11 is ORDER (software replaced in place), 12 LOST (entries of another writer), 13 DRAIN (a zone's reader that is cut off), 14 DRAIN (a start that is earlier by the clock). The driver prepares all daemons of a case by one call; what a case does and checks is unchanged.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,4 +6,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/auburndyke ] && [ -x target/review-3/driver ] || exit 2
-exec target/review-3/driver foreign "$folder/record.txt"
+exec target/review-3/driver silent-reader "$folder/record.txt"
--- a/review/driver3/clock_step.go
+++ b/review/driver3/clock_step.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"time"
 
@@ -26,16 +25,14 @@
 // clockStepBack starts a replica on a machine whose clock is ahead, and again under its id
 // when the clock is right. Much later the replica drains.
 func clockStepBack(r *run) (bool, error) {
-	if _, err := r.addReplicas(bookingService, "dublin-a", 2, standin.Behaviour{Work: bookingWork}); err != nil {
+	if _, err := r.addReplicas(bookingService, 2, standin.Behaviour{Work: bookingWork}); err != nil {
 		return false, err
 	}
 	if err := r.putConfig(7); err != nil {
 		return false, err
 	}
-	for i := range 2 {
-		if _, err := r.addDaemon(fmt.Sprintf("edge-dublin-a-%d", i+1), site{zone: "dublin-a", region: "leinster", memoryMB: 134}); err != nil {
-			return false, err
-		}
+	if err := r.addDaemons(2); err != nil {
+		return false, err
 	}
 	if err := r.startAll(); err != nil {
 		return false, err
@@ -105,7 +102,7 @@
 // registerBorn writes the entry of a replica that states its start by its machine's clock.
 func (r *run) registerBorn(s *standin.Replica, state string, born int64) error {
 	var entry fields
-	if err := json.Unmarshal(s.Registration(bookingService, "dublin-a", state), &entry); err != nil {
+	if err := json.Unmarshal(s.Registration(bookingService, zone, state), &entry); err != nil {
 		return err
 	}
 	entry["born"] = born
--- a/review/driver3/consumer.go
+++ b/review/driver3/consumer.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,11 +34,8 @@
 	sentAt time.Time
 	status int
 	sealed bool
-	// reused is whether the request was sent on a kept channel.
-	reused  bool
-	body    string
-	err     error
-	endedAt time.Time
+	body   string
+	err    error
 }
 
 func newConsumer(name, front, prefix string, wait time.Duration) *consumer {
@@ -55,14 +51,11 @@
 	o = outcome{id: fmt.Sprintf("%s-%d", c.name, n), sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, c.wait+time.Second)
 	defer cancel()
-	defer func() { o.endedAt = time.Now() }()
 	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+c.front+c.prefix+"2f", strings.NewReader("a request of "+o.id))
 	if err != nil {
 		o.err = err
 		return o
 	}
-	trace := httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { o.reused = info.Reused }}
-	req = req.WithContext(httptrace.WithClientTrace(ctx, &trace))
 	req.GetBody = nil // the client must not repeat requests by itself
 	req.Host = host
 	req.Header.Set("X-Attempt-Id", o.id)
--- a/review/driver3/daemon.go
+++ b/review/driver3/daemon.go
@@ -24,19 +24,16 @@
 	portsPerDaemon = 16
 )
 
-// site is what the settings of a deployment say.
-type site struct {
-	zone, region string
-	memoryMB     int
-	// cloud is the text of further tables of the settings file.
-	cloud string
-}
+// zone and region are those of all machines.
+const (
+	zone   = "dublin-a"
+	region = "leinster"
+)
 
 // daemon is one daemon of the system, which is restarted at the same addresses.
 type daemon struct {
 	run      *run
 	name     string
-	site     site
 	link     *link
 	front    string
 	ready    string
@@ -50,13 +47,24 @@
 	ended   chan struct{}
 }
 
-// addDaemon prepares a daemon, which start starts.
-func (r *run) addDaemon(name string, s site) (*daemon, error) {
+// addDaemons prepares daemons, which startAll starts.
+func (r *run) addDaemons(n int) error {
+	for i := range n {
+		d, err := r.newDaemon(fmt.Sprintf("edge-%s-%d", zone, i+1))
+		if err != nil {
+			return err
+		}
+		r.daemons = append(r.daemons, d)
+	}
+	return nil
+}
+
+func (r *run) newDaemon(name string) (*daemon, error) {
 	l, err := newLink(r.storeAddress)
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{run: r, name: name, site: s, link: l, settings: filepath.Join(r.dir, name+".toml")}
+	d := &daemon{run: r, name: name, link: l, settings: filepath.Join(r.dir, name+".toml")}
 	for _, address := range []*string{&d.front, &d.ready, &d.control} {
 		port, err := freePorts(1)
 		if err != nil {
@@ -67,7 +75,6 @@
 	if d.first, err = freePorts(portsPerDaemon); err != nil {
 		return nil, err
 	}
-	r.daemons = append(r.daemons, d)
 	return d, nil
 }
 
@@ -148,7 +155,7 @@
 [limits]
 cpu_share = 0.4
 cores = 1
-memory_mb = %d
+memory_mb = 134
 fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -189,8 +196,8 @@
 blob_bytes = 8388608
 blob_ms = 25.0
 blob_mb_per_s = 80.0
-%s`, d.name, d.site.zone, d.site.region, d.first, d.first+portsPerDaemon-1, strings.Join(seeds, ","), bootstrap,
-		d.site.zone, d.site.region, d.front, d.ready, d.control, d.site.memoryMB, d.link.address(), d.site.cloud)
+`, d.name, zone, region, d.first, d.first+portsPerDaemon-1, strings.Join(seeds, ","), bootstrap,
+		zone, region, d.front, d.ready, d.control, d.link.address())
 	return os.WriteFile(d.settings, []byte(text), 0o600)
 }
 
@@ -255,18 +262,6 @@
 	return nil
 }
 
-// hasEnded reports whether the process has ended.
-func (d *daemon) hasEnded() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	select {
-	case <-d.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 func (d *daemon) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + d.ready + "/readyz")
@@ -296,19 +291,3 @@
 	const most = 2000
 	d.run.notef("the end of the log of %s: %s", d.name, data[max(len(data)-most, 0):])
 }
-
-// residentBytes returns the memory of the process as the kernel counts it.
-func (d *daemon) residentBytes() int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	data, err := os.ReadFile("/proc/" + strconv.Itoa(d.process.Process.Pid) + "/statm")
-	fields := strings.Fields(string(data))
-	if err != nil || len(fields) < 2 {
-		return 0
-	}
-	pages, err := strconv.ParseInt(fields[1], 10, 64)
-	if err != nil {
-		return 0
-	}
-	return pages * int64(os.Getpagesize())
-}
--- a/review/driver3/foreign_entries.go
+++ b/review/driver3/foreign_entries.go
@@ -35,7 +35,7 @@
 // is not named in the configuration, while consumers take streams up.
 func foreignEntries(r *run) (bool, error) {
 	behaviour := standin.Behaviour{Events: streamEvents, Work: eventInterval, NameVersion: true}
-	first, err := r.addReplicas(modelService, "dublin-a", firstReplicas, behaviour)
+	first, err := r.addReplicas(modelService, firstReplicas, behaviour)
 	if err != nil {
 		return false, err
 	}
@@ -46,15 +46,13 @@
 		}
 		s.SoftwareVersion = "v2"
 		s.Set(behaviour)
-		r.register(s, modelService, "dublin-a", "ready")
+		r.register(s, modelService, "ready")
 	}
 	if err := r.putConfig(7); err != nil {
 		return false, err
 	}
-	for i := range 2 {
-		if _, err := r.addDaemon(fmt.Sprintf("edge-dublin-a-%d", i+1), site{zone: "dublin-a", region: "leinster", memoryMB: 134}); err != nil {
-			return false, err
-		}
+	if err := r.addDaemons(2); err != nil {
+		return false, err
 	}
 	if err := r.startAll(); err != nil {
 		return false, err
@@ -118,7 +116,7 @@
 // putForeign writes an entry as another writer does.
 func (r *run) putForeign(id, address string) error {
 	data, err := json.Marshal(fields{
-		"service": foreignService, "addr": address, "zone": "dublin-a", "version": "v1",
+		"service": foreignService, "addr": address, "zone": zone, "version": "v1",
 		"slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -21,7 +21,6 @@
 type scenario func(r *run) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"prompt-memory": promptMemory,
 	"silent-reader": silentReader,
 	"upgrade":       upgradeInPlace,
 	"foreign":       foreignEntries,
--- a/review/driver3/platform.go
+++ b/review/driver3/platform.go
@@ -55,13 +55,13 @@
 }
 
 // register writes the entry of a replica. The store's answer is its ack.
-func (r *run) register(s *standin.Replica, service, zone, state string) {
+func (r *run) register(s *standin.Replica, service, state string) {
 	r.store.Put("servers", s.ID, s.Registration(service, zone, state))
 	r.notef("the store has acknowledged that replica %s of %s at %s is %s", s.ID, service, s.Address(), state)
 }
 
 // addReplicas starts registered replicas of a service.
-func (r *run) addReplicas(service, zone string, n int, b standin.Behaviour) ([]*standin.Replica, error) {
+func (r *run) addReplicas(service string, n int, b standin.Behaviour) ([]*standin.Replica, error) {
 	var out []*standin.Replica
 	for i := range n {
 		s, err := standin.StartReplica("i-" + service + string(rune('a'+i)))
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 		s.Set(b)
-		r.register(s, service, zone, "ready")
+		r.register(s, service, "ready")
 		out = append(out, s)
 	}
 	return out, nil
--- a/review/driver3/silent_reader.go
+++ b/review/driver3/silent_reader.go
@@ -31,17 +31,15 @@
 
 // silentReader partitions one daemon from the store, and lets a replica drain.
 func silentReader(r *run) (bool, error) {
-	replicas, err := r.addReplicas(bookingService, "dublin-a", 3, standin.Behaviour{Work: bookingWork})
+	replicas, err := r.addReplicas(bookingService, 3, standin.Behaviour{Work: bookingWork})
 	if err != nil {
 		return false, err
 	}
 	if err := r.putConfig(7); err != nil {
 		return false, err
 	}
-	for i := range readerDaemons {
-		if _, err := r.addDaemon(fmt.Sprintf("edge-dublin-a-%d", i+1), site{zone: "dublin-a", region: "leinster", memoryMB: 134}); err != nil {
-			return false, err
-		}
+	if err := r.addDaemons(readerDaemons); err != nil {
+		return false, err
 	}
 	if err := r.startAll(); err != nil {
 		return false, err
@@ -77,7 +75,7 @@
 	}
 	time.Sleep(drainAfterCut)
 	leaving := replicas[0]
-	r.register(leaving, bookingService, "dublin-a", "draining")
+	r.register(leaving, bookingService, "draining")
 	acked := time.Now()
 	time.Sleep(drainTime + exitAfterDrain)
 	leaving.Close()
--- a/review/driver3/upgrade.go
+++ b/review/driver3/upgrade.go
@@ -38,17 +38,15 @@
 // while the store is down.
 func upgradeInPlace(r *run) (bool, error) {
 	behaviour := standin.Behaviour{Events: streamEvents, Work: eventInterval, NameVersion: true}
-	replicas, err := r.addReplicas(modelService, "dublin-a", modelReplicas, behaviour)
+	replicas, err := r.addReplicas(modelService, modelReplicas, behaviour)
 	if err != nil {
 		return false, err
 	}
 	if err := r.putConfig(7); err != nil {
 		return false, err
 	}
-	for i := range upgradeDaemons {
-		if _, err := r.addDaemon(fmt.Sprintf("edge-dublin-a-%d", i+1), site{zone: "dublin-a", region: "leinster", memoryMB: 134}); err != nil {
-			return false, err
-		}
+	if err := r.addDaemons(upgradeDaemons); err != nil {
+		return false, err
 	}
 	if err := r.startAll(); err != nil {
 		return false, err
@@ -87,7 +85,7 @@
 		if r.trouble {
 			unwritten = append(unwritten, next) // its writes get 503 until the store is back
 		} else {
-			r.register(next, modelService, "dublin-a", "ready")
+			r.register(next, modelService, "ready")
 		}
 		time.Sleep(time.Until(begun.Add(upgradeGap)))
 	}
@@ -97,7 +95,7 @@
 		r.notef("the store is back")
 	}
 	for _, one := range unwritten {
-		r.register(one, modelService, "dublin-a", "ready")
+		r.register(one, modelService, "ready")
 	}
 	time.Sleep(time.Second)
 	stop()
