Let entries of services that no configuration names replace nothing

Cause: the inventory registered each entry that could be decoded, whatever its service. A later start at the same address superseded the replica, and one under the replica's own ID took the place of its registration: all later ones of the replica counted as earlier than a start that never was, and were ignored for good.

An entry without a start, or one that is there before the daemons begin, changes nothing, which leaves the comparison of starts.

Change: the inventory keeps a registration for each service of an ID, and is told which services the configuration in force names. Others neither supersede the upstream at their address nor replace the registration of their ID, which is removed and comes back with the upstream's next one. An entry counts from the configuration that names its service until one that does not; the requests in progress of a service that was dropped keep their upstreams. The log says for each registration whether its service is configured.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -87,7 +87,7 @@
 	}
 	s.readyLogged = true
 	s.log.Event(telemetry.DaemonReady).Uint64("revision", uint64(s.handler.Table().Version)).
-		Int("upstreams", len(s.inventory.Entries())).Send()
+		Int("upstreams", len(s.inventory.Entries(s.configured))).Send()
 }
 
 // applyConfig applies a configuration that is newer than the current one.
@@ -131,10 +131,16 @@
 	s.log.Event(telemetry.ConfigurationRejected).Err(err).Uint64("row_version", version.Number()).Send()
 }
 
+// configured reports whether the configuration in force names a service.
+func (s *state) configured(service string) bool {
+	table := s.handler.Table()
+	return table != nil && table.Service(service) != nil
+}
+
 // updateBalancer passes the list of upstreams to the balancer. The caller holds mu.
 func (s *state) updateBalancer() {
 	table := s.handler.Table()
-	entries := s.inventory.Entries()
+	entries := s.inventory.Entries(s.configured)
 	s.logSuperseded(entries)
 	s.observeVersions(entries)
 	s.balancer.Update(time.Now(), entries, func(service string) balancer.Engine {
@@ -280,11 +286,11 @@
 	s.keepLapsed(now, false)
 	for _, row := range rows {
 		if r, ok := s.decode(row); ok {
-			s.inventory.Register(r)
+			s.inventory.Register(now, r)
 			s.log.Event(telemetry.UpstreamRegistered).
 				Str("upstream", row.Key).Str("service", r.Service).Str("address", r.Address).
 				Str("software", r.SoftwareVersion).Bool("draining", r.Draining).Uint64("incarnation", uint64(r.Incarnation)).
-				Uint64("row_version", row.Version.Number()).Send()
+				Bool("configured", s.configured(r.Service)).Uint64("row_version", row.Version.Number()).Send()
 			continue
 		}
 		s.inventory.Remove(now, domain.UpstreamID(row.Key))
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -77,13 +78,15 @@
 type Inventory struct {
 	removalGrace time.Duration
 	keepUntil    time.Time
-	records      map[domain.UpstreamID]*record
+	// records holds the registrations of each ID, at most one of a service. All but the
+	// one that is listed are removed.
+	records map[domain.UpstreamID][]*record
 }
 
 // New returns an empty list. removalGrace is how long a removed upstream stays
 // Unlisted.
 func New(removalGrace time.Duration) *Inventory {
-	return &Inventory{removalGrace: removalGrace, records: make(map[domain.UpstreamID]*record)}
+	return &Inventory{removalGrace: removalGrace, records: make(map[domain.UpstreamID][]*record)}
 }
 
 // SetRemovalGrace changes how long a removed upstream stays Unlisted.
@@ -94,24 +97,38 @@
 func (v *Inventory) KeepRemovedUntil(t time.Time) { v.keepUntil = t }
 
 // Register adds or replaces a registration. It ignores one that is earlier than the known
-// one, which a platform lists that was restored from an older copy of its data.
-func (v *Inventory) Register(r Registration) {
-	old := v.records[r.ID]
-	if old != nil && r.earlierThan(old.Registration) {
-		return
+// one, which a platform lists that was restored from an older copy of its data. A
+// registration of the same ID for another service is removed, but not forgotten: the new
+// one may come from another writer.
+func (v *Inventory) Register(now time.Time, r Registration) {
+	records := v.records[r.ID]
+	same := slices.IndexFunc(records, func(old *record) bool { return old.Service == r.Service })
+	if same >= 0 {
+		if r.earlierThan(records[same].Registration) {
+			return
+		}
+		records = slices.Delete(records, same, same+1)
+	}
+	for _, other := range records {
+		v.remove(now, other)
 	}
 	state := Serving
 	if r.Draining {
 		state = Draining
 	}
-	v.records[r.ID] = &record{Entry: Entry{Registration: r, State: state}}
+	v.records[r.ID] = append(records, &record{Entry: Entry{Registration: r, State: state}})
 }
 
 // Remove records that an upstream has no registration any more. The removal grace
 // period starts at the first call.
 func (v *Inventory) Remove(now time.Time, id domain.UpstreamID) {
-	r := v.records[id]
-	if r == nil || !r.removedAt.IsZero() {
+	for _, r := range v.records[id] {
+		v.remove(now, r)
+	}
+}
+
+func (v *Inventory) remove(now time.Time, r *record) {
+	if !r.removedAt.IsZero() {
 		return
 	}
 	r.removedAt, r.keepUntil = now, v.keepUntil
@@ -126,7 +143,7 @@
 	listed := make(map[domain.UpstreamID]bool, len(all))
 	for _, r := range all {
 		listed[r.ID] = true
-		v.Register(r)
+		v.Register(now, r)
 	}
 	for id := range v.records {
 		if !listed[id] {
@@ -139,10 +156,15 @@
 // It reports whether the list changed.
 func (v *Inventory) Expire(now time.Time) bool {
 	changed := false
-	for id, r := range v.records {
-		if !r.removedAt.IsZero() && !now.Before(r.expiresAt(v.removalGrace)) {
+	for id, records := range v.records {
+		kept := slices.DeleteFunc(records, func(r *record) bool {
+			return !r.removedAt.IsZero() && !now.Before(r.expiresAt(v.removalGrace))
+		})
+		changed = changed || len(kept) < len(records)
+		if len(kept) == 0 {
 			delete(v.records, id)
-			changed = true
+		} else {
+			v.records[id] = kept
 		}
 	}
 	return changed
@@ -152,47 +174,52 @@
 // removed.
 func (v *Inventory) NextExpiry() (time.Time, bool) {
 	var next time.Time
-	for _, r := range v.records {
-		if r.removedAt.IsZero() {
-			continue
-		}
-		if at := r.expiresAt(v.removalGrace); next.IsZero() || at.Before(next) {
-			next = at
+	for _, records := range v.records {
+		for _, r := range records {
+			if r.removedAt.IsZero() {
+				continue
+			}
+			if at := r.expiresAt(v.removalGrace); next.IsZero() || at.Before(next) {
+				next = at
+			}
 		}
 	}
 	return next, !next.IsZero()
 }
 
-// Entries returns the list, sorted by ID.
-func (v *Inventory) Entries() []Entry {
-	latest := v.latestByAddress()
+// Entries returns the list, sorted by ID. configured reports whether the configuration
+// names a service: a registration for any other service comes from another writer, or is
+// ahead of the configuration or behind it. It changes nothing about the upstreams of
+// configured services.
+func (v *Inventory) Entries(configured func(service string) bool) []Entry {
 	out := make([]Entry, 0, len(v.records))
-	for _, r := range v.records {
-		e := r.Entry
-		if latest[e.Address].supersedes(e.Registration) {
-			e.State = Superseded
-		}
+	latest := make(map[string]Registration, len(v.records)) // by address
+	for _, records := range v.records {
+		e := inForce(records, configured).Entry
 		out = append(out, e)
+		// An address belongs to one process at a time, the one that started last.
+		if known, ok := latest[e.Address]; configured(e.Service) && (!ok || e.Incarnation > known.Incarnation) {
+			latest[e.Address] = e.Registration
+		}
 	}
-	slices.SortFunc(out, func(a, b Entry) int {
-		if a.ID < b.ID {
-			return -1
+	for i, e := range out {
+		if latest[e.Address].supersedes(e.Registration) {
+			out[i].State = Superseded
 		}
-		return 1
-	})
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
-// latestByAddress returns the registration of the process that started last at each
-// address. An address belongs to one process at a time.
-func (v *Inventory) latestByAddress() map[string]Registration {
-	latest := make(map[string]Registration, len(v.records))
-	for _, r := range v.records {
-		if known, ok := latest[r.Address]; !ok || r.Incarnation > known.Incarnation {
-			latest[r.Address] = r.Registration
+// inForce returns the registration of an ID that holds: the newest one for a configured
+// service, or else the newest one. Registrations are in the order in which they came.
+func inForce(records []*record, configured func(service string) bool) *record {
+	for _, r := range slices.Backward(records) {
+		if configured(r.Service) {
+			return r
 		}
 	}
-	return latest
+	return records[len(records)-1]
 }
 
 // earlierThan reports whether an upstream registered r before other.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -18,8 +18,11 @@
 	return Registration{ID: domain.UpstreamID(id), Service: "app", Address: "host-" + id, Incarnation: domain.Incarnation(incarnation)}
 }
 
+// anyService is a configuration that names all services.
+func anyService(string) bool { return true }
+
 func stateOf(v *Inventory, id string) (State, bool) {
-	for _, e := range v.Entries() {
+	for _, e := range v.Entries(anyService) {
 		if string(e.ID) == id {
 			return e.State, true
 		}
@@ -31,7 +34,7 @@
 // against losing upstreams whose registrations lapse for a moment.
 func TestRemoval(t *testing.T) {
 	v := New(grace)
-	v.Register(registration("a", 1))
+	v.Register(start, registration("a", 1))
 	v.Remove(start, "a")
 	got, known := stateOf(v, "a")
 	assert.Assert(t, known)
@@ -46,9 +49,9 @@
 	_, known = stateOf(v, "a")
 	assert.Assert(t, !known)
 
-	v.Register(registration("b", 1))
+	v.Register(start, registration("b", 1))
 	v.Remove(start, "b")
-	v.Register(registration("b", 1))
+	v.Register(start, registration("b", 1))
 	got, _ = stateOf(v, "b")
 	assert.Equal(t, got, Serving)
 	assert.Assert(t, !v.Expire(start.Add(time.Hour)))
@@ -58,20 +61,20 @@
 // one, and against requests to a draining upstream once its registration is removed.
 func TestIncarnationsAndDraining(t *testing.T) {
 	v := New(grace)
-	v.Register(registration("a", 2))
+	v.Register(start, registration("a", 2))
 	old := registration("a", 1)
 	old.Draining = true
-	v.Register(old)
+	v.Register(start, old)
 	got, _ := stateOf(v, "a")
 	assert.Equal(t, got, Serving)
 
 	draining := registration("a", 2)
 	draining.Draining = true
-	v.Register(draining)
+	v.Register(start, draining)
 	v.Remove(start, "a")
 	got, _ = stateOf(v, "a")
 	assert.Equal(t, got, Draining)
-	v.Register(registration("a", 3))
+	v.Register(start, registration("a", 3))
 	got, _ = stateOf(v, "a")
 	assert.Equal(t, got, Serving)
 }
@@ -82,10 +85,10 @@
 	v := New(grace)
 	draining := registration("a", 2)
 	draining.Draining, draining.Seq = true, 21
-	v.Register(draining)
+	v.Register(start, draining)
 	restored := registration("a", 2)
 	restored.Seq = 1
-	v.Register(restored)
+	v.Register(start, restored)
 	got, _ := stateOf(v, "a")
 	assert.Equal(t, got, Draining)
 	v.Replace(start, []Registration{restored})
@@ -93,7 +96,7 @@
 	assert.Equal(t, got, Draining)
 	again := registration("a", 3) // a later start counts anew
 	again.Seq = 1
-	v.Register(again)
+	v.Register(start, again)
 	got, _ = stateOf(v, "a")
 	assert.Equal(t, got, Serving)
 }
@@ -106,7 +109,7 @@
 	got, _ := stateOf(v, "a")
 	assert.Equal(t, got, Unlisted)
 	v.Expire(start.Add(grace))
-	assert.Equal(t, len(v.Entries()), 2)
+	assert.Equal(t, len(v.Entries(anyService)), 2)
 }
 
 // Guards against requests to a process that has crashed and whose address a later
@@ -120,7 +123,7 @@
 		both[1].Service = "other"
 		both[0].TableVersion, both[1].TableVersion = 10, 20
 		for _, i := range order {
-			v.Register(both[i])
+			v.Register(start, both[i])
 		}
 		got, _ := stateOf(v, "before")
 		assert.Equal(t, got, Superseded)
@@ -131,7 +134,7 @@
 		v.Remove(start, "before")
 		got, _ = stateOf(v, "before")
 		assert.Equal(t, got, Superseded)
-		v.Register(both[0])
+		v.Register(start, both[0])
 		got, _ = stateOf(v, "before")
 		assert.Equal(t, got, Superseded)
 	}
@@ -144,8 +147,8 @@
 	before, after := registration("before", 2), registration("after", 1)
 	after.Address = before.Address
 	before.TableVersion, after.TableVersion = 10, 20
-	v.Register(before)
-	v.Register(after)
+	v.Register(start, before)
+	v.Register(start, after)
 	for _, id := range []string{"before", "after"} {
 		got, _ := stateOf(v, id)
 		assert.Equal(t, got, Serving, id)
@@ -156,8 +159,8 @@
 // their registrations lapsed meanwhile and take two seconds to come back.
 func TestLapsedUpstreamsAreKeptLonger(t *testing.T) {
 	v := New(grace)
-	v.Register(registration("a", 1))
-	v.Register(registration("b", 1))
+	v.Register(start, registration("a", 1))
+	v.Register(start, registration("b", 1))
 	v.Remove(start.Add(-time.Second), "b") // removed before the outage
 	v.KeepRemovedUntil(start.Add(grace + time.Second))
 	v.Remove(start, "a")
@@ -179,9 +182,87 @@
 	for i, left := range []time.Duration{9 * time.Second, 4 * time.Second, 0} {
 		r := registration("a", 1)
 		r.SlowStart, r.TableVersion = left, ports.Version(i+1)
-		v.Register(r)
-		assert.DeepEqual(t, v.Entries(), []Entry{{Registration: r, State: Serving}})
+		v.Register(start, r)
+		assert.DeepEqual(t, v.Entries(anyService), []Entry{{Registration: r, State: Serving}})
 		_, pending := v.NextExpiry()
 		assert.Assert(t, !pending)
 	}
 }
+
+// onlyApp is a configuration that names one service.
+func onlyApp(service string) bool { return service == "app" }
+
+func entryOf(t *testing.T, v *Inventory, id string, configured func(string) bool) Entry {
+	t.Helper()
+	for _, e := range v.Entries(configured) {
+		if string(e.ID) == id {
+			return e
+		}
+	}
+	t.Fatalf("%s is not in the list", id)
+	return Entry{}
+}
+
+// Guards against a sound upstream that gets no requests because another writer has listed
+// its address under a service that no configuration names.
+func TestUnconfiguredServiceSupersedesNobody(t *testing.T) {
+	v := New(grace)
+	own, foreign := registration("a", 1), registration("pool-member", 2)
+	foreign.Service, foreign.Address = "old-pool", own.Address
+	own.TableVersion, foreign.TableVersion = 10, 20
+	v.Register(start, own)
+	v.Register(start, foreign)
+	assert.Equal(t, entryOf(t, v, "a", onlyApp).State, Serving)
+
+	// The registration counts from the configuration that names its service until one
+	// that does not.
+	assert.Equal(t, entryOf(t, v, "a", anyService).State, Superseded)
+	assert.Equal(t, entryOf(t, v, "pool-member", anyService).State, Serving)
+	assert.Equal(t, entryOf(t, v, "a", onlyApp).State, Serving)
+}
+
+// Guards against an upstream whose registrations are ignored for good after another writer
+// has overwritten one for a moment, with a start that never was.
+func TestOverwrittenRegistrationComesBack(t *testing.T) {
+	v := New(grace)
+	own, foreign := registration("a", 1), registration("a", 2)
+	foreign.Service, foreign.Address = "old-pool", "host-of-another"
+	foreign.Draining = true
+	v.Register(start, own)
+	v.Register(start, foreign)
+	e := entryOf(t, v, "a", onlyApp)
+	assert.Equal(t, e.State, Unlisted)
+	assert.Equal(t, e.Address, own.Address)
+	assert.Equal(t, e.Incarnation, own.Incarnation)
+
+	own.Seq++
+	v.Register(start.Add(time.Second), own)
+	assert.DeepEqual(t, entryOf(t, v, "a", onlyApp), Entry{Registration: own, State: Serving})
+	v.Expire(start.Add(time.Second + grace))
+	assert.DeepEqual(t, v.Entries(anyService), []Entry{{Registration: own, State: Serving}})
+}
+
+// Guards against an overwritten upstream that stays in the list forever, and against
+// requests to a draining one whose registration is overwritten.
+func TestOverwrittenRegistrationExpires(t *testing.T) {
+	v := New(grace)
+	own, foreign := registration("a", 1), registration("a", 2)
+	own.Draining = true
+	foreign.Service = "old-pool"
+	v.Register(start, own)
+	v.Replace(start, []Registration{foreign})
+	assert.Equal(t, entryOf(t, v, "a", onlyApp).State, Draining)
+	assert.Assert(t, v.Expire(start.Add(grace)))
+	assert.Equal(t, entryOf(t, v, "a", onlyApp).Service, "old-pool")
+}
+
+// Guards against requests for one service to a process that was started again under its ID
+// for another one.
+func TestProcessMovesToAnotherService(t *testing.T) {
+	v := New(grace)
+	before, after := registration("a", 1), registration("a", 2)
+	after.Service = "other"
+	v.Register(start, before)
+	v.Register(start, after)
+	assert.DeepEqual(t, v.Entries(anyService), []Entry{{Registration: after, State: Serving}})
+}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -94,7 +94,7 @@
 	PlatformRegained = Event{"AD8005", "platform_regained", zerolog.InfoLevel, "A table of the platform is reached again."}
 
 	UpstreamsListed      = Event{"AD8006", "upstreams_listed", zerolog.InfoLevel, "The whole list of registered upstreams was read."}
-	UpstreamRegistered   = Event{"AD8007", "upstream_registered", zerolog.InfoLevel, "An upstream registered itself or changed its registration."}
+	UpstreamRegistered   = Event{"AD8007", "upstream_registered", zerolog.InfoLevel, "An upstream registered itself or changed its registration; configured says whether the configuration in force names its service."}
 	UpstreamUnlisted     = Event{"AD8008", "upstream_unlisted", zerolog.InfoLevel, "The registration of an upstream is gone or can't be read."}
 	RegistrationRejected = Event{"AD8009", "registration_rejected", zerolog.WarnLevel, "A registration can't be read and names no upstream to use."}
 	TableReaderChanged   = Event{"AD8010", "table_reader_changed", zerolog.InfoLevel, "Another daemon of the group reads a table for this one, or, without a reader, this one reads it again."}
