Take entries without zone, software version or seq for no replicas

Cause: DecodeReplica required the service, address, slots and state only; the others became zero values, which are taken for a process that has not said them. The platform states for an entry with missing fields that it names no replica.

Ruled out: a missing start. It counts as the earliest one, so that such an entry supersedes and replaces nothing; the platform's example of an entry has none either, so that it stays allowed.

Change: zone, version and seq must be there. The rows in tests that miss them for no reason of the test get them, so that each still fails for its own one.

--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -53,13 +53,13 @@
 	store := standin.NewStore()
 	s := startWithStore(t, store, func(s *edge.Settings) { s.RemovalTimeout = time.Second })
 	for key, value := range map[string]string{
-		"deep":      `{"service":"app","addr":"127.0.0.1:9","slots":8,"state":"ready","models":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + `}`,
+		"deep":      `{"service":"app","addr":"127.0.0.1:9","zone":"z","version":"v1","seq":1,"slots":8,"state":"ready","models":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + `}`,
 		"unclosed":  strings.Repeat(`{"service":`, 5_000),
-		"large":     `{"service":"app","addr":"127.0.0.1:9","slots":1e999,"state":"ready"}`,
-		"slots":     `{"service":"app","addr":"127.0.0.1:9","slots":9223372036854775807,"state":"ready"}`,
-		"negative":  `{"service":"app","addr":"127.0.0.1:9","slots":-1,"state":"ready"}`,
-		"port":      `{"service":"app","addr":"127.0.0.1:70000","slots":8,"state":"ready"}`,
-		"born":      `{"service":"app","addr":"127.0.0.1:9","slots":8,"state":"ready","born":-5}`,
+		"large":     `{"service":"app","addr":"127.0.0.1:9","zone":"z","version":"v1","seq":1,"slots":1e999,"state":"ready"}`,
+		"slots":     `{"service":"app","addr":"127.0.0.1:9","zone":"z","version":"v1","seq":1,"slots":9223372036854775807,"state":"ready"}`,
+		"negative":  `{"service":"app","addr":"127.0.0.1:9","zone":"z","version":"v1","seq":1,"slots":-1,"state":"ready"}`,
+		"port":      `{"service":"app","addr":"127.0.0.1:70000","zone":"z","version":"v1","seq":1,"slots":8,"state":"ready"}`,
+		"born":      `{"service":"app","addr":"127.0.0.1:9","zone":"z","version":"v1","seq":1,"slots":8,"state":"ready","born":-5}`,
 		"not-utf-8": "\xff\xfe\x00",
 	} {
 		store.Put("servers", key, []byte(value))
--- a/internal/edge/foreign_entries_test.go
+++ b/internal/edge/foreign_entries_test.go
@@ -69,6 +69,18 @@
 				f.store.Put("servers", r.ID, r.Registration("model", "a", "ready"))
 			}
 		},
+		"id for a moment, without a software version": func(t *testing.T, f *versionFleet, replicas []*standin.Replica) {
+			for _, r := range replicas {
+				f.store.Put("servers", r.ID, foreignEntry(t, r, "model", map[string]any{"version": nil}))
+				time.Sleep(50 * time.Millisecond)
+				f.store.Put("servers", r.ID, r.Registration("model", "a", "ready"))
+			}
+		},
+		"address, without a sequence number": func(t *testing.T, f *versionFleet, replicas []*standin.Replica) {
+			for _, r := range replicas {
+				f.store.Put("servers", "pool-member-"+r.ID, foreignEntry(t, r, "model", map[string]any{"seq": nil}))
+			}
+		},
 		"address, service no longer configured": func(t *testing.T, f *versionFleet, replicas []*standin.Replica) {
 			f.configureServices(2, "old-pool")
 			for _, r := range replicas {
--- a/internal/relay/availability_test.go
+++ b/internal/relay/availability_test.go
@@ -196,7 +196,7 @@
 	b := balancer.New(balancer.Site{})
 	var entries []inventory.Entry
 	for i := range 3 {
-		r, err := platform.DecodeReplica(fmt.Sprintf("u%d", i), fmt.Appendf(nil, `{"service":"app","addr":"10.0.0.%d:80","zone":"z","slots":8,"state":"ready"}`, i+1))
+		r, err := platform.DecodeReplica(fmt.Sprintf("u%d", i), fmt.Appendf(nil, `{"service":"app","addr":"10.0.0.%d:80","zone":"z","version":"v1","seq":1,"slots":8,"state":"ready"}`, i+1))
 		assert.NilError(t, err)
 		entries = append(entries, inventory.Entry{Registration: r})
 	}
