Use superseded upstreams as the last resort

What callers saw: streams could not be taken up, and requests were refused, when an entry of a configured service listed the address of each upstream that could take them, with a later start. The upstreams served all the while.

Cause: a superseded upstream got no request at all, so that nothing could correct a wrong word of the table.

Why this is safe: each request names the upstream that it is meant for, and another process at the address refuses it without running it. A wrong "superseded" cost callers the upstream; a wrong "serving" costs a round trip, and only when nothing else is left. Upstreams that drain stay draining, which being superseded hid.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -381,13 +381,21 @@
 }
 
 // eligible returns the upstreams that may take a request: those that serve and are
-// not ejected, or else the ejected ones, or else the unlisted ones. Those that have said
-// that they take no requests are none of them.
+// not ejected, or else the ejected ones, or else the unlisted ones, or else the
+// superseded ones. Those that have said that they take no requests are none of them.
+//
+// A registration that supersedes a process by mistake costs callers the process, and a
+// request to one that has ended costs them a round trip: another process at its address
+// refuses it without running it, and the upstream is ejected then.
 func eligible(all []*upstream, now time.Time, tried []domain.UpstreamID) []*upstream {
-	var serving, ejected, unlisted []*upstream
+	var serving, ejected, unlisted, superseded []*upstream
 	for _, u := range all {
 		switch {
-		case u.State == inventory.Draining || u.State == inventory.Superseded || contains(tried, u.ID) || !u.said.admits(now):
+		case u.State == inventory.Draining || contains(tried, u.ID) || !u.said.admits(now):
+		case u.State == inventory.Superseded:
+			if !u.health.ejected(now) {
+				superseded = append(superseded, u)
+			}
 		case u.State == inventory.Unlisted:
 			unlisted = append(unlisted, u)
 		case u.health.ejected(now):
@@ -396,13 +404,12 @@
 			serving = append(serving, u)
 		}
 	}
-	if len(serving) > 0 {
-		return serving
-	}
-	if len(ejected) > 0 {
-		return ejected
+	for _, list := range [][]*upstream{serving, ejected, unlisted} {
+		if len(list) > 0 {
+			return list
+		}
 	}
-	return unlisted
+	return superseded
 }
 
 func contains(list []domain.UpstreamID, id domain.UpstreamID) bool {
--- a/internal/edge/foreign_entries_test.go
+++ b/internal/edge/foreign_entries_test.go
@@ -81,6 +81,12 @@
 				f.store.Put("servers", "pool-member-"+r.ID, foreignEntry(t, r, "model", map[string]any{"seq": nil}))
 			}
 		},
+		"address, of a configured service": func(t *testing.T, f *versionFleet, replicas []*standin.Replica) {
+			f.configureServices(2, "other")
+			for _, r := range replicas {
+				f.store.Put("servers", "other-"+r.ID, foreignEntry(t, r, "other", nil))
+			}
+		},
 		"address, service no longer configured": func(t *testing.T, f *versionFleet, replicas []*standin.Replica) {
 			f.configureServices(2, "old-pool")
 			for _, r := range replicas {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -46,9 +46,9 @@
 	Unlisted
 	// Draining upstreams take no new requests.
 	Draining
-	// Superseded upstreams have lost their address to a process that started later.
-	// Their registration lasts until the platform has missed some of their
-	// heartbeats.
+	// Superseded upstreams have lost their address to a process that started later, as
+	// far as the registrations tell. Theirs last until the platform has missed some of
+	// their heartbeats. They get requests only when no other upstream can take them.
 	Superseded
 )
 
@@ -203,7 +203,7 @@
 		}
 	}
 	for i, e := range out {
-		if latest[e.Address].supersedes(e.Registration) {
+		if e.State != Draining && latest[e.Address].supersedes(e.Registration) {
 			out[i].State = Superseded
 		}
 	}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -266,3 +266,15 @@
 	v.Register(start, after)
 	assert.DeepEqual(t, v.Entries(anyService), []Entry{{Registration: after, State: Serving}})
 }
+
+// Guards against requests to a draining upstream that count as a last resort because its
+// address has a later process.
+func TestDrainingUpstreamIsNotSuperseded(t *testing.T) {
+	v := New(grace)
+	before, after := registration("before", 1), registration("after", 2)
+	before.Draining, after.Address = true, before.Address
+	before.TableVersion, after.TableVersion = 10, 20
+	v.Register(start, before)
+	v.Register(start, after)
+	assert.Equal(t, entryOf(t, v, "before", anyService).State, Draining)
+}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -118,7 +118,7 @@
 
 	SettingsFinding = Event{"AD1012", "settings_finding", zerolog.WarnLevel, "A part of the settings can't be used; the daemon serves without it."}
 
-	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later has the address of an upstream, which gets no more work."}
+	UpstreamEnded = Event{"AD8011", "upstream_ended", zerolog.InfoLevel, "A process that started later is listed at the address of an upstream, which gets requests only when no other upstream can take them."}
 
 	LoadReportError = Event{"AD8003", "load_report_failed", zerolog.DebugLevel, "An upstream's load report could not be read."}
 )
