Stop relying on a reader in time to act on what it may have missed

Cause: in a zone of four daemons or more one of them reads the tables for the others. Cut off from the platform, it goes on to announce its copy until its call times out. The others relied on it until its knowledge was 3 s old, and 0.33 x drain_ms more for the list of upstreams, whatever had to be done in what time. The configuration has the same limit and the same bound of 2.5 s.

Ruled out: a reader that does not know the age of its knowledge (its announcements carry it, and the others stopped at 3.8 s as they should have), with one exception: the age began when the platform's answer was read, which may be long after it was sent. Daemons that are slow to act: they had not asked.

A reader's calls wait so that a calm platform's answers come in time, pauses to collect changes included, and an answer is announced at once if the next regular announcement would be late. An answer without a change counts from the end of the call's wait. The daemons of a group stop one after the other, also if the reader falls silent altogether: the first one asks and announces its answer at once, so that the others need not ask in the same instant.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -50,6 +50,8 @@
 	removalMargin = 300 * time.Millisecond
 	// defaultRemovalTimeout replaces a RemovalTimeout of zero.
 	defaultRemovalTimeout = 2500 * time.Millisecond
+	// defaultConfigTimeout replaces a ConfigTimeout of zero.
+	defaultConfigTimeout = 2500 * time.Millisecond
 	// settleShare is the share of RemovalTimeout for which the daemon waits after a
 	// change of the list of upstreams. Restarts and releases change it many times a
 	// second.
@@ -207,6 +209,15 @@
 	return time.Duration(settleShare * float64(removalTimeout(s)))
 }
 
+// changeBound returns the time within which the daemon has to act on a change of a table.
+func (e *Edge) changeBound(table string) time.Duration {
+	s := e.settings.Load()
+	if table == tableConfiguration {
+		return cmp.Or(s.ConfigTimeout, defaultConfigTimeout)
+	}
+	return removalTimeout(s)
+}
+
 // Run serves until SIGTERM, which begins a graceful shutdown, or until ctx ends.
 func (e *Edge) Run(ctx context.Context) error {
 	s := e.settings.Load()
@@ -255,13 +266,22 @@
 		}
 		return node.RetryPolicy()
 	}
+	onAnswer := func(table string) func(time.Duration) {
+		return func(since time.Duration) {
+			if node != nil {
+				node.NotifyAnswer(table, since)
+			}
+		}
+	}
 	contact := follow.NewContact()
 	configuration := follow.New(e.deps.Configuration, configSink{e.state}, follow.Options{
-		Delegated: delegatedFor(tableConfiguration), Contact: contact, ReturnSpread: returnSpread, RetryPolicy: retryPolicy, Log: e.deps.Log, Rand: newRand(),
+		Delegated: delegatedFor(tableConfiguration), Contact: contact, ReturnSpread: returnSpread, RetryPolicy: retryPolicy,
+		OnAnswer: onAnswer(tableConfiguration), Log: e.deps.Log, Rand: newRand(),
 	})
 	upstreams := follow.New(e.deps.Upstreams, upstreamSink{e.state}, follow.Options{
 		CoalesceDelay: settleInterval(s), Delegated: delegatedFor(tableUpstreams),
-		Contact: contact, ReturnSpread: returnSpread, RetryPolicy: retryPolicy, OnGap: e.missUpstreams, Log: e.deps.Log, Rand: newRand(),
+		Contact: contact, ReturnSpread: returnSpread, RetryPolicy: retryPolicy, OnGap: e.missUpstreams, OnAnswer: onAnswer(tableUpstreams),
+		Log: e.deps.Log, Rand: newRand(),
 	})
 	e.upstreams.Store(upstreams)
 	e.handler.OnListOutdated = upstreams.Refresh
@@ -434,7 +454,7 @@
 	}
 	return peers.New(peers.Config{
 		Usage: e.peerUsage(), Streams: e.peerStreams(), Daemon: string(s.Daemon), Address: s.InternalAddress, Zone: string(s.Zone), Directory: e.deps.Daemons,
-		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, Era: e.deps.Era, PlatformReadRate: s.PlatformReadRate,
+		Local: peerObserver{e.state.balancer, e}, Tables: tables, Evidence: e.handler.Quarantine, Contact: contact, Era: e.deps.Era, PlatformReadRate: s.PlatformReadRate, ChangeBound: e.changeBound,
 		Duties: e.duties.candidates(), FirstStart: s.FirstStart, Seeds: e.otherSeeds(), Rand: newRand(), Log: e.deps.Log,
 	})
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -45,8 +45,11 @@
 	// process.
 	ShutdownTimeout time.Duration
 	// RemovalTimeout is how long after an upstream has left the list it may still
-	// get new requests.
+	// get new requests. Zero means 2.5 s.
 	RemovalTimeout time.Duration
+	// ConfigTimeout is how long after a change of the configuration requests may be
+	// handled as an earlier one says. Zero means 2.5 s.
+	ConfigTimeout time.Duration
 	// RetryRatio and RetrySlack bound the retries to a service within ten seconds,
 	// for all daemons together: a share of the requests, plus a fixed number.
 	RetryRatio float64
--- /dev/null
+++ b/internal/edge/silent_reader_test.go
@@ -0,0 +1,220 @@
+package edge_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/auburndyke/auburndyke/internal/edge"
+	"github.com/auburndyke/auburndyke/platform/standin"
+)
+
+// storeLink is the path between a daemon and the store.
+type storeLink struct {
+	listener net.Listener
+	store    string
+
+	mu sync.Mutex
+	// whole is closed while bytes pass.
+	whole chan struct{}
+	// polled is when the daemon last asked for changes of the replicas.
+	polled time.Time
+	conns  []net.Conn
+}
+
+func startStoreLink(t *testing.T, store string) *storeLink {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	k := &storeLink{listener: l, store: store, whole: make(chan struct{})}
+	close(k.whole)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return // closed
+			}
+			go k.relay(c)
+		}
+	}()
+	t.Cleanup(k.close)
+	return k
+}
+
+func (k *storeLink) close() {
+	_ = k.listener.Close()
+	k.setCut(false)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range k.conns {
+		_ = c.Close()
+	}
+}
+
+func (k *storeLink) relay(daemon net.Conn) {
+	defer daemon.Close()
+	store, err := net.Dial("tcp", k.store)
+	if err != nil {
+		return
+	}
+	defer store.Close()
+	k.mu.Lock()
+	k.conns = append(k.conns, daemon, store)
+	k.mu.Unlock()
+	var answers sync.WaitGroup
+	answers.Go(func() { k.pass(store, daemon, func([]byte) {}) })
+	k.pass(daemon, store, k.observe)
+	_ = store.Close()
+	answers.Wait()
+}
+
+// pass copies bytes until either side closes, and holds them while the link is cut.
+func (k *storeLink) pass(from, to net.Conn, observe func([]byte)) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		observe(buffer[:n])
+		k.mu.Lock()
+		whole := k.whole
+		k.mu.Unlock()
+		<-whole
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (k *storeLink) observe(request []byte) {
+	if !bytes.Contains(request, []byte("rows-feed")) || !bytes.Contains(request, []byte("table=servers")) {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.polled = time.Now()
+}
+
+func (k *storeLink) lastPoll() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.polled
+}
+
+// setCut makes the link silent in both directions, or whole again.
+func (k *storeLink) setCut(cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	select {
+	case <-k.whole:
+		if cut {
+			k.whole = make(chan struct{})
+		}
+	default:
+		if !cut {
+			close(k.whole)
+		}
+	}
+}
+
+// awaitReader waits until one daemon only asks the store for changes of the replicas, and
+// returns its index.
+func awaitReader(t *testing.T, links []*storeLink) int {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		reader, quiet := -1, 0
+		for i, k := range links {
+			polled := k.lastPoll()
+			switch age := time.Since(polled); {
+			case age < 300*time.Millisecond:
+				reader = i
+			case !polled.IsZero() && age > 6*time.Second: // longer than a call that a daemon makes for itself
+				quiet++
+			}
+		}
+		if reader >= 0 && quiet == len(links)-1 {
+			return reader
+		}
+	}
+	t.Fatal("no daemon reads for the others")
+	return 0
+}
+
+// Guards against requests to a replica later than it may still get them, through daemons
+// that reach the store, because the daemon that reads for them does not.
+func TestSilentReaderDelaysNoLeaving(t *testing.T) {
+	const (
+		daemons   = 4 // the fewest of a zone with a reader
+		callers   = 3 // of each daemon
+		drainTime = 2500 * time.Millisecond
+	)
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	var fleet []*fixture
+	var links []*storeLink
+	for i := range daemons {
+		link := startStoreLink(t, server.Listener.Addr().String())
+		links = append(links, link)
+		fleet = append(fleet, startWithStore(t, store, func(s *edge.Settings) {
+			s.Daemon, s.RemovalTimeout, s.PlatformAddress = daemonName(i), drainTime, link.listener.Addr().String()
+		}))
+	}
+	fleet[0].configure(1, "/a/")
+	var replicas []*standin.Replica
+	for i := range 3 {
+		r, err := standin.StartReplica(fmt.Sprint("app-", i))
+		assert.NilError(t, err)
+		t.Cleanup(r.Close)
+		r.Set(standin.Behaviour{Work: 30 * time.Millisecond})
+		replicas = append(replicas, r)
+		store.Put("servers", r.ID, r.Registration("app", "a", "ready"))
+	}
+	for _, d := range fleet {
+		d.awaitStatus(d.callerURL("/a/"), "h.example", http.StatusOK)
+	}
+
+	silent := awaitReader(t, links)
+	links[silent].setCut(true)
+	time.Sleep(100 * time.Millisecond)
+	leaving := replicas[0]
+	store.Put("servers", leaving.ID, leaving.Registration("app", "a", "draining"))
+	accepted := time.Now()
+	var load sync.WaitGroup
+	for i, d := range fleet {
+		if i == silent {
+			continue
+		}
+		for range callers {
+			load.Go(func() {
+				for time.Since(accepted) < 2*drainTime {
+					status, _ := d.get(d.callerURL("/a/"), "h.example")
+					assert.Check(t, status == http.StatusOK, "status %d", status)
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+	}
+	load.Wait()
+	late := 0
+	var latest time.Duration
+	for _, run := range leaving.Runs() {
+		after := run.At.Sub(accepted)
+		latest = max(latest, after)
+		if after > drainTime {
+			late++
+		}
+	}
+	assert.Check(t, late == 0, "%d requests reached the replica later than %s after it was draining, the last one %s after it", late, drainTime, latest)
+	assert.Check(t, latest > 0, "no daemon relied on the silent one")
+	t.Logf("the last request reached the replica %s after it was draining", latest)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -78,13 +78,14 @@
 type Follower struct {
 	source        Source
 	sink          Sink
-	wait          atomic.Int64 // time.Duration
+	wait          atomic.Pointer[Wait]
 	coalesceDelay time.Duration
 	delegated     func(time.Time) time.Duration
 	contact       *Contact
 	returnSpread  func() time.Duration
 	retryPolicy   func() backoff.Policy
 	onGap         func()
+	onAnswer      func(since time.Duration)
 	log           *telemetry.Log
 	rng           *rand.Rand
 	// timeout bounds calls that are answered at once. It is used by Run only.
@@ -122,6 +123,9 @@
 	// lastSuccessAt is when a call to the platform last succeeded, or when Run
 	// started.
 	lastSuccessAt time.Time
+	// currentAt is the time as of which the platform last showed that the copy had all
+	// changes. A response may be read long after the platform has sent it.
+	currentAt time.Time
 	// lastResponseAt is when the platform last responded, including by throttling;
 	// lastPageAt is when it last returned a page or changes.
 	lastResponseAt, lastPageAt time.Time
@@ -155,6 +159,9 @@
 	// last ones: the whole table had to be read again, or a row is removed that the copy
 	// never had. Nil means that nobody needs to know.
 	OnGap func()
+	// OnAnswer is called after each successful call, with the time since the one before.
+	// Nil means that nobody needs to know.
+	OnAnswer func(since time.Duration)
 	// Log gets the panics of the sink. Default none.
 	Log *telemetry.Log
 	// Rand adds jitter to the delays after failures. Required.
@@ -172,6 +179,10 @@
 	if f.onGap == nil {
 		f.onGap = func() {}
 	}
+	f.onAnswer = o.OnAnswer
+	if f.onAnswer == nil {
+		f.onAnswer = func(time.Duration) {}
+	}
 	if f.contact == nil {
 		f.contact = NewContact()
 	}
@@ -179,7 +190,7 @@
 		f.retryPolicy = func() backoff.Policy { return DefaultRetryPolicy }
 	}
 	f.refreshedAt.Store(int64(-refreshWindow))
-	f.SetWait(cmp.Or(o.Wait, defaultWait))
+	f.wait.Store(&Wait{Call: cmp.Or(o.Wait, defaultWait)})
 	return f
 }
 
@@ -228,26 +239,46 @@
 // they are read.
 func (f *Follower) CoalesceDelay() time.Duration { return f.coalesceDelay }
 
-// SetWait changes how long one call waits for a change. A call in progress that waits for
+// Wait is how long calls wait for a change.
+type Wait struct {
+	// Call is how long one call waits.
+	Call time.Duration
+	// SinceAnswer shortens the wait, so that the platform answers within that time after
+	// its last answer, pauses included. Zero means that it does not matter.
+	SinceAnswer time.Duration
+}
+
+// left returns how long a call waits that begins so long after the last answer.
+func (w Wait) left(sinceAnswer time.Duration) time.Duration {
+	if w.SinceAnswer <= 0 {
+		return w.Call
+	}
+	return max(min(w.Call, w.SinceAnswer-sinceAnswer), probeWait)
+}
+
+// SetWait changes how long calls wait for a change. A call in progress that waits for
 // longer is repeated: who relies on this follower could not tell it from a lost one.
-func (f *Follower) SetWait(d time.Duration) {
-	if previous := f.wait.Swap(int64(d)); previous <= int64(d) {
+func (f *Follower) SetWait(w Wait) {
+	previous := f.wait.Load()
+	if *previous == w {
+		return
+	}
+	f.wait.Store(&w)
+	if previous.left(0) <= w.left(0) {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.open != nil && f.callWait > d {
+	if f.open != nil && f.callWait > w.left(0) {
 		f.open.repeat()
 	}
 }
 
-func (f *Follower) waitTime() time.Duration { return time.Duration(f.wait.Load()) }
-
 // Run keeps the copy up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.mu.Lock()
 	f.lastSuccessAt = time.Now()
-	f.lastResponseAt, f.lastPageAt = f.lastSuccessAt, f.lastSuccessAt
+	f.lastResponseAt, f.lastPageAt, f.currentAt = f.lastSuccessAt, f.lastSuccessAt, f.lastSuccessAt
 	f.mu.Unlock()
 	for ctx.Err() == nil {
 		if f.waitWhileDelegated(ctx) {
@@ -321,6 +352,7 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
+	called := time.Now()
 	if !f.isIncremental() {
 		return f.readTable(ctx)
 	}
@@ -348,16 +380,21 @@
 		return eris.Wrapf(errStaleRead, "era %d after %d", era, after.Era())
 	}
 	f.applyChanges(rows, version)
+	f.currentAt = time.Now()
+	if due := called.Add(f.callWait); !f.changed && due.Before(f.currentAt) {
+		// The platform answers when the wait is over, however late the answer is read.
+		f.currentAt = due
+	}
 	return nil
 }
 
 // readChanges calls the platform for the changes after a version.
 func (f *Follower) readChanges(ctx context.Context, after ports.Version) (rows []ports.Row, version ports.Version, err error) {
-	wait, margin := f.waitTime(), responseMargin
+	f.mu.Lock()
+	wait, margin := f.wait.Load().left(time.Since(f.lastSuccessAt)), responseMargin
 	if f.probe || f.failures > 0 {
 		wait, margin = probeWait, 0
 	}
-	f.mu.Lock()
 	f.callWait = wait
 	f.mu.Unlock()
 	err = f.do(ctx, wait, margin, func(ctx context.Context) (err error) {
@@ -427,11 +464,11 @@
 	return now.Sub(f.open.started)
 }
 
-// Age returns the time since a call to the platform last succeeded.
+// Age returns the time since the platform last showed that the copy had all changes.
 func (f *Follower) Age(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Sub(f.lastSuccessAt)
+	return now.Sub(f.currentAt)
 }
 
 func (f *Follower) setIncremental(incremental bool) {
@@ -463,6 +500,7 @@
 type pageReader struct{ f *Follower }
 
 func (f *Follower) readTable(ctx context.Context) error {
+	called := time.Now()
 	rows, version, err := ReadAll(ctx, pageReader{f}, f.rng)
 	if err != nil {
 		return err
@@ -478,7 +516,7 @@
 		f.copy.Changed = version
 	}
 	f.replace(rows, version)
-	f.incremental, f.changed = true, true
+	f.incremental, f.changed, f.currentAt = true, true, called
 	return nil
 }
 
@@ -512,6 +550,7 @@
 		f.sink.Regained(now.Sub(before))
 	}
 	f.failures = 0
+	f.onAnswer(now.Sub(before))
 }
 
 // recordFailure records a failed call. The copy keeps its version: the platform
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -437,14 +437,14 @@
 	sink.waitFor(t, "a", "1", changeBound)
 	time.Sleep(100 * time.Millisecond) // until the next call waits
 	before := store.Calls("/rows-feed")
-	f.SetWait(2 * time.Second)
+	f.SetWait(follow.Wait{Call: 2 * time.Second})
 	for end := time.Now().Add(changeBound); store.Calls("/rows-feed") == before; time.Sleep(5 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(end), "the call was not repeated")
 	}
-	f.SetWait(5 * time.Second)
+	f.SetWait(follow.Wait{Call: 5 * time.Second})
 	time.Sleep(100 * time.Millisecond)
 	calls := store.Calls("/rows-feed")
-	f.SetWait(5 * time.Second)
+	f.SetWait(follow.Wait{Call: 5 * time.Second})
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, store.Calls("/rows-feed"), calls, "a call was repeated although its wait has not become shorter")
 }
--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -19,22 +19,18 @@
 	// minGroup is the smallest group that has a group reader. In a smaller one
 	// the calls saved are not worth the dependency on another daemon.
 	minGroup = 4
-	// delegationTTL is how long a daemon relies on its group reader after a
-	// datagram from it. It tolerates two lost datagrams.
+	// delegationTTL is how long the first daemon that may succeed a group reader relies
+	// on it after a datagram from it. It tolerates two lost datagrams.
 	delegationTTL = 2*gossipInterval + 200*time.Millisecond
 	// passOnAge is how old a reader's announcement may be when it is passed on. A
 	// reader that ends is noticed that much later.
 	passOnAge = 300 * time.Millisecond
 	// readerWait is how long a group reader's call to the platform waits for a
-	// change. The group depends on the reader, so it has to notice sooner than
-	// others that the platform is silent.
+	// change at most. The group depends on the reader, so it has to notice sooner
+	// than others that the platform is silent.
 	readerWait = 2 * time.Second
 	// soloWait is the same for a daemon that reads only for itself.
 	soloWait = 5 * time.Second
-	// maxReaderAge is how old the knowledge of a reader may be. Until its call has
-	// timed out, it can't tell a platform without changes from one that does not
-	// respond to it.
-	maxReaderAge = readerWait + time.Second
 	// delegationBackoff is how long a daemon reads a table itself after a failed
 	// read of a peer's copy.
 	delegationBackoff = 5 * time.Second
@@ -104,8 +100,8 @@
 type delegation struct {
 	reader  string
 	expires time.Time
-	// acceptedAt is when the reader's last announcement arrived, and readAt when the
-	// platform last answered the reader before that.
+	// acceptedAt is when the reader's last announcement arrived, and readAt the time as of
+	// which the platform had shown the reader all changes.
 	acceptedAt, readAt time.Time
 	// blockedUntil is the time until which this daemon accepts no reader.
 	blockedUntil time.Time
@@ -167,12 +163,15 @@
 	// Nor may it lack a change that other peers have.
 	covers = covers && n.backlogs[state.Name].changed <= asOf
 	readAt := now.Add(-state.Age)
-	// A reader asks for nothing while it collects changes.
-	maxAge := maxReaderAge + table.CoalesceDelay()
-	accepted := covers && n.group.readers[sender] && !now.Before(current.blockedUntil) && state.Age < maxAge
+	turn := turnOf(len(n.group.readers))
+	left := n.relianceOn(state.Name).maxAge(turn) - state.Age
+	// A reader that the platform no longer answers must not take the place of the one that
+	// has succeeded it.
+	older := now.Before(current.expires) && sender != current.reader && readAt.Before(current.readAt)
+	accepted := covers && n.group.readers[sender] && !now.Before(current.blockedUntil) && left > 0 && !older
 	previous := current.reader
 	if accepted {
-		expires := now.Add(min(delegationTTL, maxAge-state.Age))
+		expires := now.Add(min(delegationTTL+turn, left))
 		n.delegations[state.Name] = delegation{reader: sender, expires: expires, acceptedAt: now, readAt: readAt}
 	}
 	n.mu.Unlock()
@@ -236,10 +235,10 @@
 	}
 	for name, table := range n.Tables {
 		if len(dependents) == 0 || delegated[name] {
-			table.SetWait(soloWait)
+			table.SetWait(follow.Wait{Call: soloWait})
 			continue
 		}
-		table.SetWait(readerWait)
+		table.SetWait(follow.Wait{Call: readerWait, SinceAnswer: n.relianceOn(name).answerInterval()})
 		if table.ReadsPlatform(now) && !n.behind(name) {
 			tables = append(tables, describeTable(name, table, table.Age(now)))
 		}
@@ -267,8 +266,8 @@
 	return tables, n.group.members
 }
 
-// describeTable says which versions the daemon's copy of a table covers, and how long
-// ago the platform answered the daemon that reads it.
+// describeTable says which versions the daemon's copy of a table covers, and how old the
+// knowledge is of the daemon that reads it.
 func describeTable(name string, table Table, age time.Duration) TableState {
 	v := table.Versions()
 	return TableState{Name: name, Changed: uint64(v.Changed), AsOf: uint64(v.AsOf), From: uint64(v.From), Age: age}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -57,8 +57,8 @@
 	Updated() <-chan struct{}
 }
 
-// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Era, Evidence, Usage,
-// Streams, Duties and PlatformReadRate are required.
+// Config sets up a Node. All fields but Seeds, FirstStart, Contact, Era, ChangeBound,
+// Evidence, Usage, Streams, Duties and PlatformReadRate are required.
 type Config struct {
 	Daemon    string
 	Address   string // IP:port at which the daemon receives datagrams
@@ -84,6 +84,9 @@
 	// Tables are the copies that daemons help each other to keep current, by
 	// table name.
 	Tables map[string]Table
+	// ChangeBound returns the time within which each daemon has to act on a change of a
+	// table, from when the platform has accepted it. Nil means 4 s for all tables.
+	ChangeBound func(table string) time.Duration
 	// Evidence is exchanged with peers. Nil means that none is.
 	Evidence Evidence
 	// Usage is exchanged with peers. Nil means that none is.
--- a/internal/peers/node_test.go
+++ b/internal/peers/node_test.go
@@ -94,7 +94,7 @@
 
 func (*fixedTable) Age(time.Time) time.Duration  { return 0 }
 func (*fixedTable) Unavailable(time.Time) bool   { return false }
-func (*fixedTable) SetWait(time.Duration)        {}
+func (*fixedTable) SetWait(follow.Wait)          {}
 func (*fixedTable) CoalesceDelay() time.Duration { return 0 }
 func (*fixedTable) Refresh()                     {}
 func (*fixedTable) RepeatCall()                  {}
--- a/internal/peers/restore_fleet_test.go
+++ b/internal/peers/restore_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -86,12 +87,15 @@
 // restoredSource is the platform as one daemon sees it.
 type restoredSource struct {
 	*restoredPlatform
-	cut *atomic.Bool
+	daemon *restoredDaemon
 }
 
+// silent reports whether no response reaches the daemon.
+func (s restoredSource) silent() bool { return s.daemon.cut.Load() || s.daemon.platformCut.Load() }
+
 func (s restoredSource) answer(ctx context.Context) (ports.Row, <-chan struct{}, error) {
 	time.Sleep(restoredLatency)
-	if s.cut.Load() {
+	if s.silent() {
 		<-ctx.Done()
 		return ports.Row{}, nil, ctx.Err()
 	}
@@ -114,6 +118,7 @@
 
 func (s restoredSource) Changes(ctx context.Context, after ports.Version, wait time.Duration) ([]ports.Row, ports.Version, error) {
 	s.waited.Add(1)
+	s.daemon.asked.Store(true)
 	timeout := time.After(wait)
 	for {
 		row, changed, err := s.answer(ctx)
@@ -128,7 +133,11 @@
 		select {
 		case <-changed:
 		case <-timeout:
-			return nil, row.Version, nil
+			if !s.silent() {
+				return nil, row.Version, nil
+			}
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		}
@@ -141,8 +150,12 @@
 	node     *Node
 	follower *follow.Follower
 	cut      atomic.Bool
-	mu       sync.Mutex
-	has      ports.Row
+	// platformCut takes the daemon off its path to the platform only.
+	platformCut atomic.Bool
+	// asked is set when the daemon asks the platform for changes.
+	asked atomic.Bool
+	mu    sync.Mutex
+	has   ports.Row
 	// returned is when the daemon was last cut off no more.
 	returned time.Time
 }
@@ -191,6 +204,9 @@
 	daemons   []*restoredDaemon
 	byAddress map[string]*restoredDaemon
 	copies    atomic.Int64
+	// bound is the time within which daemons have to act on a change. Zero means the
+	// default.
+	bound time.Duration
 }
 
 func newRestoredFleet(t *testing.T, ctx context.Context, size, zones int) *restoredFleet {
@@ -202,13 +218,15 @@
 	for i := range size {
 		d := &restoredDaemon{fleet: f}
 		address, zone := fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200), fmt.Sprint("zone-", i%zones)
-		d.follower = follow.New(restoredSource{f.platform, &d.cut}, d, follow.Options{
+		d.follower = follow.New(restoredSource{f.platform, d}, d, follow.Options{
 			Delegated:     func(now time.Time) time.Duration { return d.node.DelegatedFor("t", now) },
 			CoalesceDelay: 300 * time.Millisecond, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+			OnAnswer: func(since time.Duration) { d.node.NotifyAnswer("t", since) },
 		})
 		d.node = New(Config{
 			Daemon: address, Address: address, Zone: zone, Local: idleState{}, Tables: map[string]Table{"t": d.follower},
-			Rand: rand.New(rand.NewPCG(uint64(i), 2)), Log: telemetry.NopLog(),
+			ChangeBound: func(string) time.Duration { return cmp.Or(f.bound, defaultChangeBound) },
+			Rand:        rand.New(rand.NewPCG(uint64(i), 2)), Log: telemetry.NopLog(),
 		})
 		byZone[zone] = append(byZone[zone], address)
 		f.daemons, f.byAddress[address] = append(f.daemons, d), d
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -62,7 +62,8 @@
 	// ReadsPlatform reports whether the copy is currently read from the platform
 	// itself.
 	ReadsPlatform(now time.Time) bool
-	// Age returns the time since the platform last answered a call of this daemon.
+	// Age returns the time since the platform last showed this daemon that the copy had
+	// all changes.
 	Age(now time.Time) time.Duration
 	// Unavailable reports whether there is no copy yet and the platform appears
 	// to be unavailable.
@@ -76,8 +77,8 @@
 	// RepeatCall ends a call to the platform that has not responded, and makes it
 	// again.
 	RepeatCall()
-	// SetWait sets how long a call to the platform waits for a change.
-	SetWait(time.Duration)
+	// SetWait sets how long calls to the platform wait for a change.
+	SetWait(follow.Wait)
 }
 
 // lag describes a change that peers have and this daemon lacks.
