Count the removal of an upstream from before its reader fell silent

What callers saw: in a zone whose reader is cut off from the platform, the only upstream of a service still got requests later than drain_ms after its entry was removed.

Cause: a removed upstream is the last resort for a grace period (1.4 s with drain_ms 2,500), which began when the daemon learned of the removal. That may be 1.7 s late while it relies on a silent reader.

Ruled out: a grace period that is shorter for all. It would take upstreams out whose entries lapse for a moment, and most removals are known at once.

Change: a node records what last showed that its copy was complete. Changes that it gets by its own call after it has relied on a reader, or from another reader, may be as old as that; the grace period begins there. What keeps upstreams after an outage of the platform is as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -291,6 +291,7 @@
 	addLoop(&g, upstreams.Run)
 	if node != nil {
 		e.state.onChange = node.NotifyChange
+		e.state.listChangedSince = func(now time.Time) time.Time { return node.ChangedSince(now, tableUpstreams) }
 		addLoop(&g, node.Run)
 	}
 	for group, address := range map[int]string{groupInternal: s.InternalAddress, groupControl: s.ControlAddress} {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -58,6 +58,9 @@
 	eras map[string]uint64
 	// onChange is called when a table has changed. It may be nil.
 	onChange func()
+	// listChangedSince returns the earliest time at which changes of the list of upstreams
+	// may have been made that come at the given time. Nil means that time itself.
+	listChangedSince func(now time.Time) time.Time
 	// expiryTimer fires when the next removed entry of the list expires.
 	expiryTimer *time.Timer
 }
@@ -272,7 +275,7 @@
 	defer s.mu.Unlock()
 	restored := s.observeEra(tableUpstreams, version)
 	s.keepLapsed(now, restored)
-	s.inventory.Replace(now, all)
+	s.inventory.Replace(s.changedSince(now), all)
 	s.upstreamsRead = true
 	s.updateBalancer()
 	s.log.Event(telemetry.UpstreamsListed).Int("upstreams", len(all)).Uint64("table_version", version.Number()).Send()
@@ -284,22 +287,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keepLapsed(now, false)
+	since := s.changedSince(now)
 	for _, row := range rows {
 		if r, ok := s.decode(row); ok {
-			s.inventory.Register(now, r)
+			s.inventory.Register(since, r)
 			s.log.Event(telemetry.UpstreamRegistered).
 				Str("upstream", row.Key).Str("service", r.Service).Str("address", r.Address).
 				Str("software", r.SoftwareVersion).Bool("draining", r.Draining).Uint64("incarnation", uint64(r.Incarnation)).
 				Bool("configured", s.configured(r.Service)).Uint64("row_version", row.Version.Number()).Send()
 			continue
 		}
-		s.inventory.Remove(now, domain.UpstreamID(row.Key))
+		s.inventory.Remove(since, domain.UpstreamID(row.Key))
 		s.log.Event(telemetry.UpstreamUnlisted).Str("upstream", row.Key).Uint64("row_version", row.Version.Number()).Send()
 	}
 	s.updateBalancer()
 	s.notifyChange()
 }
 
+// changedSince returns the earliest time at which changes may have been made that come now.
+func (s *state) changedSince(now time.Time) time.Time {
+	if s.listChangedSince == nil {
+		return now
+	}
+	return s.listChangedSince(now)
+}
+
 // keepLapsed keeps upstreams whose registrations have lapsed during an outage of the
 // platform, or are missing after its restoration, until those that run have registered
 // again. now is the time of the first read after that. The caller holds mu.
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -122,6 +123,8 @@
 	lastHeard map[string]time.Time
 	// delegations holds which daemon reads a table for this one, by table.
 	delegations map[string]delegation
+	// proofs holds by table what last showed that the daemon's copy had all changes.
+	proofs map[string]*atomic.Pointer[proof]
 	// awaitsReader is set while this daemon waits for a reader until startHoldEnds.
 	awaitsReader  bool
 	startHoldEnds time.Time
@@ -148,6 +151,7 @@
 		Config: c, state: NewState(c.Daemon, c.Address, uuid.NewString()), lags: make(map[string]lag), backlogs: make(map[string]backlog),
 		delegations: make(map[string]delegation), changed: make(chan struct{}, 1),
 		announced:     make(chan struct{}, 1),
+		proofs:        newProofs(c.Tables),
 		fullCopies:    make(chan struct{}, maxFullCopies),
 		directoryRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
 		bootstrapRand: rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64())),
--- a/internal/peers/reliance.go
+++ b/internal/peers/reliance.go
@@ -1,6 +1,9 @@
 package peers
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// defaultChangeBound is the bound on changes of a table for which Config states none.
@@ -59,7 +62,57 @@
 // NotifyAnswer makes the daemon announce a table to its group at once if that can't wait,
 // because the platform has answered a call, for the first time in sinceAnswer.
 func (n *Node) NotifyAnswer(table string, sinceAnswer time.Duration) {
+	if p := n.proofs[table]; p != nil {
+		p.Store(&proof{at: time.Now()})
+	}
 	if n.relianceOn(table).urgent(sinceAnswer) {
 		n.NotifyChange()
 	}
 }
+
+// proof is what last showed that the daemon's copy of a table had all changes.
+type proof struct {
+	at time.Time
+	// reader is the daemon that has shown it, empty for the platform itself.
+	reader string
+	// current is the reader on which the daemon relies until expires.
+	current string
+	expires time.Time
+}
+
+// ChangedSince returns the earliest time at which changes of a table may have been made that
+// the daemon has just got. Whoever reads for it passes them on at once, but a reader that
+// has fallen silent may have missed them for as long as the daemon has relied on it. It
+// takes no locks.
+func (n *Node) ChangedSince(now time.Time, table string) time.Time {
+	p := n.proofs[table].Load()
+	if p == nil {
+		return now
+	}
+	current := p.current
+	if !now.Before(p.expires) {
+		current = ""
+	}
+	if current == p.reader {
+		return now
+	}
+	return p.at
+}
+
+// recordAnnouncement records what the announcement of a reader shows, on which the daemon
+// relies until expires.
+func (n *Node) recordAnnouncement(table, reader string, expires, readAt time.Time, current bool) {
+	next := proof{at: readAt, reader: reader, current: reader, expires: expires}
+	if previous := n.proofs[table].Load(); !current && previous != nil {
+		next.at, next.reader = previous.at, previous.reader
+	}
+	n.proofs[table].Store(&next)
+}
+
+func newProofs(tables map[string]Table) map[string]*atomic.Pointer[proof] {
+	out := make(map[string]*atomic.Pointer[proof])
+	for name := range tables {
+		out[name] = &atomic.Pointer[proof]{}
+	}
+	return out
+}
