--- a/internal/peers/group.go
+++ b/internal/peers/group.go
@@ -173,7 +173,8 @@
 	if accepted {
 		expires := now.Add(min(delegationTTL+turn, left))
 		n.delegations[state.Name] = delegation{reader: sender, expires: expires, acceptedAt: now, readAt: readAt}
-		n.recordAnnouncement(state.Name, sender, expires, readAt, ports.Version(state.Changed) <= own.AsOf)
+		complete := ports.Version(state.Changed) <= own.AsOf
+		n.recordAnnouncement(state.Name, sender, expires, readAt, complete)
 	}
 	n.mu.Unlock()
 	if !accepted {
--- a/internal/peers/reliance.go
+++ b/internal/peers/reliance.go
@@ -75,9 +75,9 @@
 	at time.Time
 	// reader is the daemon that has shown it, empty for the platform itself.
 	reader string
-	// current is the reader on which the daemon relies until expires.
-	current string
-	expires time.Time
+	// reliesOn is the reader on which the daemon relies until expires.
+	reliesOn string
+	expires  time.Time
 }
 
 // ChangedSince returns the earliest time at which changes of a table may have been made that
@@ -89,21 +89,21 @@
 	if p == nil {
 		return now
 	}
-	current := p.current
+	source := p.reliesOn
 	if !now.Before(p.expires) {
-		current = ""
+		source = "" // the platform itself
 	}
-	if current == p.reader {
+	if source == p.reader {
 		return now
 	}
 	return p.at
 }
 
-// recordAnnouncement records what the announcement of a reader shows, on which the daemon
-// relies until expires.
-func (n *Node) recordAnnouncement(table, reader string, expires, readAt time.Time, current bool) {
-	next := proof{at: readAt, reader: reader, current: reader, expires: expires}
-	if previous := n.proofs[table].Load(); !current && previous != nil {
+// recordAnnouncement records that the daemon relies on a reader until expires. complete means
+// that the announcement shows that the daemon's copy has all changes as of readAt.
+func (n *Node) recordAnnouncement(table, reader string, expires, readAt time.Time, complete bool) {
+	next := proof{at: readAt, reader: reader, reliesOn: reader, expires: expires}
+	if previous := n.proofs[table].Load(); !complete && previous != nil {
 		next.at, next.reader = previous.at, previous.reader
 	}
 	n.proofs[table].Store(&next)
