--- a/internal/edge/silent_reader_test.go
+++ b/internal/edge/silent_reader_test.go
@@ -16,6 +16,13 @@
 	"github.com/auburndyke/auburndyke/platform/standin"
 )
 
+// leaveTime and configTime are the tightest bounds that users state on upstreams that leave
+// and on changes of the configuration.
+const (
+	leaveTime  = 2500 * time.Millisecond
+	configTime = 2500 * time.Millisecond
+)
+
 // storeLink is the path between a daemon and the store.
 type storeLink struct {
 	listener net.Listener
@@ -24,8 +31,8 @@
 	mu sync.Mutex
 	// whole is closed while bytes pass.
 	whole chan struct{}
-	// polled is when the daemon last asked for changes of the replicas.
-	polled time.Time
+	// polled is when the daemon last asked for changes of a table.
+	polled map[string]time.Time
 	conns  []net.Conn
 }
 
@@ -33,7 +40,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	k := &storeLink{listener: l, store: store, whole: make(chan struct{})}
+	k := &storeLink{listener: l, store: store, whole: make(chan struct{}), polled: make(map[string]time.Time)}
 	close(k.whole)
 	go func() {
 		for {
@@ -96,18 +103,22 @@
 }
 
 func (k *storeLink) observe(request []byte) {
-	if !bytes.Contains(request, []byte("rows-feed")) || !bytes.Contains(request, []byte("table=servers")) {
+	if !bytes.Contains(request, []byte("rows-feed")) {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.polled = time.Now()
+	for _, table := range []string{"servers", "op"} {
+		if bytes.Contains(request, []byte("table="+table)) {
+			k.polled[table] = time.Now()
+		}
+	}
 }
 
-func (k *storeLink) lastPoll() time.Time {
+func (k *storeLink) lastPoll(table string) time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.polled
+	return k.polled[table]
 }
 
 // setCut makes the link silent in both directions, or whole again.
@@ -126,14 +137,14 @@
 	}
 }
 
-// awaitReader waits until one daemon only asks the store for changes of the replicas, and
-// returns its index.
-func awaitReader(t *testing.T, links []*storeLink) int {
+// awaitReader waits until one daemon only asks the store for changes of a table, and returns
+// its index.
+func awaitReader(t *testing.T, links []*storeLink, table string) int {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		reader, quiet := -1, 0
 		for i, k := range links {
-			polled := k.lastPoll()
+			polled := k.lastPoll(table)
 			switch age := time.Since(polled); {
 			case age < 300*time.Millisecond:
 				reader = i
@@ -169,24 +180,28 @@
 	}
 }
 
-func testLeaving(t *testing.T, number int, leave func(*standin.Store, *standin.Replica)) {
-	const (
-		daemons   = 4 // the fewest of a zone with a reader
-		callers   = 3 // of each daemon
-		drainTime = 2500 * time.Millisecond
-	)
-	store := standin.NewStore()
+// startLinkedFleet starts the fewest daemons of a zone with a reader, each with a link of its
+// own to the store.
+func startLinkedFleet(t *testing.T, store *standin.Store) (fleet []*fixture, links []*storeLink) {
+	t.Helper()
+	const daemons = 4
 	server := httptest.NewServer(store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	var fleet []*fixture
-	var links []*storeLink
 	for i := range daemons {
 		link := startStoreLink(t, server.Listener.Addr().String())
 		links = append(links, link)
 		fleet = append(fleet, startWithStore(t, store, func(s *edge.Settings) {
-			s.Daemon, s.RemovalTimeout, s.PlatformAddress = daemonName(i), drainTime, link.listener.Addr().String()
+			s.Daemon, s.PlatformAddress = daemonName(i), link.listener.Addr().String()
+			s.RemovalTimeout, s.ConfigTimeout = leaveTime, configTime
 		}))
 	}
+	return fleet, links
+}
+
+func testLeaving(t *testing.T, number int, leave func(*standin.Store, *standin.Replica)) {
+	const callers = 3 // of each daemon
+	store := standin.NewStore()
+	fleet, links := startLinkedFleet(t, store)
 	fleet[0].configure(1, "/a/")
 	var replicas []*standin.Replica
 	for i := range number {
@@ -201,7 +216,7 @@
 		d.awaitStatus(d.callerURL("/a/"), "h.example", http.StatusOK)
 	}
 
-	silent := awaitReader(t, links)
+	silent := awaitReader(t, links, "servers")
 	links[silent].setCut(true)
 	time.Sleep(100 * time.Millisecond)
 	leaving := replicas[0]
@@ -214,7 +229,7 @@
 		}
 		for range callers {
 			load.Go(func() {
-				for time.Since(accepted) < 2*drainTime {
+				for time.Since(accepted) < 2*leaveTime {
 					status, _ := d.get(d.callerURL("/a/"), "h.example")
 					assert.Check(t, status == http.StatusOK || number == 1, "status %d", status)
 					time.Sleep(20 * time.Millisecond)
@@ -228,11 +243,50 @@
 	for _, run := range leaving.Runs() {
 		after := run.At.Sub(accepted)
 		latest = max(latest, after)
-		if after > drainTime {
+		if after > leaveTime {
 			late++
 		}
 	}
-	assert.Check(t, late == 0, "%d requests reached the replica later than %s after it has left, the last one %s after it", late, drainTime, latest)
+	assert.Check(t, late == 0, "%d requests reached the replica later than %s after it has left, the last one %s after it", late, leaveTime, latest)
 	assert.Check(t, latest > 0, "no daemon relied on the silent one")
 	t.Logf("the last request reached the replica %s after it has left", latest)
 }
+
+// Guards against requests that are handled as a configuration says that is no longer in
+// force, at daemons that reach the store, because the daemon that reads for them does not.
+func TestSilentReaderDelaysNoConfiguration(t *testing.T) {
+	t.Parallel()
+	store := standin.NewStore()
+	fleet, links := startLinkedFleet(t, store)
+	fleet[0].configure(1, "/a/")
+	store.Put("servers", "replica-0", fleet[0].replica.Registration("app", "a", "ready"))
+	for _, d := range fleet {
+		d.awaitStatus(d.callerURL("/a/"), "h.example", http.StatusOK)
+	}
+
+	silent := awaitReader(t, links, "op")
+	links[silent].setCut(true)
+	time.Sleep(100 * time.Millisecond)
+	fleet[0].configure(2, "/b/")
+	accepted := time.Now()
+	var load sync.WaitGroup
+	for i, d := range fleet {
+		if i == silent {
+			continue
+		}
+		load.Go(func() {
+			for status := 0; status != http.StatusNotFound; {
+				sent := time.Since(accepted)
+				if status, _ = d.get(d.callerURL("/a/"), "h.example"); status == http.StatusOK {
+					assert.Check(t, sent <= configTime, "daemon %d serves a route that was dropped, %s after that", i, sent)
+				}
+				if sent > 2*configTime {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	load.Wait()
+	t.Logf("no daemon serves the dropped route %s after that", time.Since(accepted))
+}
