Count an answer that a peer's copy has overtaken

Cause: since the age of a reader's knowledge is apart from its last successful call, and it was not renewed by an answer to a call during which another way (a peer's copy, a confirmation) had brought the changes. A busy reader then looks older than it is, the daemons that rely on it ask the platform themselves, and calls rise. A confirmation did not count at all.

Change: an answer counts from whenever it was sent, if the copy has reached its version, and so does a confirmation from its call.

Evidence: TestOvertakenAnswerCounts before: age 5 s right after an answer and 7 s right after a confirmation; now 0.

--- a/internal/follow/age_test.go
+++ b/internal/follow/age_test.go
@@ -103,3 +103,49 @@
 		return nil, 0, ctx.Err()
 	}
 }
+
+// overtakenSource is a table whose change reaches the copy by another way while a call waits
+// for it.
+type overtakenSource struct{ overtake func() }
+
+func (*overtakenSource) ReadPage(context.Context, string) (follow.Page, error) {
+	return follow.Page{Rows: []ports.Row{{Key: "a", Version: 1}}, Version: 1}, nil
+}
+
+func (s *overtakenSource) Changes(_ context.Context, after ports.Version, wait time.Duration) ([]ports.Row, ports.Version, error) {
+	time.Sleep(wait)
+	if after > 1 || wait == 0 {
+		return nil, after, nil
+	}
+	s.overtake()
+	return []ports.Row{{Key: "a", Version: 2}}, 2, nil
+}
+
+// Guards against a daemon on which others stop relying although the platform has answered it,
+// because a peer's copy had brought the change before the answer did.
+func TestOvertakenAnswerCounts(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		var f *follow.Follower
+		overtaken := false
+		source := &overtakenSource{overtake: func() {
+			overtaken = f.OfferChanges(1, []ports.Row{{Key: "a", Version: 2}}, follow.Versions{AsOf: 2, Changed: 2})
+		}}
+		f = follow.New(source, nullSink{}, follow.Options{
+			Rand: rand.New(rand.NewPCG(1, 1)),
+			OnAnswer: func(time.Duration) {
+				assert.Check(t, f.Age(time.Now()) == 0, "age %s right after an answer", f.Age(time.Now()))
+			},
+		})
+		done := make(chan error)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(7 * time.Second)
+		assert.Check(t, overtaken)
+
+		assert.Check(t, f.Age(time.Now()) > time.Second)
+		assert.NilError(t, f.Confirm(ctx, time.Now()))
+		assert.Check(t, f.Age(time.Now()) == 0, "age %s right after a confirmation", f.Age(time.Now()))
+		stop()
+		assert.NilError(t, <-done)
+	})
+}
--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return eris.Wrap(errors.Join(ErrNotConfirmed, err), "reading the changes of a table")
 	}
-	err = contain.Do(f.log, "a table read", func() error { return f.applyConfirmed(after, rows, version) })
+	err = contain.Do(f.log, "a table read", func() error { return f.applyConfirmed(called, after, rows, version) })
 	if errors.Is(err, contain.ErrPanic) {
 		// The sink may have taken over a part of the rows.
 		f.setIncremental(false)
@@ -51,7 +51,7 @@
 
 // applyConfirmed applies the changes after a version that Run or a peer's copy has not
 // brought meanwhile.
-func (f *Follower) applyConfirmed(after ports.Version, rows []ports.Row, version ports.Version) error {
+func (f *Follower) applyConfirmed(called time.Time, after ports.Version, rows []ports.Row, version ports.Version) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.copy.AsOf.Era() != version.Era() || f.copy.AsOf < after {
@@ -61,5 +61,6 @@
 		rows = slices.DeleteFunc(rows, func(r ports.Row) bool { return r.Version <= f.copy.AsOf })
 		f.applyChanges(rows, version)
 	}
+	f.recordCurrent(called, version)
 	return nil
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -368,8 +368,15 @@
 	f.changed = len(rows) > 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	answered := time.Now()
+	if due := called.Add(f.callWait); !f.changed && due.Before(answered) {
+		// The platform answers when the wait is over, however late the answer is read.
+		answered = due
+	}
 	if f.copy.AsOf != after {
-		return nil // a peer's copy was taken during the call; the next call starts from its version
+		// A peer's copy was taken during the call. The next call starts from its version.
+		f.recordCurrent(answered, version)
+		return nil
 	}
 	switch era := version.Era(); {
 	case era > after.Era():
@@ -380,14 +387,18 @@
 		return eris.Wrapf(errStaleRead, "era %d after %d", era, after.Era())
 	}
 	f.applyChanges(rows, version)
-	f.currentAt = time.Now()
-	if due := called.Add(f.callWait); !f.changed && due.Before(f.currentAt) {
-		// The platform answers when the wait is over, however late the answer is read.
-		f.currentAt = due
-	}
+	f.recordCurrent(answered, version)
 	return nil
 }
 
+// recordCurrent records that the platform had no changes after a version at a time, if the
+// copy has reached that version. The caller holds mu.
+func (f *Follower) recordCurrent(at time.Time, version ports.Version) {
+	if f.copy.AsOf >= version && f.copy.AsOf.Era() == version.Era() && at.After(f.currentAt) {
+		f.currentAt = at
+	}
+}
+
 // readChanges calls the platform for the changes after a version.
 func (f *Follower) readChanges(ctx context.Context, after ports.Version) (rows []ports.Row, version ports.Version, err error) {
 	f.mu.Lock()
@@ -516,7 +527,8 @@
 		f.copy.Changed = version
 	}
 	f.replace(rows, version)
-	f.incremental, f.changed, f.currentAt = true, true, called
+	f.incremental, f.changed = true, true
+	f.recordCurrent(called, version)
 	return nil
 }
 
