--- a/internal/peers/restore_fleet_test.go
+++ b/internal/peers/restore_fleet_test.go
@@ -240,6 +240,22 @@
 	return f
 }
 
+// run starts the daemons and has them read each other's copies through the fleet. The
+// returned function ends that once they have stopped.
+func (f *restoredFleet) run() (wait func()) {
+	transport := copyClient.Transport
+	copyClient.Transport = f
+	var running sync.WaitGroup
+	for i, d := range f.daemons {
+		running.Go(func() { assert.Check(f.t, d.follower.Run(f.ctx)) })
+		running.Go(func() { d.exchange(time.Duration(i) * 7 * time.Millisecond % gossipInterval) })
+	}
+	return func() {
+		running.Wait()
+		copyClient.Transport = transport
+	}
+}
+
 func (d *restoredDaemon) send(to string, data []byte) {
 	receiver, copied := d.fleet.byAddress[to], bytes.Clone(data)
 	if d.cut.Load() {
@@ -349,14 +365,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		f := newRestoredFleet(t, ctx, size, 3)
-		transport := copyClient.Transport
-		copyClient.Transport = f
-		defer func() { copyClient.Transport = transport }()
-		var running sync.WaitGroup
-		for i, d := range f.daemons {
-			running.Go(func() { assert.Check(t, d.follower.Run(ctx)) })
-			running.Go(func() { d.exchange(time.Duration(i) * 7 * time.Millisecond % gossipInterval) })
-		}
+		wait := f.run()
 		for range 100 {
 			f.platform.write()
 		}
@@ -395,6 +404,6 @@
 		t.Logf("%d daemons, %d restorations: newest row everywhere %s after it was written, or after the return of a daemon that was cut off, at most; %d whole readings of the platform and %d of peers' copies, %d calls to the platform at most around one",
 			size, n, slowest, (f.platform.pages.Load()-pages)/n, (f.copies.Load()-copies)/n, most)
 		stop()
-		running.Wait()
+		wait()
 	})
 }
--- a/internal/peers/silent_reader_test.go
+++ b/internal/peers/silent_reader_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -50,14 +49,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	f := newRestoredFleet(t, ctx, daemons, zones)
 	f.bound = bound
-	transport := copyClient.Transport
-	copyClient.Transport = f
-	defer func() { copyClient.Transport = transport }()
-	var running sync.WaitGroup
-	for i, d := range f.daemons {
-		running.Go(func() { assert.Check(t, d.follower.Run(ctx)) })
-		running.Go(func() { d.exchange(time.Duration(i) * 7 * time.Millisecond % gossipInterval) })
-	}
+	wait := f.run()
 	f.platform.write()
 	time.Sleep(20 * time.Second)
 	calls := f.platform.waited.Load()
@@ -98,7 +90,7 @@
 		daemons, zones, bound, slowest, perDaemon, most)
 	assert.Check(t, most <= max(daemons/4, 2), "%d daemons asked the platform within 50 ms", most)
 	stop()
-	running.Wait()
+	wait()
 }
 
 // lack returns how many daemons lack the newest row, other than those given.
