--- a/internal/peers/reliance.go
+++ b/internal/peers/reliance.go
@@ -11,8 +11,9 @@
 	// ownReadTime is what a daemon needs to ask the platform itself and to act on the
 	// answer, up to the requests that it has just sent.
 	ownReadTime = 800 * time.Millisecond
-	// successionTime is how much sooner the first daemon stops relying on its reader than
-	// the last one at most. Half of it covers a call to the platform and an announcement.
+	// successionTime is the longest time between the first and the last daemon of a group to
+	// stop relying on its reader. Half of it covers a call to the platform and an
+	// announcement.
 	successionTime = 300 * time.Millisecond
 	// answerMargin is what the platform's answer and an announcement of it may take.
 	answerMargin = 200 * time.Millisecond
