Share the state of an overtaken answer's test safely

Cause: TestOvertakenAnswerCounts read a plain variable that the follower's goroutine had set through the source's callback.

Ruled out: a race in the follower. The report names the test's variable on both sides, and the package has no other.

Change: an atomic, checked as before.

With the product code before the test still fails, with ages of 5 s and 7 s.

--- a/internal/follow/age_test.go
+++ b/internal/follow/age_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -127,9 +128,9 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		var f *follow.Follower
-		overtaken := false
+		var overtaken atomic.Bool
 		source := &overtakenSource{overtake: func() {
-			overtaken = f.OfferChanges(1, []ports.Row{{Key: "a", Version: 2}}, follow.Versions{AsOf: 2, Changed: 2})
+			overtaken.Store(f.OfferChanges(1, []ports.Row{{Key: "a", Version: 2}}, follow.Versions{AsOf: 2, Changed: 2}))
 		}}
 		f = follow.New(source, nullSink{}, follow.Options{
 			Rand: rand.New(rand.NewPCG(1, 1)),
@@ -140,7 +141,7 @@
 		done := make(chan error)
 		go func() { done <- f.Run(ctx) }()
 		time.Sleep(7 * time.Second)
-		assert.Check(t, overtaken)
+		assert.Check(t, overtaken.Load())
 
 		assert.Check(t, f.Age(time.Now()) > time.Second)
 		assert.NilError(t, f.Confirm(ctx, time.Now()))
